--- /dev/null
+++ b/cmd/marjoramrock/demo.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/marjoramrock/marjoramrock/declare"
+	"github.com/marjoramrock/marjoramrock/examples/profiles"
+	"github.com/marjoramrock/marjoramrock/internal/standin"
+	"github.com/marjoramrock/marjoramrock/internal/trial"
+	"github.com/urfave/cli/v2"
+)
+
+func demoCommand() *cli.Command {
+	return command(&cli.Command{
+		Name: "demo", Usage: "run a whole small deployment in this process and use it",
+		Flags: []cli.Flag{
+			&cli.DurationFlag{Name: "for", Usage: "end after `TIME`; until SIGINT if absent"},
+		},
+		Action: demo,
+	})
+}
+
+// demoDeployment is two zones with two engines each, and one service.
+func demoDeployment(address profiles.Addresses) *declare.Deployment {
+	d := declare.New().Zone("zone-a", 0.5).Zone("zone-b", 0.5)
+	d.Model("atlas", "v1").Limit(256)
+	for i, zone := range []string{"zone-a", "zone-a", "zone-b", "zone-b"} {
+		name := fmt.Sprintf("engine-%d", i+1)
+		d.Engine(name, zone, "atlas", address(name)).Fenced()
+	}
+	d.Service("registry").Server("registry-1", "zone-a", address("registry-1"))
+	d.Team("observers").Rate(50_000).Burst(200_000)
+	d.Team("reviewers").Rate(20_000).Burst(100_000)
+	d.ModelRoute("captions", "atlas").Wait(5 * time.Second)
+	d.ServiceRoute("submissions", "/submissions", "registry").Once()
+	return d
+}
+
+func demo(c *cli.Context) error {
+	ctx, stop := signal.NotifyContext(c.Context, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if d := c.Duration("for"); d > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, d)
+		defer cancel()
+	}
+	cluster, err := trial.Start(ctx, trial.Shape{
+		Deployment: demoDeployment,
+		Routers:    4,
+		Engine: standin.EngineOptions{
+			Blocks: 200, Prefill: 20 * time.Microsecond, Decode: 4 * time.Millisecond, Load: 500 * time.Millisecond,
+		},
+		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
+	})
+	if err != nil {
+		return err
+	}
+	defer cluster.Close()
+	printDemo(cluster)
+	d := &demoLoad{cluster: cluster, first: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
+	d.run(ctx)
+	d.print()
+	return nil
+}
+
+func printDemo(c *trial.Cluster) {
+	fmt.Println("Two availability zones, four routers, four engines, one service and a platform, all on loopback.")
+	fmt.Println("Try it:")
+	fmt.Printf("\n  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' \\\n"+
+		"    -d '{\"model\":\"atlas\",\"stream\":true,\"max_tokens\":16,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'\n\n",
+		c.Routers[0].EntryAddress(), c.Key("observers"))
+	for _, r := range c.Routers {
+		fmt.Printf("  router %s in %s: entry %s, status %s\n", r.Status().VM, r.Status().Zone, r.EntryAddress(), r.StatusAddress())
+	}
+	fmt.Println()
+}
+
+// demoLoad is a little traffic and what it measured.
+type demoLoad struct {
+	cluster *trial.Cluster
+
+	mu      sync.Mutex // guards the fields below
+	served  int
+	refused int
+	failed  int
+	prompt  int
+	cached  int
+	first   *hdrhistogram.Histogram
+}
+
+// Shape of the demo's traffic.
+const (
+	demoCallers  = 6
+	demoSections = 6
+	demoTokens   = 12
+)
+
+func (d *demoLoad) run(ctx context.Context) {
+	var callers sync.WaitGroup
+	for i := range demoCallers {
+		callers.Go(func() {
+			random := rand.New(rand.NewPCG(1, uint64(i)))
+			for ctx.Err() == nil {
+				d.one(ctx, random)
+			}
+		})
+	}
+	callers.Wait()
+}
+
+func (d *demoLoad) one(ctx context.Context, random *rand.Rand) {
+	section := random.IntN(demoSections)
+	parts := []string{
+		strings.Repeat("You caption cloud photographs. ", 300),
+		strings.Repeat(fmt.Sprintf("Atlas section %d. ", section), 600),
+		fmt.Sprintf("Note %d", random.Uint64()),
+	}
+	team := []string{"observers", "reviewers"}[random.IntN(2)]
+	router := d.cluster.Routers[random.IntN(len(d.cluster.Routers))]
+	began := time.Now()
+	reply, err := trial.Do(ctx, http.DefaultClient, router.EntryAddress(), d.cluster.Key(team),
+		trial.Ask{Model: "atlas", Parts: parts, Tokens: demoTokens})
+	if ctx.Err() != nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case err != nil:
+		d.failed++
+	case !reply.OK():
+		d.refused++
+	default:
+		d.served++
+		_ = d.first.RecordValue(reply.First.Sub(began).Microseconds())
+		if reply.Usage != nil {
+			d.prompt += reply.Usage.PromptTokens
+			d.cached += reply.Usage.Details.CachedTokens
+		}
+	}
+}
+
+func (d *demoLoad) print() {
+	ms := func(q float64) float64 { return float64(d.first.ValueAtQuantile(q)) / 1000 }
+	fmt.Printf("%-24s %d\n", "requests served", d.served)
+	fmt.Printf("%-24s %d\n", "refused", d.refused)
+	fmt.Printf("%-24s %d\n", "failed", d.failed)
+	fmt.Printf("%-24s %.1f %%\n", "prompt tokens cached", 100*float64(d.cached)/float64(max(1, d.prompt)))
+	fmt.Printf("%-24s p50 %.1f ms, p99 %.1f ms\n", "time to first token", ms(50), ms(99))
+}
--- /dev/null
+++ b/declare/declare.go
@@ -0,0 +1,259 @@
+package declare
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/marjoramrock/marjoramrock/internal/config"
+	"github.com/tailscale/hujson"
+)
+
+// Defaults of what a declaration leaves out.
+const (
+	defaultBytes = 3
+	defaultLimit = 1024
+	defaultSlots = 8
+)
+
+// Deployment is a configuration being declared. Create one with New.
+type Deployment struct {
+	comment string
+	doc     config.Document
+}
+
+// New returns an empty deployment.
+func New() *Deployment { return &Deployment{} }
+
+// Comment sets the comment that opens the printed configuration.
+func (d *Deployment) Comment(text string) *Deployment {
+	d.comment = text
+	return d
+}
+
+// Zone declares an availability zone with its part of every team's rate and
+// burst. The weights of all zones must sum to 1.
+func (d *Deployment) Zone(name string, weight float64) *Deployment {
+	d.doc.Zones = append(d.doc.Zones, config.Zone{Name: name, Weight: weight})
+	return d
+}
+
+// Model is a model being declared.
+type Model struct {
+	d *Deployment
+	i int
+}
+
+// Model declares a model and the version of its weights.
+func (d *Deployment) Model(name, version string) Model {
+	d.doc.Models = append(d.doc.Models, config.Model{
+		Name: name, Version: version, Bytes: defaultBytes, Limit: defaultLimit,
+	})
+	return Model{d: d, i: len(d.doc.Models) - 1}
+}
+
+// Bytes sets the least number of prompt bytes that make one token.
+func (m Model) Bytes(n float64) Model {
+	m.d.doc.Models[m.i].Bytes = n
+	return m
+}
+
+// Limit sets the most tokens one answer may have.
+func (m Model) Limit(tokens int) Model {
+	m.d.doc.Models[m.i].Limit = tokens
+	return m
+}
+
+// Adapters names the model's adapters.
+func (m Model) Adapters(names ...string) Model {
+	m.d.doc.Models[m.i].Adapters = names
+	return m
+}
+
+// Engine is an engine being declared.
+type Engine struct {
+	d *Deployment
+	i int
+}
+
+// Engine declares an engine of a model at an address in a zone.
+func (d *Deployment) Engine(name, zone, model, address string) Engine {
+	d.doc.Engines = append(d.doc.Engines, config.Engine{
+		Name: name, Zone: zone, Model: model, Address: address, Slots: defaultSlots,
+	})
+	return Engine{d: d, i: len(d.doc.Engines) - 1}
+}
+
+// Slots sets how many requests the engine batches at once.
+func (e Engine) Slots(n int) Engine {
+	e.d.doc.Engines[e.i].Slots = n
+	return e
+}
+
+// Fenced says that the engine refuses orders with an old fencing number.
+func (e Engine) Fenced() Engine {
+	e.d.doc.Engines[e.i].Fenced = true
+	return e
+}
+
+// Service is a plain service being declared.
+type Service struct {
+	d *Deployment
+	i int
+}
+
+// Service declares a plain service.
+func (d *Deployment) Service(name string) Service {
+	d.doc.Services = append(d.doc.Services, config.Service{Name: name})
+	return Service{d: d, i: len(d.doc.Services) - 1}
+}
+
+// Server adds a backend server of the service.
+func (s Service) Server(name, zone, address string) Service {
+	service := &s.d.doc.Services[s.i]
+	service.Servers = append(service.Servers, config.Server{Name: name, Zone: zone, Address: address})
+	return s
+}
+
+// Team is a team being declared.
+type Team struct {
+	d *Deployment
+	i int
+}
+
+// Team declares a team.
+func (d *Deployment) Team(name string) Team {
+	d.doc.Teams = append(d.doc.Teams, config.Team{Name: name})
+	return Team{d: d, i: len(d.doc.Teams) - 1}
+}
+
+// Rate sets the team's rate over the whole fleet, in tokens a second.
+func (t Team) Rate(tokens float64) Team {
+	t.d.doc.Teams[t.i].Rate = tokens
+	return t
+}
+
+// Burst sets the team's burst over the whole fleet, in tokens.
+func (t Team) Burst(tokens float64) Team {
+	t.d.doc.Teams[t.i].Burst = tokens
+	return t
+}
+
+// Key declares a key of a team by the SHA-256 digest of its secret, in hex.
+func (d *Deployment) Key(name, team, digest string) *Deployment {
+	d.doc.Keys = append(d.doc.Keys, config.Key{Name: name, Team: team, Digest: digest})
+	return d
+}
+
+// Route is a route being declared.
+type Route struct {
+	d *Deployment
+	i int
+}
+
+// ModelRoute declares the route to a model.
+func (d *Deployment) ModelRoute(name, model string) Route {
+	return d.route(config.Route{Name: name, Model: model})
+}
+
+// ServiceRoute declares a route to a service; a path that ends in a slash
+// takes everything below it.
+func (d *Deployment) ServiceRoute(name, path, service string) Route {
+	return d.route(config.Route{Name: name, Path: path, Service: service})
+}
+
+func (d *Deployment) route(r config.Route) Route {
+	d.doc.Routes = append(d.doc.Routes, r)
+	return Route{d: d, i: len(d.doc.Routes) - 1}
+}
+
+// Open lets callers in without a key.
+func (r Route) Open() Route {
+	r.d.doc.Routes[r.i].Open = true
+	return r
+}
+
+// Once marks calls that are not idempotent: each runs at most once, named by
+// its Idempotency-Key.
+func (r Route) Once() Route {
+	r.d.doc.Routes[r.i].Once = true
+	return r
+}
+
+// Keyless lets calls without an Idempotency-Key through, sent at most once.
+func (r Route) Keyless() Route {
+	r.d.doc.Routes[r.i].Keyless = config.KeylessSend
+	return r
+}
+
+// Deadline bounds a whole call.
+func (r Route) Deadline(t time.Duration) Route {
+	r.d.doc.Routes[r.i].Deadline = config.Duration(t)
+	return r
+}
+
+// Wait bounds the part of a call before its dispatch.
+func (r Route) Wait(t time.Duration) Route {
+	r.d.doc.Routes[r.i].Wait = config.Duration(t)
+	return r
+}
+
+// Retire declares that a VM is gone for good.
+func (d *Deployment) Retire(vm string) *Deployment {
+	d.doc.Retired = append(d.doc.Retired, config.Retired{Name: vm})
+	return d
+}
+
+// PreferTail weighs the tail of time to first token above recomputation.
+func (d *Deployment) PreferTail() *Deployment {
+	d.policy().Preset = config.PresetTail
+	return d
+}
+
+// Stale sets how long keyed requests are served with no fresh proof that the
+// configuration is the newest.
+func (d *Deployment) Stale(t time.Duration) *Deployment {
+	d.policy().Stale = config.Duration(t)
+	return d
+}
+
+func (d *Deployment) policy() *config.Policy {
+	if d.doc.Policy == nil {
+		d.doc.Policy = &config.Policy{}
+	}
+	return d.doc.Policy
+}
+
+// Document returns the declared configuration.
+func (d *Deployment) Document() config.Document { return d.doc }
+
+// Check returns every problem of the declaration, or nil.
+func (d *Deployment) Check() error {
+	if problems := config.Check(d.doc); len(problems) > 0 {
+		return fmt.Errorf("declare: %w", problems)
+	}
+	return nil
+}
+
+// Print checks the declaration and writes it as JSON with comments.
+func (d *Deployment) Print(w io.Writer) error {
+	if err := d.Check(); err != nil {
+		return err
+	}
+	raw, err := json.Marshal(d.doc)
+	if err != nil {
+		return fmt.Errorf("declare: encode: %w", err)
+	}
+	formatted, err := hujson.Format(raw)
+	if err != nil {
+		return fmt.Errorf("declare: format: %w", err)
+	}
+	if d.comment != "" {
+		formatted = append([]byte("// "+d.comment+"\n"), formatted...)
+	}
+	if _, err := w.Write(formatted); err != nil {
+		return fmt.Errorf("declare: print: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/examples/profiles/profiles.go
@@ -0,0 +1,90 @@
+package profiles
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/marjoramrock/marjoramrock/declare"
+)
+
+// Addresses gives the address of each backend server by name.
+type Addresses func(name string) string
+
+// Numbered returns addresses 127.0.<net>.1:9000 upwards, in the order asked.
+func Numbered(net int) Addresses {
+	n := 0
+	return func(string) string {
+		n++
+		return fmt.Sprintf("127.0.%d.%d:9000", net, n)
+	}
+}
+
+// engines declares n engines of a model spread over zones.
+func engines(d *declare.Deployment, zones []string, model, prefix string, n, slots int, address Addresses) {
+	for i := range n {
+		name := fmt.Sprintf("%s-%d", prefix, i+1)
+		e := d.Engine(name, zones[i%len(zones)], model, address(name)).Slots(slots)
+		if i%2 == 0 {
+			e.Fenced()
+		}
+	}
+}
+
+func zonesOf(d *declare.Deployment, names []string) {
+	for _, name := range names {
+		d.Zone(name, 1/float64(len(names)))
+	}
+}
+
+// Wolkenatlas declares the cloud atlas: four zones, 12 caption and
+// classification engines, 4 portal engines, five teams.
+func Wolkenatlas(address Addresses) *declare.Deployment {
+	zones := []string{"nl-west-1", "nl-west-2", "nl-west-3", "nl-west-4"}
+	d := declare.New().Comment("Wolkenatlas: captions, overnight labels, submissions.")
+	zonesOf(d, zones)
+	d.Model("caption", "v1").Bytes(3).Limit(256)
+	d.Model("portal", "v1").Bytes(3).Limit(256)
+	engines(d, zones, "caption", "caption", 12, 8, address)
+	engines(d, zones, "portal", "portal", 4, 8, address)
+	registry := d.Service("registry")
+	for i, zone := range zones[:2] {
+		name := fmt.Sprintf("registry-%d", i+1)
+		registry.Server(name, zone, address(name))
+	}
+	d.Team("labelling").Rate(60_000).Burst(240_000)
+	d.Team("captions").Rate(40_000).Burst(160_000)
+	d.Team("review").Rate(20_000).Burst(80_000)
+	d.Team("volunteers").Rate(8_000).Burst(48_000)
+	d.Team("schools").Rate(4_000).Burst(32_000)
+	d.ModelRoute("captions", "caption").Deadline(60 * time.Second).Wait(5 * time.Second)
+	d.ModelRoute("portal", "portal").Deadline(30 * time.Second).Wait(3 * time.Second)
+	d.ServiceRoute("submissions", "/submissions", "registry").Once().Deadline(10 * time.Second)
+	return d
+}
+
+// Gumless declares the dispatch service: three zones, 9 answer engines, 3
+// booking and scheduling engines, five teams.
+func Gumless(address Addresses) *declare.Deployment {
+	zones := []string{"new-england-1", "new-england-2", "new-england-3"}
+	d := declare.New().Comment("Gumless: job ratings, method questions, bookings.").PreferTail()
+	zonesOf(d, zones)
+	d.Model("answer", "v1").Bytes(3).Limit(256)
+	d.Model("booking", "v1").Bytes(3).Limit(256)
+	engines(d, zones, "answer", "answer", 9, 8, address)
+	engines(d, zones, "booking", "booking", 3, 8, address)
+	desk := d.Service("desk")
+	for i, zone := range zones[:2] {
+		name := fmt.Sprintf("desk-%d", i+1)
+		desk.Server(name, zone, address(name))
+	}
+	d.Team("managers").Rate(50_000).Burst(200_000)
+	d.Team("quotes").Rate(30_000).Burst(120_000)
+	d.Team("crews-north").Rate(8_000).Burst(48_000)
+	d.Team("crews-south").Rate(8_000).Burst(48_000)
+	d.Team("office").Rate(4_000).Burst(32_000)
+	d.ModelRoute("answers", "answer").Deadline(30 * time.Second).Wait(3 * time.Second)
+	d.ModelRoute("scheduling", "booking").Deadline(30 * time.Second).Wait(3 * time.Second)
+	d.ServiceRoute("bookings", "/bookings", "desk").Once().Deadline(10 * time.Second)
+	d.ServiceRoute("schedule", "/schedule/", "desk").Deadline(5 * time.Second)
+	return d
+}
--- /dev/null
+++ b/internal/answer/sequence.go
@@ -0,0 +1,75 @@
+package answer
+
+import "strings"
+
+// Verdict is what to do with an event of a stream.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Pass: the event is the next one.
+	Pass Verdict = iota + 1
+	// Drop: the event was passed before.
+	Drop
+	// Foreign: the event belongs to another request.
+	Foreign
+	// Gap: events before this one are missing.
+	Gap
+)
+
+// Sequence holds a stream's events to their request and place. Indexes count
+// from zero in each source; a source is one engine's generation of the answer.
+type Sequence struct {
+	request string
+	// next is the index that the current source must send next.
+	next int
+	// sent counts the events passed from all sources.
+	sent int
+	// text is what was passed; tokens counts the events that carried it.
+	text     strings.Builder
+	tokens   int
+	finished bool
+}
+
+// NewSequence returns the sequence of a request's first source.
+func NewSequence(request string) *Sequence { return &Sequence{request: request} }
+
+// Check decides on an event without taking it in.
+func (s *Sequence) Check(id EventID) Verdict {
+	switch {
+	case id.Request != s.request:
+		return Foreign
+	case id.Index < s.next:
+		return Drop
+	case id.Index > s.next:
+		return Gap
+	default:
+		return Pass
+	}
+}
+
+// Accept takes in an event that passed.
+func (s *Sequence) Accept(c Chunk) {
+	s.next++
+	s.sent++
+	if text := c.Text(); text != "" {
+		s.text.WriteString(text)
+		s.tokens++
+	}
+	s.finished = s.finished || c.Finished()
+}
+
+// Restart begins a new source that goes on from the text passed so far.
+func (s *Sequence) Restart() { s.next = 0 }
+
+// Next returns the index that the current source must send next.
+func (s *Sequence) Next() int { return s.next }
+
+// Sent returns the number of events passed.
+func (s *Sequence) Sent() int { return s.sent }
+
+// Text returns the text passed so far, and the number of its tokens.
+func (s *Sequence) Text() (text string, tokens int) { return s.text.String(), s.tokens }
+
+// Finished reports whether the generated text is whole.
+func (s *Sequence) Finished() bool { return s.finished }
--- /dev/null
+++ b/internal/config/document.go
@@ -0,0 +1,181 @@
+package config
+
+import (
+	"fmt"
+	"time"
+)
+
+// Duration is a time.Duration written as text, such as "1.5s".
+type Duration time.Duration
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("config: duration: %w", err)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// Document is the declared configuration as an operator writes it.
+type Document struct {
+	Zones    []Zone    `json:"zones,omitempty"`
+	Models   []Model   `json:"models,omitempty"`
+	Engines  []Engine  `json:"engines,omitempty"`
+	Services []Service `json:"services,omitempty"`
+	Teams    []Team    `json:"teams,omitempty"`
+	Keys     []Key     `json:"keys,omitempty"`
+	Routes   []Route   `json:"routes,omitempty"`
+	Retired  []Retired `json:"retired,omitempty"`
+	Policy   *Policy   `json:"policy,omitempty"`
+}
+
+// Zone is an availability zone.
+type Zone struct {
+	Name string `json:"name"`
+	// Weight is the zone's part of every team's rate and burst. The
+	// weights of all zones sum to 1.
+	Weight float64 `json:"weight"`
+}
+
+// Model is a model that engines serve.
+type Model struct {
+	Name string `json:"name"`
+	// Version names the weights that every engine of the model must run.
+	Version string `json:"version"`
+	// Adapters are the names callers may add after a slash: "model/adapter".
+	Adapters []string `json:"adapters,omitempty"`
+	// Bytes is the least number of prompt bytes that make one token. It
+	// must err low, so that charges err high.
+	Bytes float64 `json:"bytes"`
+	// Limit is the most tokens one answer may have.
+	Limit int `json:"limit"`
+}
+
+// Engine is a backend server that runs a model.
+type Engine struct {
+	Name    string `json:"name"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+	Model   string `json:"model"`
+	// Slots is the number of requests the engine batches at once.
+	Slots int `json:"slots"`
+	// Fenced says that the engine refuses orders with an old fencing number.
+	Fenced bool `json:"fenced,omitempty"`
+}
+
+// Service is a plain service that routes lead to.
+type Service struct {
+	Name    string   `json:"name"`
+	Servers []Server `json:"servers"`
+}
+
+// Server is one backend server of a Service.
+type Server struct {
+	Name    string `json:"name"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+}
+
+// Team is a tenant with a rate and burst in tokens over the whole fleet.
+type Team struct {
+	Name  string  `json:"name"`
+	Rate  float64 `json:"rate"`
+	Burst float64 `json:"burst"`
+}
+
+// Key is an issued key. Only the digest of its secret is kept.
+type Key struct {
+	Name string `json:"name"`
+	Team string `json:"team"`
+	// Digest is the SHA-256 of the secret, in hex.
+	Digest string `json:"digest"`
+}
+
+// Keyless says what a once-only route does with a call that carries no
+// Idempotency-Key.
+type Keyless string
+
+// The values of Keyless.
+const (
+	KeylessRefuse Keyless = "refuse"
+	KeylessSend   Keyless = "send"
+)
+
+// Route leads callers to a model or to a service.
+type Route struct {
+	Name string `json:"name"`
+	// Model is set on a model route, Service and Path on a service route.
+	Model   string `json:"model,omitempty"`
+	Service string `json:"service,omitempty"`
+	// Path is matched whole, or as a prefix when it ends in a slash.
+	Path string `json:"path,omitempty"`
+	// Open routes need no key.
+	Open bool `json:"open,omitempty"`
+	// Once marks calls that are not idempotent and run at most once.
+	Once    bool    `json:"once,omitempty"`
+	Keyless Keyless `json:"keyless,omitempty"`
+	// Deadline bounds a call, Wait the part of it spent before dispatch.
+	Deadline Duration `json:"deadline,omitempty"`
+	Wait     Duration `json:"wait,omitempty"`
+}
+
+// Retired declares that a VM is gone for good, so that its slots may be
+// taken over even if the platform's list still shows it.
+type Retired struct {
+	Name string `json:"name"`
+}
+
+// Preset names a set of placement weights.
+type Preset string
+
+// The presets.
+const (
+	PresetReuse Preset = "reuse"
+	PresetTail  Preset = "tail"
+)
+
+// Policy holds the deployment's few tunable decisions.
+type Policy struct {
+	// Preset weighs recomputation against tail latency.
+	Preset Preset `json:"preset,omitempty"`
+	// Stale is how long keyed requests are served with no fresh proof of
+	// the configuration.
+	Stale Duration `json:"stale,omitempty"`
+}
+
+// Named is an item of a section, unique by its key.
+type Named interface{ Key() string }
+
+// Key implements Named.
+func (z Zone) Key() string { return z.Name }
+
+// Key implements Named.
+func (m Model) Key() string { return m.Name }
+
+// Key implements Named.
+func (e Engine) Key() string { return e.Name }
+
+// Key implements Named.
+func (s Service) Key() string { return s.Name }
+
+// Key implements Named.
+func (t Team) Key() string { return t.Name }
+
+// Key implements Named.
+func (k Key) Key() string { return k.Name }
+
+// Key implements Named.
+func (r Route) Key() string { return r.Name }
+
+// Key implements Named.
+func (r Retired) Key() string { return r.Name }
+
+// Key implements Named. There is one policy.
+func (p Policy) Key() string { return "policy" }
--- /dev/null
+++ b/internal/engine/order.go
@@ -0,0 +1,81 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/marjoramrock/marjoramrock/internal/timer"
+)
+
+// LoadsAtOnce is how many engines of one group may load weights together.
+const LoadsAtOnce = 2
+
+// orderAgain is how long an order is left to take effect before it is sent
+// again.
+const orderAgain = 5 * time.Second
+
+// Order tells an engine to load weights.
+type Order struct {
+	Kind    string `json:"kind"`
+	Version string `json:"version"`
+	// Fence is the epoch under which the orderer holds the group's slot.
+	Fence uint64 `json:"fence"`
+}
+
+// OrderLoad is the kind of an order to load weights.
+const OrderLoad = "load"
+
+// Sight is what the orderer last saw of one engine of its group.
+type Sight struct {
+	Name    string
+	Version string
+	// Known is false when the engine could not be asked.
+	Known bool
+}
+
+// Loads decides which engines of one group to order next. It is not safe for
+// concurrent use.
+type Loads struct {
+	// ordered holds when each engine still loading was ordered.
+	ordered map[string]timer.Instant
+}
+
+// NewLoads returns an orderer that starts with no knowledge of former orders.
+func NewLoads() *Loads { return &Loads{ordered: make(map[string]timer.Instant)} }
+
+// Plan returns the engines to order to a version now. At most LoadsAtOnce are
+// loading at any time. An engine that cannot be asked keeps its place for as
+// long as its load may go on.
+func (l *Loads) Plan(sights []Sight, version string, now timer.Instant) []string {
+	l.settle(sights, version, now)
+	var next []string
+	for _, s := range sights {
+		_, loading := l.ordered[s.Name]
+		if !s.Known || s.Version == version || loading {
+			continue
+		}
+		if len(l.ordered) >= LoadsAtOnce {
+			break
+		}
+		l.ordered[s.Name] = now
+		next = append(next, s.Name)
+	}
+	slices.Sort(next)
+	return next
+}
+
+func (l *Loads) settle(sights []Sight, version string, now timer.Instant) {
+	for _, s := range sights {
+		if s.Known && s.Version == version {
+			delete(l.ordered, s.Name)
+		}
+	}
+	for name, at := range l.ordered {
+		if now.Sub(at) > orderAgain {
+			delete(l.ordered, name)
+		}
+	}
+}
+
+// Refused takes back an order that its engine did not accept.
+func (l *Loads) Refused(name string) { delete(l.ordered, name) }
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,90 @@
+package event
+
+import "github.com/apex/log"
+
+// Event is one kind of log line.
+type Event struct {
+	number int
+	level  log.Level
+	text   string
+}
+
+// Number returns the event's number, unique in the catalogue.
+func (e Event) Number() int { return e.number }
+
+// Text returns the event's fixed message.
+func (e Event) Text() string { return e.text }
+
+// Level returns the severity.
+func (e Event) Level() log.Level { return e.level }
+
+// The catalogue. Hundreds group by concern: 1 process, 2 configuration,
+// 3 membership and slots, 4 rates, 5 requests, 6 engines, 7 peers, 8 claims.
+var (
+	Started         = add(100, log.InfoLevel, "router started")
+	Draining        = add(101, log.InfoLevel, "draining: no new work")
+	Stopped         = add(102, log.InfoLevel, "router stopped")
+	Paused          = add(103, log.WarnLevel, "process was paused")
+	Dumped          = add(104, log.InfoLevel, "state dump")
+	ServerFailed    = add(105, log.ErrorLevel, "listener failed")
+	ConfigInForce   = add(200, log.InfoLevel, "configuration in force")
+	ConfigUnread    = add(201, log.WarnLevel, "configuration not read")
+	ConfigBad       = add(202, log.ErrorLevel, "configuration change does not parse")
+	ProofStale      = add(203, log.WarnLevel, "no fresh proof of the configuration")
+	ListUnread      = add(300, log.WarnLevel, "VM list not read")
+	SlotTaken       = add(301, log.InfoLevel, "slot taken")
+	SlotLost        = add(302, log.WarnLevel, "slot lost")
+	SlotReleased    = add(303, log.InfoLevel, "slot released")
+	SlotUnread      = add(304, log.WarnLevel, "slots not read")
+	SlotBad         = add(305, log.ErrorLevel, "slot row does not parse")
+	LoanFailed      = add(400, log.DebugLevel, "loan not had")
+	ReportLost      = add(401, log.DebugLevel, "loan report lost")
+	RequestRefused  = add(500, log.DebugLevel, "request refused")
+	RequestFailed   = add(501, log.WarnLevel, "request failed")
+	StreamResumed   = add(502, log.InfoLevel, "stream resumed on its engine")
+	StreamContinued = add(503, log.InfoLevel, "stream continued on another engine")
+	StreamBroken    = add(504, log.WarnLevel, "stream ended with an error event")
+	StreamRevoked   = add(505, log.InfoLevel, "stream ended: key withdrawn")
+	ChunkForeign    = add(506, log.WarnLevel, "chunk of another request or out of order")
+	EngineUnread    = add(600, log.DebugLevel, "engine load not read")
+	EngineRestarted = add(601, log.WarnLevel, "engine has a new incarnation")
+	OrderSent       = add(602, log.InfoLevel, "order sent to engine")
+	OrderFailed     = add(603, log.WarnLevel, "order to engine failed")
+	AnswerEmpty     = add(604, log.WarnLevel, "engine answered with nothing")
+	AnswerStale     = add(605, log.WarnLevel, "answer from other weights discarded")
+	PeerBad         = add(700, log.WarnLevel, "peer message refused")
+	PeerUnreached   = add(701, log.DebugLevel, "peer not reached")
+	ClaimUnknown    = add(800, log.WarnLevel, "outcome of a claimed call is unknown")
+	ClaimKept       = add(801, log.DebugLevel, "outcome kept")
+	ClaimUnkept     = add(802, log.ErrorLevel, "outcome not kept")
+	ClaimBad        = add(803, log.ErrorLevel, "claim row does not parse")
+)
+
+var catalogue []Event
+
+func add(number int, level log.Level, text string) Event {
+	e := Event{number: number, level: level, text: text}
+	catalogue = append(catalogue, e)
+	return e
+}
+
+// All returns the catalogue in the order of its numbers.
+func All() []Event { return append([]Event(nil), catalogue...) }
+
+// Log writes one line for e with the given fields; err may be nil.
+func (e Event) Log(l log.Interface, err error, fields log.Fields) {
+	entry := l.WithField("event", e.number).WithFields(fields)
+	if err != nil {
+		entry = entry.WithError(err)
+	}
+	switch e.level {
+	case log.DebugLevel:
+		entry.Debug(e.text)
+	case log.WarnLevel:
+		entry.Warn(e.text)
+	case log.ErrorLevel:
+		entry.Error(e.text)
+	default:
+		entry.Info(e.text)
+	}
+}
--- /dev/null
+++ b/internal/fleet/slots.go
@@ -0,0 +1,240 @@
+package fleet
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/marjoramrock/marjoramrock/internal/platform"
+	"github.com/marjoramrock/marjoramrock/internal/team"
+	"github.com/marjoramrock/marjoramrock/internal/timer"
+)
+
+// Confirm is how long every list must have lacked a VM before its slots are
+// taken over. It must exceed the lag of the platform's list.
+const Confirm = 10 * time.Second
+
+// freePause is how long each further VM in a slot's order waits before it
+// takes a slot that nobody holds.
+const freePause = 5 * time.Second
+
+// SlotRow is the kept state of a slot.
+type SlotRow struct {
+	// Holder is the VM that mints for the slot; empty after a release.
+	Holder string `json:"vm"`
+	// Epoch grows with every change of the row.
+	Epoch uint64 `json:"epoch"`
+	// Attempt tells this write from all others.
+	Attempt string `json:"attempt"`
+}
+
+// Take is a slot that this VM should try to get.
+type Take struct {
+	Slot team.Slot
+	// Expect is the version of the row, zero if there is none.
+	Expect uint64
+	Row    SlotRow
+	// Virgin means that nobody ever held the slot.
+	Virgin bool
+}
+
+// Key returns the row's key.
+func (t Take) Key(zone string) platform.Key { return SlotKey(zone, t.Slot) }
+
+// SlotGroup returns the group of a zone's slot rows.
+func SlotGroup(zone string) string { return "slots/" + zone }
+
+// SlotKey returns the key of a slot's row.
+func SlotKey(zone string, s team.Slot) platform.Key {
+	return platform.Key{Group: SlotGroup(zone), Name: strconv.Itoa(int(s))}
+}
+
+type slotState struct {
+	version uint64
+	row     SlotRow
+	// freeSince is when the slot was first seen with no holder.
+	freeSince timer.Instant
+}
+
+// Slots decides which slots this VM should hold. It is safe for concurrent
+// use.
+type Slots struct {
+	self    string
+	confirm time.Duration
+
+	mu    sync.RWMutex // guards the fields below
+	known bool
+	state [team.SlotCount]slotState
+	// mine marks the slots that this run of the process has taken.
+	mine [team.SlotCount]bool
+}
+
+// NewSlots returns a table in which nothing is known. A zero confirm stands
+// for Confirm.
+func NewSlots(self string, confirm time.Duration) *Slots {
+	if confirm == 0 {
+		confirm = Confirm
+	}
+	return &Slots{self: self, confirm: confirm}
+}
+
+// ParseRow reads a slot's row.
+func ParseRow(row platform.Row) (team.Slot, SlotRow, error) {
+	n, err := strconv.Atoi(row.Key.Name)
+	if err != nil || n < 0 || n >= team.SlotCount {
+		return 0, SlotRow{}, fmt.Errorf("fleet: slot row %q: no such slot", row.Key.Name)
+	}
+	var r SlotRow
+	if err := json.Unmarshal(row.Data, &r); err != nil {
+		return 0, SlotRow{}, fmt.Errorf("fleet: slot row %q: %w", row.Key.Name, err)
+	}
+	if r.Epoch == 0 {
+		return 0, SlotRow{}, fmt.Errorf("fleet: slot row %q: no epoch", row.Key.Name)
+	}
+	return team.Slot(n), r, nil
+}
+
+// Update takes in the zone's rows and returns the slots that this run held
+// and has lost. Rows that do not parse, or are older than known, change
+// nothing and are returned as errors.
+func (s *Slots) Update(rows []platform.Row, now timer.Instant) (lost []team.Slot, bad []error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, row := range rows {
+		slot, parsed, err := ParseRow(row)
+		if err != nil {
+			bad = append(bad, err)
+			continue
+		}
+		st := &s.state[slot]
+		if row.Version <= st.version {
+			continue
+		}
+		if parsed.Holder == "" && st.row.Holder != "" || st.version == 0 {
+			st.freeSince = now
+		}
+		st.version, st.row = row.Version, parsed
+		if s.mine[slot] && parsed.Holder != s.self {
+			s.mine[slot] = false
+			lost = append(lost, slot)
+		}
+	}
+	s.known = true
+	return lost, bad
+}
+
+// Holder returns the VM that holds a slot, as far as known.
+func (s *Slots) Holder(slot team.Slot) (string, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	holder := s.state[slot].row.Holder
+	return holder, holder != ""
+}
+
+// Mine returns the slots that this run of the process has taken.
+func (s *Slots) Mine() []team.Slot {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var out []team.Slot
+	for i, mine := range s.mine {
+		if mine {
+			out = append(out, team.Slot(i))
+		}
+	}
+	return out
+}
+
+// Plan returns the slots that this VM should try to take now. retired reports
+// VMs that the operators declared gone.
+func (s *Slots) Plan(v *View, zone string, retired func(string) bool, now timer.Instant) []Take {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.known || !v.Live(s.self) {
+		return nil
+	}
+	routers := v.Routers(zone)
+	var takes []Take
+	for i := range s.state {
+		slot := team.Slot(i)
+		if s.mine[i] || !s.due(slot, v, routers, retired, now) {
+			continue
+		}
+		st := s.state[i]
+		takes = append(takes, Take{
+			Slot:   slot,
+			Expect: st.version,
+			Row:    SlotRow{Holder: s.self, Epoch: st.row.Epoch + 1, Attempt: platform.NewToken()},
+			Virgin: st.version == 0,
+		})
+	}
+	return takes
+}
+
+func (s *Slots) due(slot team.Slot, v *View, routers []platform.VM, retired func(string) bool, now timer.Instant) bool {
+	st := &s.state[slot]
+	holder := st.row.Holder
+	if holder == s.self {
+		return true
+	}
+	rank := rankOf(slot, s.self, routers)
+	if holder == "" {
+		return now.Sub(st.freeSince) >= time.Duration(rank)*freePause
+	}
+	if retired(holder) {
+		return rank == 0
+	}
+	v.Watch(holder)
+	return v.Absent(holder) >= time.Duration(1+rank)*s.confirm
+}
+
+// Taken records that a Take was committed.
+func (s *Slots) Taken(t Take) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state[t.Slot] = slotState{version: t.Expect + 1, row: t.Row}
+	s.mine[t.Slot] = true
+}
+
+// Release returns the write that frees a slot of this run, and stops counting
+// it as taken. ok is false if the slot is not this run's.
+func (s *Slots) Release(slot team.Slot) (t Take, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.mine[slot] {
+		return Take{}, false
+	}
+	s.mine[slot] = false
+	st := s.state[slot]
+	return Take{
+		Slot: slot, Expect: st.version,
+		Row: SlotRow{Epoch: st.row.Epoch + 1, Attempt: platform.NewToken()},
+	}, true
+}
+
+// rankOf returns the place of a VM in a slot's order of preference.
+func rankOf(slot team.Slot, self string, routers []platform.VM) int {
+	return slices.Index(Order(strconv.Itoa(int(slot)), routers), self)
+}
+
+// Order returns the names of VMs by rendezvous hashing on a key.
+func Order(key string, vms []platform.VM) []string {
+	type scored struct {
+		name  string
+		score uint64
+	}
+	list := make([]scored, len(vms))
+	for i, vm := range vms {
+		list[i] = scored{name: vm.Name, score: xxhash.Sum64String(key + "\x00" + vm.Name)}
+	}
+	slices.SortFunc(list, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	names := make([]string, len(list))
+	for i, e := range list {
+		names[i] = e.name
+	}
+	return names
+}
--- /dev/null
+++ b/internal/operator/watch.go
@@ -0,0 +1,83 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/marjoramrock/marjoramrock/internal/platform"
+	"github.com/marjoramrock/marjoramrock/internal/router"
+	"github.com/valyala/fasthttp"
+)
+
+// statusTimeout bounds the asking of one router.
+const statusTimeout = time.Second
+
+// Report is one router's status, or why there is none.
+type Report struct {
+	VM     platform.VM
+	Status router.Status
+	Err    error
+}
+
+// Watch asks every listed router for its status.
+func Watch(ctx context.Context, services platform.VMs) ([]Report, error) {
+	list, err := services.ListVMs(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("operator: %w", err)
+	}
+	var reports []Report
+	for _, vm := range list.VMs {
+		if vm.Role != platform.RoleRouter {
+			continue
+		}
+		report := Report{VM: vm}
+		report.Err = Get(vm.Status, "/status", &report.Status)
+		reports = append(reports, report)
+	}
+	return reports, nil
+}
+
+// Get fetches a JSON document from a router's operators' address.
+func Get(address, path string, into any) error {
+	status, raw, err := fasthttp.GetTimeout(nil, "http://"+address+path, statusTimeout)
+	if err != nil {
+		return fmt.Errorf("operator: %s: %w", address, err)
+	}
+	if status != fasthttp.StatusOK {
+		return fmt.Errorf("operator: %s: status %d", address, status)
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		return fmt.Errorf("operator: %s: %w", address, err)
+	}
+	return nil
+}
+
+// Await waits until every listed router has at least a generation in force,
+// and returns the last reports; complete is false when ctx ended first.
+func Await(ctx context.Context, services platform.VMs, generation uint64) (reports []Report, complete bool) {
+	for {
+		latest, err := Watch(ctx, services)
+		if err == nil {
+			reports = latest
+			if inForce(reports, generation) {
+				return reports, true
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return reports, false
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+func inForce(reports []Report, generation uint64) bool {
+	for _, r := range reports {
+		if r.Err != nil || r.Status.Generation < generation {
+			return false
+		}
+	}
+	return len(reports) > 0
+}
--- /dev/null
+++ b/internal/peer/message.go
@@ -0,0 +1,200 @@
+package peer
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Version is the version of the protocol.
+const Version = 1
+
+// MaxMessage bounds an encoded message, in bytes.
+const MaxMessage = 64 << 20
+
+// Errors of decoding.
+var (
+	ErrVersion = errors.New("peer: other protocol version")
+	ErrKind    = errors.New("peer: unknown kind of message")
+)
+
+// Kind tells the messages apart on the wire.
+type Kind uint8
+
+// The kinds of message.
+const (
+	KindHello Kind = iota + 1
+	KindBorrow
+	KindGrant
+	KindReports
+	KindSince
+	KindChanges
+	KindFetch
+	KindSnapshot
+	KindFailure
+)
+
+// Message is one request or reply.
+type Message interface{ kind() Kind }
+
+// Hello tells of the sender and is answered by a Hello.
+type Hello struct {
+	VM   string `cbor:"1,keyasint"`
+	Zone string `cbor:"2,keyasint"`
+	// Generation is the one in force.
+	Generation uint64 `cbor:"3,keyasint"`
+	// Proved is the highest head known, ProofAge how old that knowledge is
+	// in milliseconds, and HasProof whether there is any.
+	Proved   uint64 `cbor:"4,keyasint"`
+	ProofAge uint64 `cbor:"5,keyasint"`
+	HasProof bool   `cbor:"6,keyasint"`
+}
+
+// Borrow asks for a loan. It is answered by a Grant.
+type Borrow struct {
+	Team string  `cbor:"1,keyasint"`
+	ID   string  `cbor:"2,keyasint"`
+	Want float64 `cbor:"3,keyasint"`
+	// Forward lets a router that is not the holder pass the message on.
+	Forward bool `cbor:"4,keyasint"`
+}
+
+// Grant answers a Borrow.
+type Grant struct {
+	Tokens float64 `cbor:"1,keyasint"`
+	// Wait is in microseconds.
+	Wait     uint64 `cbor:"2,keyasint"`
+	Possible bool   `cbor:"3,keyasint"`
+}
+
+// Report tells what became of a loan.
+type Report struct {
+	ID   string  `cbor:"1,keyasint"`
+	Team string  `cbor:"2,keyasint"`
+	What uint8   `cbor:"3,keyasint"`
+	Used float64 `cbor:"4,keyasint"`
+}
+
+// Reports carries several reports. It is answered by a Hello.
+type Reports struct {
+	List    []Report `cbor:"1,keyasint"`
+	Forward bool     `cbor:"2,keyasint"`
+}
+
+// Since asks for the changes after a generation.
+type Since struct {
+	Generation uint64 `cbor:"1,keyasint"`
+}
+
+// Changes answers Since with encoded changes, oldest first. Whole is false
+// when the sender no longer keeps all of them.
+type Changes struct {
+	List  [][]byte `cbor:"1,keyasint"`
+	Whole bool     `cbor:"2,keyasint"`
+}
+
+// Fetch asks for the generation in force, whole.
+type Fetch struct{}
+
+// Snapshot answers Fetch with an encoded snapshot.
+type Snapshot struct {
+	Data []byte `cbor:"1,keyasint"`
+}
+
+// FailureError answers a request that could not be served.
+type FailureError struct {
+	Text string `cbor:"1,keyasint"`
+}
+
+func (*Hello) kind() Kind        { return KindHello }
+func (*Borrow) kind() Kind       { return KindBorrow }
+func (*Grant) kind() Kind        { return KindGrant }
+func (*Reports) kind() Kind      { return KindReports }
+func (*Since) kind() Kind        { return KindSince }
+func (*Changes) kind() Kind      { return KindChanges }
+func (*Fetch) kind() Kind        { return KindFetch }
+func (*Snapshot) kind() Kind     { return KindSnapshot }
+func (*FailureError) kind() Kind { return KindFailure }
+
+// Error makes a FailureError an error.
+func (f *FailureError) Error() string { return "peer: refused: " + f.Text }
+
+func newMessage(k Kind) (Message, error) {
+	switch k {
+	case KindHello:
+		return &Hello{}, nil
+	case KindBorrow:
+		return &Borrow{}, nil
+	case KindGrant:
+		return &Grant{}, nil
+	case KindReports:
+		return &Reports{}, nil
+	case KindSince:
+		return &Since{}, nil
+	case KindChanges:
+		return &Changes{}, nil
+	case KindFetch:
+		return &Fetch{}, nil
+	case KindSnapshot:
+		return &Snapshot{}, nil
+	case KindFailure:
+		return &FailureError{}, nil
+	default:
+		return nil, fmt.Errorf("%w: %d", ErrKind, k)
+	}
+}
+
+type envelope struct {
+	Version uint8           `cbor:"1,keyasint"`
+	Kind    Kind            `cbor:"2,keyasint"`
+	Body    cbor.RawMessage `cbor:"3,keyasint"`
+}
+
+var decoding = mustDecMode()
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxNestedLevels:  8,
+		MaxArrayElements: 1 << 20,
+		IndefLength:      cbor.IndefLengthForbidden,
+	}.DecMode()
+	if err != nil {
+		panic("peer: decoder options: " + err.Error())
+	}
+	return mode
+}
+
+// Encode returns the form of m on the wire.
+func Encode(m Message) ([]byte, error) {
+	body, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("peer: encode body: %w", err)
+	}
+	raw, err := cbor.Marshal(envelope{Version: Version, Kind: m.kind(), Body: body})
+	if err != nil {
+		return nil, fmt.Errorf("peer: encode: %w", err)
+	}
+	return raw, nil
+}
+
+// Decode reads the form on the wire. It returns ErrVersion or ErrKind,
+// wrapped, for messages of a router that speaks otherwise.
+func Decode(raw []byte) (Message, error) {
+	var e envelope
+	if err := decoding.Unmarshal(raw, &e); err != nil {
+		return nil, fmt.Errorf("peer: decode: %w", err)
+	}
+	if e.Version != Version {
+		return nil, fmt.Errorf("%w: %d", ErrVersion, e.Version)
+	}
+	m, err := newMessage(e.Kind)
+	if err != nil {
+		return nil, err
+	}
+	if err := decoding.Unmarshal(e.Body, m); err != nil {
+		return nil, fmt.Errorf("peer: decode body: %w", err)
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/router/dispatch.go
@@ -0,0 +1,289 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/marjoramrock/marjoramrock/internal/answer"
+	"github.com/marjoramrock/marjoramrock/internal/config"
+	"github.com/marjoramrock/marjoramrock/internal/engine"
+	"github.com/marjoramrock/marjoramrock/internal/event"
+	"github.com/marjoramrock/marjoramrock/internal/prefix"
+	"github.com/valyala/fasthttp"
+)
+
+// Errors of one attempt at an engine.
+var (
+	errNoEngine = errors.New("no engine of the model takes work")
+	errStatus   = errors.New("engine refused")
+	errEmpty    = errors.New("engine answered with nothing")
+	errStale    = errors.New("engine runs other weights")
+	errBudget   = errors.New("retry budget is spent")
+	errForeign  = errors.New("answer is to another request")
+)
+
+// eventsAhead bounds the events read ahead of a slow caller.
+const eventsAhead = 16
+
+// stallTimeout is how long an engine may send nothing.
+const stallTimeout = 10 * time.Second
+
+// source is one engine's stream of an answer.
+type source struct {
+	engine config.Engine
+	report engine.Report
+	resp   *fasthttp.Response
+	events chan answer.Event
+	quit   chan struct{}
+	done   chan struct{}
+	// first is the event that was read to see that there is an answer.
+	first *answer.Event
+	end   func()
+}
+
+// close ends the source; its engine sees the connection go.
+func (s *source) close() {
+	close(s.quit)
+	_ = s.resp.CloseBodyStream()
+	<-s.done
+	s.end()
+}
+
+// reachable returns the engines of a model in the own zone, or in all zones
+// when the own has none.
+func (r *Router) reachable(model string) []config.Engine {
+	all := r.keeper.Current().Serving(model)
+	var near []config.Engine
+	for _, e := range all {
+		if e.Zone == r.settings.Zone {
+			near = append(near, e)
+		}
+	}
+	if len(near) == 0 {
+		return all
+	}
+	return near
+}
+
+// candidates returns the engines that take new work.
+func (r *Router) candidates(model string, tried map[string]bool) ([]config.Engine, []prefix.Candidate) {
+	engines, list := r.usable(r.reachable(model), tried)
+	if len(list) == 0 {
+		return r.usable(r.keeper.Current().Serving(model), tried)
+	}
+	return engines, list
+}
+
+func (r *Router) usable(from []config.Engine, tried map[string]bool) ([]config.Engine, []prefix.Candidate) {
+	var engines []config.Engine
+	var list []prefix.Candidate
+	for _, e := range from {
+		s := r.engines.Status(e.Name)
+		if tried[e.Name] || s.Resting || r.view.Leaving(e.Name) {
+			continue
+		}
+		engines = append(engines, e)
+		list = append(list, prefix.Candidate{
+			Name: e.Name, Incarnation: s.Incarnation, InFlight: s.InFlight, Load: s.Load, Slots: e.Slots,
+		})
+	}
+	return engines, list
+}
+
+// place chooses the engine for the next attempt.
+func (c *completion) place(tried map[string]bool) (config.Engine, error) {
+	engines, list := c.r.candidates(c.model.Name, tried)
+	if len(list) == 0 {
+		return config.Engine{}, errNoEngine
+	}
+	best := c.r.placement().Order(c.prompt, list)[0]
+	if learner, ok := c.r.placement().(prefix.Learner); ok {
+		c.believed = learner.Placed(c.prompt, list[best].Name, list[best].Incarnation)
+	}
+	return engines[best], nil
+}
+
+// attempts bounds the engines tried for one answer.
+const attempts = 4
+
+// open starts a stream on some engine and returns it once its first event is
+// there. With tried it passes over those engines.
+func (c *completion) open(ctx context.Context, tried map[string]bool, seq *answer.Sequence) (*source, error) {
+	if tried == nil {
+		tried = make(map[string]bool)
+		c.r.budget.Fresh()
+	}
+	last := errNoEngine
+	for n := range attempts {
+		if n > 0 && !c.r.budget.Retry() {
+			last = fmt.Errorf("%w: %w", errBudget, last)
+			break
+		}
+		e, err := c.place(tried)
+		if err != nil {
+			break
+		}
+		tried[e.Name] = true
+		src, err := c.try(ctx, e, seq, -1)
+		if err == nil {
+			return src, nil
+		}
+		last = err
+		if ctx.Err() != nil || c.withdrawn() {
+			break
+		}
+	}
+	return nil, c.failure(last)
+}
+
+func (c *completion) withdrawn() bool {
+	select {
+	case <-c.stream.revoked:
+		return true
+	default:
+		return false
+	}
+}
+
+// try opens a stream on one engine, from an event on when resume is not
+// negative.
+func (c *completion) try(ctx context.Context, e config.Engine, seq *answer.Sequence, resume int) (*source, error) {
+	resp := fasthttp.AcquireResponse()
+	resp.StreamBody = true
+	c.r.engines.Begin(e.Name)
+	src := &source{engine: e, resp: resp, end: func() { c.r.engines.End(e.Name) }}
+	err := c.send(ctx, e, resp, seq, resume)
+	if err == nil {
+		src.report, err = c.accept(e, resp)
+	}
+	if err != nil {
+		_ = resp.CloseBodyStream()
+		src.end()
+		return nil, c.blame(e, err)
+	}
+	c.pump(src, resp.BodyStream())
+	if err := c.await(ctx, src, seq); err != nil {
+		src.close()
+		return nil, c.blame(e, err)
+	}
+	c.r.engines.Succeeded(e.Name)
+	return src, nil
+}
+
+// blame counts a failure against an engine.
+func (c *completion) blame(e config.Engine, err error) error {
+	if errors.Is(err, errEmpty) {
+		event.AnswerEmpty.Log(c.r.log, nil, log.Fields{"engine": e.Name, "request": c.id})
+	}
+	if !errors.Is(err, context.Canceled) {
+		c.r.engines.Failed(e.Name)
+	}
+	return fmt.Errorf("engine %s: %w", e.Name, err)
+}
+
+// send writes the request to an engine and reads the head of the answer.
+func (c *completion) send(ctx context.Context, e config.Engine, resp *fasthttp.Response, seq *answer.Sequence, resume int) error {
+	text, tokens := seq.Text()
+	u := upstream{salt: c.salt, priority: c.priority, sent: text, count: tokens}
+	if resume >= 0 {
+		u = c.resumed
+	}
+	raw, err := c.body.encode(u)
+	if err != nil {
+		return err
+	}
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + e.Address + c.path)
+	req.Header.SetContentType("application/json")
+	req.Header.Set(answer.HeaderRequest, c.id)
+	if resume >= 0 {
+		req.Header.Set(answer.HeaderResume, strconv.Itoa(resume))
+	}
+	c.resumed = u
+	c.r.clients.authorize(req, e.Name)
+	req.SetBodyRaw(raw)
+	deadline, _ := ctx.Deadline()
+	err = c.r.clients.host(e.Address).DoDeadline(req, resp, deadline)
+	if err == nil || !unsent(err) {
+		c.dispatched = true
+	}
+	if err != nil {
+		return fmt.Errorf("call: %w", err)
+	}
+	return nil
+}
+
+// accept checks the head of an answer before any of it reaches the caller.
+func (c *completion) accept(e config.Engine, resp *fasthttp.Response) (engine.Report, error) {
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return engine.Report{}, fmt.Errorf("%w: status %d", errStatus, resp.StatusCode())
+	}
+	rep := engine.Report{
+		Incarnation: string(resp.Header.Peek(answer.HeaderIncarnation)),
+		Version:     string(resp.Header.Peek(answer.HeaderVersion)),
+	}
+	rep.Load, _ = strconv.Atoi(string(resp.Header.Peek(answer.HeaderLoad)))
+	if c.r.engines.Observe(e.Name, rep) {
+		event.EngineRestarted.Log(c.r.log, nil, log.Fields{"engine": e.Name, "incarnation": rep.Incarnation})
+		if learner, ok := c.r.placement().(prefix.Learner); ok {
+			learner.Lost(e.Name)
+		}
+	}
+	if id := string(resp.Header.Peek(answer.HeaderRequest)); id != c.id {
+		return rep, fmt.Errorf("%w: %q", errForeign, id)
+	}
+	if rep.Version != c.model.Version {
+		event.AnswerStale.Log(c.r.log, nil, log.Fields{"engine": e.Name, "version": rep.Version, "want": c.model.Version})
+		return rep, fmt.Errorf("%w: %s", errStale, rep.Version)
+	}
+	return rep, nil
+}
+
+// pump reads events ahead of the relay, a bounded number of them.
+func (c *completion) pump(src *source, body io.Reader) {
+	src.events = make(chan answer.Event, eventsAhead)
+	src.quit = make(chan struct{})
+	src.done = make(chan struct{})
+	go func() {
+		defer close(src.done)
+		answer.Read(body, func(e answer.Event) bool {
+			select {
+			case src.events <- e:
+				return true
+			case <-src.quit:
+				return false
+			}
+		})
+	}()
+}
+
+// await takes the first event that the answer needs next.
+func (c *completion) await(ctx context.Context, src *source, seq *answer.Sequence) error {
+	for {
+		select {
+		case e := <-src.events:
+			switch {
+			case errors.Is(e.Err, io.ErrUnexpectedEOF):
+				return errEmpty
+			case e.Err != nil:
+				return e.Err
+			case e.Done && seq.Sent() == 0:
+				return errEmpty
+			case e.Done || seq.Check(e.ID) == answer.Pass:
+				src.first = &e
+				return nil
+			}
+		case <-ctx.Done():
+			return fmt.Errorf("first event: %w", ctx.Err())
+		case <-c.stream.revoked:
+			return fmt.Errorf("first event: %w", context.Canceled)
+		}
+	}
+}
--- /dev/null
+++ b/internal/router/member.go
@@ -0,0 +1,111 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/marjoramrock/marjoramrock/internal/event"
+	"github.com/marjoramrock/marjoramrock/internal/fleet"
+	"github.com/marjoramrock/marjoramrock/internal/platform"
+	"github.com/marjoramrock/marjoramrock/internal/team"
+)
+
+// Bounds of one exchange about membership.
+const (
+	listTimeout    = 2 * time.Second
+	takeTimeout    = 2 * time.Second
+	releaseTimeout = time.Second
+)
+
+// readList takes in the platform's list of VMs.
+func (r *Router) readList() {
+	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
+	defer cancel()
+	asked := r.clock.Now()
+	list, err := r.platform.ListVMs(ctx)
+	if err != nil {
+		event.ListUnread.Log(r.log, err, nil)
+		return
+	}
+	r.view.Update(list, asked)
+	r.queues.resize(r)
+}
+
+// readSlots takes in the zone's slot rows and takes what this VM should hold.
+func (r *Router) readSlots() {
+	ctx, cancel := context.WithTimeout(context.Background(), takeTimeout)
+	defer cancel()
+	rows, err := r.platform.List(ctx, fleet.SlotGroup(r.settings.Zone))
+	if err != nil {
+		event.SlotUnread.Log(r.log, err, nil)
+		return
+	}
+	lost, bad := r.slots.Update(rows, r.clock.Now())
+	for _, err := range bad {
+		event.SlotBad.Log(r.log, err, nil)
+	}
+	for _, slot := range lost {
+		r.ledger.Drop(slot)
+		event.SlotLost.Log(r.log, nil, log.Fields{"slot": int(slot)})
+	}
+	if r.draining.Load() {
+		return
+	}
+	for _, take := range r.slots.Plan(r.view, r.settings.Zone, r.retired, r.clock.Now()) {
+		r.take(take)
+	}
+}
+
+func (r *Router) retired(name string) bool {
+	_, ok := r.keeper.Current().Retired().Get(name)
+	return ok
+}
+
+// take commits a slot to this VM and starts minting once every loan of a
+// former holder must have ended.
+func (r *Router) take(t fleet.Take) {
+	ctx, cancel := context.WithTimeout(context.Background(), takeTimeout)
+	defer cancel()
+	if err := r.commitSlot(ctx, t); err != nil {
+		event.SlotUnread.Log(r.log, err, log.Fields{"slot": int(t.Slot)})
+		return
+	}
+	r.slots.Taken(t)
+	r.ledger.Take(t.Slot, t.Row.Epoch, t.Virgin, r.clock.Now().Add(team.ForgetAfter))
+	event.SlotTaken.Log(r.log, nil, log.Fields{"slot": int(t.Slot), "epoch": t.Row.Epoch})
+}
+
+func (r *Router) commitSlot(ctx context.Context, t fleet.Take) error {
+	raw, err := json.Marshal(t.Row)
+	if err != nil {
+		return fmt.Errorf("router: slot row: %w", err)
+	}
+	write := platform.Write{Key: t.Key(r.settings.Zone), Expect: t.Expect, Data: raw}
+	if err := r.platform.Commit(ctx, t.Row.Attempt, write); err != nil {
+		return fmt.Errorf("router: slot: %w", err)
+	}
+	return nil
+}
+
+// releaseSlots ends minting here and frees the slots for others. A slot whose
+// release cannot be written stays this VM's until the list shows it gone.
+func (r *Router) releaseSlots(ctx context.Context) {
+	for _, slot := range r.slots.Mine() {
+		r.ledger.Drop(slot)
+		t, ok := r.slots.Release(slot)
+		if !ok {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+		err := r.commitSlot(ctx, t)
+		cancel()
+		if err != nil {
+			event.SlotUnread.Log(r.log, err, log.Fields{"slot": int(slot)})
+			continue
+		}
+		event.SlotReleased.Log(r.log, nil, log.Fields{"slot": int(slot)})
+	}
+}
--- /dev/null
+++ b/internal/router/operate.go
@@ -0,0 +1,120 @@
+package router
+
+import (
+	"encoding/json"
+
+	"github.com/apex/log"
+	"github.com/marjoramrock/marjoramrock/internal/engine"
+	"github.com/marjoramrock/marjoramrock/internal/event"
+	"github.com/marjoramrock/marjoramrock/internal/platform"
+	"github.com/marjoramrock/marjoramrock/internal/team"
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+)
+
+// Status is what a router says of itself in short.
+type Status struct {
+	VM         string `json:"vm"`
+	Zone       string `json:"zone"`
+	Generation uint64 `json:"generation"`
+	Digest     string `json:"digest"`
+	Ready      bool   `json:"ready"`
+	// ProofAge is how old the word is that the generation is the newest, in
+	// milliseconds; negative without any.
+	ProofAge int64 `json:"proof"`
+	InFlight int64 `json:"inflight"`
+	Slots    int   `json:"slots"`
+}
+
+// Dump is the state of every table of a router.
+type Dump struct {
+	Status  Status                   `json:"status"`
+	Ledger  []team.SlotState         `json:"ledger"`
+	Engines map[string]engine.Status `json:"engines"`
+	Queues  map[string][2]int        `json:"queues"`
+	Streams int                      `json:"streams"`
+	VMs     []platform.VM            `json:"vms"`
+	Teams   int                      `json:"teams"`
+	Keys    int                      `json:"keys"`
+	Routes  int                      `json:"routes"`
+}
+
+// Status returns the router's state in short.
+func (r *Router) Status() Status {
+	c := r.keeper.Current()
+	_, age, ok := r.keeper.Proof(r.clock.Now())
+	s := Status{
+		VM: r.settings.VM, Zone: r.settings.Zone,
+		Generation: c.Generation(), Digest: c.Digest(),
+		Ready: r.Ready(), ProofAge: age.Milliseconds(),
+		InFlight: r.inFlight.Load(), Slots: len(r.slots.Mine()),
+	}
+	if !ok {
+		s.ProofAge = -1
+	}
+	return s
+}
+
+// Dump returns the state of every table.
+func (r *Router) Dump() Dump {
+	c := r.keeper.Current()
+	return Dump{
+		Status:  r.Status(),
+		Ledger:  r.ledger.State(),
+		Engines: r.engines.All(),
+		Queues:  r.queues.depths(),
+		Streams: r.streams.len(),
+		VMs:     r.view.Routers(""),
+		Teams:   c.Teams().Len(),
+		Keys:    c.Keys().Len(),
+		Routes:  len(c.Document().Routes),
+	}
+}
+
+// LogDump writes the dump to the log.
+func (r *Router) LogDump() {
+	raw, err := json.Marshal(r.Dump())
+	event.Dumped.Log(r.log, err, log.Fields{"dump": string(raw)})
+}
+
+// operate handles the operators' requests.
+func (r *Router) operate(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case pathAlive:
+		ctx.SetBodyString("ok\n")
+	case pathReady:
+		r.ready(ctx)
+	case "/status":
+		writeJSON(ctx, fasthttp.StatusOK, r.Status())
+	case "/dump":
+		writeJSON(ctx, fasthttp.StatusOK, r.Dump())
+	case "/metrics":
+		ctx.SetContentType("application/json")
+		metrics.WriteJSONOnce(r.metrics.registry, ctx)
+	case "/faults":
+		r.switchFaults(ctx)
+	default:
+		refuse(fasthttp.StatusNotFound, "no_route", "no such path").write(&ctx.Response)
+	}
+}
+
+// switchFaults cuts links, where the settings allow it.
+func (r *Router) switchFaults(ctx *fasthttp.RequestCtx) {
+	var cut Cut
+	if !r.settings.Faults || json.Unmarshal(ctx.PostBody(), &cut) != nil {
+		refuse(fasthttp.StatusForbidden, "forbidden", "fault switches are off").write(&ctx.Response)
+		return
+	}
+	r.faults.set(cut)
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, status int, v any) {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		refuse(fasthttp.StatusInternalServerError, "internal", "answer does not encode").write(&ctx.Response)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(raw)
+}
--- /dev/null
+++ b/internal/router/orderer.go
@@ -0,0 +1,146 @@
+package router
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/marjoramrock/marjoramrock/internal/config"
+	"github.com/marjoramrock/marjoramrock/internal/engine"
+	"github.com/marjoramrock/marjoramrock/internal/event"
+	"github.com/marjoramrock/marjoramrock/internal/fleet"
+	"github.com/marjoramrock/marjoramrock/internal/platform"
+	"github.com/marjoramrock/marjoramrock/internal/team"
+	"github.com/marjoramrock/marjoramrock/internal/timer"
+	"github.com/valyala/fasthttp"
+)
+
+// orderTimeout bounds one exchange with an engine about orders.
+const orderTimeout = time.Second
+
+// orderWait is how long a new orderer waits before its first order, so that
+// the loads that a former one started have ended.
+const orderWait = 3 * time.Second
+
+// orderer orders the engines of the models whose slot this VM holds. One VM of
+// the fleet holds a model's slot, in the zone that the model hashes to.
+type orderer struct {
+	r      *Router
+	groups map[string]*group
+}
+
+// group is a model whose engines this VM orders.
+type group struct {
+	epoch uint64
+	since timer.Instant
+	loads *engine.Loads
+}
+
+func newOrderer(r *Router) *orderer { return &orderer{r: r, groups: make(map[string]*group)} }
+
+// run looks after every model that this VM orders.
+func (o *orderer) run() {
+	c := o.r.keeper.Current()
+	for _, m := range c.Models().Sorted() {
+		epoch, held := o.holds(c, m.Name)
+		if !held {
+			delete(o.groups, m.Name)
+			continue
+		}
+		g := o.groups[m.Name]
+		if g == nil || g.epoch != epoch {
+			g = &group{epoch: epoch, since: o.r.clock.Now(), loads: engine.NewLoads()}
+			o.groups[m.Name] = g
+		}
+		if o.r.clock.Now().Sub(g.since) >= orderWait {
+			o.order(g, m, c.Serving(m.Name))
+		}
+	}
+}
+
+// holds reports whether this VM orders a model's engines, and the epoch.
+func (o *orderer) holds(c *config.Config, model string) (uint64, bool) {
+	zones := c.Zones().Sorted()
+	named := make([]platform.VM, len(zones))
+	for i, z := range zones {
+		named[i] = platform.VM{Name: z.Name}
+	}
+	order := fleet.Order(model, named)
+	if len(order) == 0 || order[0] != o.r.settings.Zone || o.r.draining.Load() {
+		return 0, false
+	}
+	return o.r.ledger.Held(team.SlotOf(model))
+}
+
+// order sends the orders that are due to the engines of one model.
+func (o *orderer) order(g *group, m config.Model, engines []config.Engine) {
+	sights := make([]engine.Sight, len(engines))
+	byName := make(map[string]config.Engine, len(engines))
+	for i, e := range engines {
+		byName[e.Name] = e
+		version, err := o.version(e)
+		sights[i] = engine.Sight{Name: e.Name, Version: version, Known: err == nil}
+		if err != nil {
+			event.EngineUnread.Log(o.r.log, err, log.Fields{"engine": e.Name})
+		}
+	}
+	for _, name := range g.loads.Plan(sights, m.Version, o.r.clock.Now()) {
+		o.send(g, byName[name], engine.Order{Kind: engine.OrderLoad, Version: m.Version, Fence: g.epoch})
+	}
+}
+
+type loadReply struct {
+	Incarnation string `json:"incarnation"`
+	Version     string `json:"version"`
+	Running     int    `json:"running"`
+}
+
+// version asks an engine which weights it runs.
+func (o *orderer) version(e config.Engine) (string, error) {
+	var reply loadReply
+	raw, err := o.exchange(e, fasthttp.MethodGet, "/v1/load", nil)
+	if err != nil {
+		return "", err
+	}
+	if err := json.Unmarshal(raw, &reply); err != nil {
+		return "", fmt.Errorf("router: engine load: %w", err)
+	}
+	return reply.Version, nil
+}
+
+// send gives one order if this VM still holds the group under its epoch.
+func (o *orderer) send(g *group, e config.Engine, order engine.Order) {
+	o.r.clock.Check()
+	epoch, held := o.r.ledger.Held(team.SlotOf(e.Model))
+	if !held || epoch != g.epoch {
+		return
+	}
+	raw, err := json.Marshal(order)
+	if err == nil {
+		_, err = o.exchange(e, fasthttp.MethodPost, "/v1/orders", raw)
+	}
+	if err != nil {
+		g.loads.Refused(e.Name)
+		event.OrderFailed.Log(o.r.log, err, log.Fields{"engine": e.Name})
+		return
+	}
+	event.OrderSent.Log(o.r.log, nil, log.Fields{"engine": e.Name, "version": order.Version, "fence": order.Fence})
+}
+
+func (o *orderer) exchange(e config.Engine, method, path string, body []byte) ([]byte, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + e.Address + path)
+	o.r.clients.authorize(req, e.Name)
+	req.SetBodyRaw(body)
+	if err := o.r.clients.host(e.Address).DoTimeout(req, resp, orderTimeout); err != nil {
+		return nil, fmt.Errorf("router: engine %s: %w", e.Name, err)
+	}
+	if resp.StatusCode() >= fasthttp.StatusMultipleChoices {
+		return nil, fmt.Errorf("router: engine %s: status %d", e.Name, resp.StatusCode())
+	}
+	return append([]byte(nil), resp.Body()...), nil
+}
--- /dev/null
+++ b/internal/router/peers.go
@@ -0,0 +1,208 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/marjoramrock/marjoramrock/internal/peer"
+	"github.com/marjoramrock/marjoramrock/internal/team"
+)
+
+var (
+	errNotHolder = errors.New("router: not the holder")
+	errRequest   = errors.New("router: not a request")
+	errNoTeam    = errors.New("router: no such team")
+)
+
+// handlePeer answers a peer's request.
+func (r *Router) handlePeer(ctx context.Context, m peer.Message) (peer.Message, error) {
+	switch m := m.(type) {
+	case *peer.Hello:
+		if m.Generation > r.keeper.Current().Generation() {
+			r.hearOf(m)
+		}
+		return r.hello(), nil
+	case *peer.Borrow:
+		return r.lendTo(ctx, m)
+	case *peer.Reports:
+		return r.takeReports(m), nil
+	case *peer.Since:
+		return r.changesSince(m.Generation)
+	case *peer.Fetch:
+		return r.snapshot()
+	default:
+		return nil, errRequest
+	}
+}
+
+// hearOf follows up a peer's word of a newer generation.
+func (r *Router) hearOf(m *peer.Hello) {
+	if vm, ok := r.view.Find(m.VM); ok {
+		go r.follower.fromPeer(vm.Address)
+	}
+}
+
+func (r *Router) changesSince(generation uint64) (peer.Message, error) {
+	changes, whole := r.keeper.Since(generation)
+	reply := &peer.Changes{Whole: whole}
+	for _, change := range changes {
+		raw, err := json.Marshal(change)
+		if err != nil {
+			return nil, fmt.Errorf("router: encode change: %w", err)
+		}
+		reply.List = append(reply.List, raw)
+	}
+	return reply, nil
+}
+
+func (r *Router) snapshot() (peer.Message, error) {
+	raw, err := json.Marshal(r.keeper.Current().Snapshot())
+	if err != nil {
+		return nil, fmt.Errorf("router: encode snapshot: %w", err)
+	}
+	return &peer.Snapshot{Data: raw}, nil
+}
+
+// limits returns this zone's part of a team's rate and burst.
+func (r *Router) limits(name string) (team.Limits, bool) {
+	c := r.keeper.Current()
+	t, ok := c.Teams().Get(name)
+	if !ok {
+		return team.Limits{}, false
+	}
+	zone, ok := c.Zones().Get(r.settings.Zone)
+	return team.Limits{Rate: t.Rate * zone.Weight, Cap: t.Burst * zone.Weight}, ok
+}
+
+// lendTo lends as the holder, or passes the request on to the holder once.
+func (r *Router) lendTo(ctx context.Context, m *peer.Borrow) (peer.Message, error) {
+	limits, ok := r.limits(m.Team)
+	if !ok {
+		return nil, errNoTeam
+	}
+	grant, held := r.ledger.Lend(r.clock.Now(), m.Team, limits, team.LoanID(m.ID), m.Want)
+	if held {
+		return &peer.Grant{Tokens: grant.Tokens, Wait: uint64(grant.Wait.Microseconds()), Possible: grant.Possible}, nil
+	}
+	address, err := r.holderOf(m.Team)
+	if err != nil || !m.Forward {
+		return nil, errNotHolder
+	}
+	return peer.Ask[*peer.Grant](ctx, r.node, address, &peer.Borrow{Team: m.Team, ID: m.ID, Want: m.Want})
+}
+
+// holderOf returns the address of the zone's holder for a team.
+func (r *Router) holderOf(name string) (string, error) {
+	holder, ok := r.slots.Holder(team.SlotOf(name))
+	if !ok || holder == r.settings.VM {
+		return "", errNotHolder
+	}
+	vm, ok := r.view.Find(holder)
+	if !ok {
+		return "", errNotHolder
+	}
+	return vm.Address, nil
+}
+
+// takeReports books reports as the holder and passes the others on once.
+func (r *Router) takeReports(m *peer.Reports) peer.Message {
+	for _, report := range m.List {
+		r.takeReport(team.Report{
+			ID: team.LoanID(report.ID), Team: report.Team, Kind: team.ReportKind(report.What), Used: report.Used,
+		}, m.Forward)
+	}
+	return r.hello()
+}
+
+func (r *Router) takeReport(report team.Report, forward bool) {
+	limits, ok := r.limits(report.Team)
+	if !ok || r.ledger.Report(r.clock.Now(), limits, report) || !forward {
+		return
+	}
+	if address, err := r.holderOf(report.Team); err == nil {
+		r.reports.add(address, report, false)
+	}
+}
+
+// lender reaches holders for the collector.
+type lender struct{ r *Router }
+
+// lendTimeout bounds the asking of one zone.
+const lendTimeout = 250 * time.Millisecond
+
+// Zones implements team.Lender.
+func (l lender) Zones(string) []string {
+	own := l.r.settings.Zone
+	zones := []string{own}
+	for _, zone := range l.r.keeper.Current().Zones().Sorted() {
+		if zone.Name != own {
+			zones = append(zones, zone.Name)
+		}
+	}
+	return zones
+}
+
+// Lend implements team.Lender.
+func (l lender) Lend(ctx context.Context, zone, name string, id team.LoanID, want float64) (team.Grant, error) {
+	if l.r.unreach.recently(zone, name, l.r.clock.Now()) {
+		return team.Grant{}, errNotHolder
+	}
+	grant, err := l.lend(ctx, zone, name, id, want)
+	if err != nil {
+		l.r.unreach.mark(zone, name, l.r.clock.Now())
+	}
+	return grant, err
+}
+
+func (l lender) lend(ctx context.Context, zone, name string, id team.LoanID, want float64) (team.Grant, error) {
+	if zone == l.r.settings.Zone {
+		if limits, ok := l.r.limits(name); ok {
+			if grant, held := l.r.ledger.Lend(l.r.clock.Now(), name, limits, id, want); held {
+				return grant, nil
+			}
+		}
+	}
+	address, forward, err := l.r.route(zone, name)
+	if err != nil {
+		return team.Grant{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, lendTimeout)
+	defer cancel()
+	reply, err := peer.Ask[*peer.Grant](ctx, l.r.node, address, &peer.Borrow{Team: name, ID: string(id), Want: want, Forward: forward})
+	if err != nil {
+		return team.Grant{}, fmt.Errorf("router: lend: %w", err)
+	}
+	return team.Grant{
+		Tokens: reply.Tokens, Wait: time.Duration(reply.Wait) * time.Microsecond, Possible: reply.Possible,
+	}, nil
+}
+
+// route returns whom to ask for a team's bucket in a zone: the holder in the
+// own zone, any router of another, which passes the request on.
+func (r *Router) route(zone, name string) (address string, forward bool, err error) {
+	if zone == r.settings.Zone {
+		address, err = r.holderOf(name)
+		return address, false, err
+	}
+	routers := r.view.Routers(zone)
+	if len(routers) == 0 {
+		return "", false, errNotHolder
+	}
+	turn := r.unreach.turn(zone, len(routers))
+	return routers[turn].Address, true, nil
+}
+
+// Report implements team.Lender.
+func (l lender) Report(zone string, report team.Report) {
+	if zone == l.r.settings.Zone {
+		if limits, ok := l.r.limits(report.Team); ok && l.r.ledger.Report(l.r.clock.Now(), limits, report) {
+			return
+		}
+	}
+	if address, forward, err := l.r.route(zone, report.Team); err == nil {
+		l.r.reports.add(address, report, forward)
+	}
+}
--- /dev/null
+++ b/internal/router/reports.go
@@ -0,0 +1,113 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/marjoramrock/marjoramrock/internal/event"
+	"github.com/marjoramrock/marjoramrock/internal/peer"
+	"github.com/marjoramrock/marjoramrock/internal/team"
+	"github.com/marjoramrock/marjoramrock/internal/timer"
+)
+
+// pendingLimit bounds the reports that wait for one address.
+const pendingLimit = 4096
+
+// reporter sends loan reports in batches. A report that cannot be sent is
+// lost: the holder then counts the loan's tokens as used.
+type reporter struct {
+	r *Router
+
+	mu      sync.Mutex // guards the field below
+	pending map[destination][]peer.Report
+}
+
+type destination struct {
+	address string
+	forward bool
+}
+
+func newReporter(r *Router) *reporter {
+	return &reporter{r: r, pending: make(map[destination][]peer.Report)}
+}
+
+func (p *reporter) add(address string, report team.Report, forward bool) {
+	to := destination{address: address, forward: forward}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.pending[to]) >= pendingLimit {
+		return
+	}
+	p.pending[to] = append(p.pending[to], peer.Report{
+		ID: string(report.ID), Team: report.Team, What: uint8(report.Kind), Used: report.Used,
+	})
+}
+
+// flush sends what is pending.
+func (p *reporter) flush() {
+	p.mu.Lock()
+	batch := p.pending
+	p.pending = make(map[destination][]peer.Report)
+	p.mu.Unlock()
+	var sent sync.WaitGroup
+	for to, list := range batch {
+		sent.Go(func() { p.send(to, list) })
+	}
+	sent.Wait()
+}
+
+func (p *reporter) send(to destination, list []peer.Report) {
+	ctx, cancel := context.WithTimeout(context.Background(), lendTimeout)
+	defer cancel()
+	_, err := peer.Ask[*peer.Hello](ctx, p.r.node, to.address, &peer.Reports{List: list, Forward: to.forward})
+	if err != nil {
+		event.ReportLost.Log(p.r.log, err, log.Fields{"peer": to.address, "reports": len(list)})
+	}
+}
+
+// unreachedFor is how long a zone's holder that did not answer is passed over.
+const unreachedFor = 500 * time.Millisecond
+
+// unreached remembers which holders did not answer lately. It is bounded by
+// dropping everything when it is full.
+type unreached struct {
+	mu    sync.Mutex // guards the fields below
+	until map[string]timer.Instant
+	turns map[string]int
+}
+
+const unreachedLimit = 4096
+
+func newUnreached() *unreached {
+	return &unreached{until: make(map[string]timer.Instant), turns: make(map[string]int)}
+}
+
+func slotName(zone, name string) string {
+	return zone + "/" + string(rune('A'+int(team.SlotOf(name))))
+}
+
+func (u *unreached) recently(zone, name string, now timer.Instant) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return now < u.until[slotName(zone, name)]
+}
+
+func (u *unreached) mark(zone, name string, now timer.Instant) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(u.until) > unreachedLimit {
+		clear(u.until)
+	}
+	u.until[slotName(zone, name)] = now.Add(unreachedFor)
+	u.turns[zone]++
+}
+
+// turn returns which of n routers of a zone to ask; it moves on after each
+// failure.
+func (u *unreached) turn(zone string, n int) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.turns[zone] % n
+}
--- /dev/null
+++ b/internal/router/settings.go
@@ -0,0 +1,107 @@
+package router
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/marjoramrock/marjoramrock/internal/config"
+	"github.com/marjoramrock/marjoramrock/internal/peer"
+	"github.com/marjoramrock/marjoramrock/internal/platform"
+)
+
+// Settings are what one router process is told at its start.
+type Settings struct {
+	// VM and Zone are this VM's name and availability zone.
+	VM   string `json:"vm"`
+	Zone string `json:"zone"`
+	// Entry is the callers' address, Peer the routers', Status the operators'.
+	Entry  string `json:"entry"`
+	Peer   string `json:"peer"`
+	Status string `json:"status"`
+	// Platform says where the platform's services are.
+	Platform platform.Settings `json:"platform"`
+	// TLS names the certificates of the inner protocol.
+	TLS peer.Files `json:"tls"`
+	// Seeds are peers to ask for the configuration before any list is read.
+	Seeds []string `json:"seeds,omitempty"`
+	// Credentials are what this system shows to backend servers, by name.
+	Credentials []Credential `json:"credentials,omitempty"`
+	// Log is the lowest level logged.
+	Log string `json:"log,omitempty"`
+	// Placement names the placement policy; empty stands for the default.
+	Placement string `json:"placement,omitempty"`
+	// Drain is how long a leaving router still accepts, so that the balancer
+	// notices; Confirm is how long the platform's list may lag.
+	Drain   config.Duration `json:"drain,omitempty"`
+	Confirm config.Duration `json:"confirm,omitempty"`
+	// Faults allows the fault switches on the status address; for tests.
+	Faults bool `json:"faults,omitempty"`
+}
+
+// Credential is what the system shows to one backend server.
+type Credential struct {
+	Backend string `json:"backend"`
+	Secret  string `json:"secret"`
+}
+
+// DefaultDrain is how long a leaving router still accepts.
+const DefaultDrain = 2 * time.Second
+
+// LoadSettings reads and checks a settings file. ProblemsError are reported all at
+// once, as config.ProblemsError.
+func LoadSettings(file string) (Settings, error) {
+	var s Settings
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return s, fmt.Errorf("router: settings: %w", err)
+	}
+	if err := config.ReadSettings(file, raw, &s); err != nil {
+		return s, fmt.Errorf("router: settings: %w", err)
+	}
+	if err := s.check(file); err != nil {
+		return s, fmt.Errorf("router: settings: %w", err)
+	}
+	return s, nil
+}
+
+// SettingsError lists what is wrong with settings.
+type SettingsError struct {
+	File     string
+	Problems []string
+}
+
+// Error implements error.
+func (e *SettingsError) Error() string {
+	return e.File + ": " + strings.Join(e.Problems, "\n"+e.File+": ")
+}
+
+func (s Settings) check(file string) error {
+	e := &SettingsError{File: file}
+	report := func(field, text string) { e.Problems = append(e.Problems, field+": "+text) }
+	for _, f := range []struct{ name, value string }{
+		{"vm", s.VM}, {"zone", s.Zone}, {"platform.tables", s.Platform.Tables},
+		{"platform.objects", s.Platform.Objects}, {"platform.vms", s.Platform.VMs},
+		{"platform.table", s.Platform.Table}, {"platform.bucket", s.Platform.Bucket},
+		{"tls.cert", s.TLS.Cert}, {"tls.key", s.TLS.Key}, {"tls.ca", s.TLS.CA},
+	} {
+		if f.value == "" {
+			report(f.name, "empty; give it a value")
+		}
+	}
+	for _, f := range []struct{ name, value string }{{"entry", s.Entry}, {"peer", s.Peer}, {"status", s.Status}} {
+		host, _, err := net.SplitHostPort(f.value)
+		if err != nil || net.ParseIP(host) == nil {
+			report(f.name, fmt.Sprintf("%q is no address; write IP:PORT", f.value))
+		}
+	}
+	if _, err := newPolicy(s.Placement, config.PresetReuse); err != nil {
+		report("placement", err.Error())
+	}
+	if len(e.Problems) > 0 {
+		return e
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/router/whole.go
@@ -0,0 +1,97 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/marjoramrock/marjoramrock/internal/answer"
+	"github.com/marjoramrock/marjoramrock/internal/config"
+	"github.com/valyala/fasthttp"
+)
+
+// whole serves a request that wants its answer in one piece, and returns the
+// tokens used.
+func (c *completion) whole(bounded context.Context, ctx *fasthttp.RequestCtx) (float64, error) {
+	tried := make(map[string]bool)
+	c.r.budget.Fresh()
+	last := errNoEngine
+	for n := range attempts {
+		if n > 0 && !c.r.budget.Retry() {
+			last = fmt.Errorf("%w: %w", errBudget, last)
+			break
+		}
+		e, err := c.place(tried)
+		if err != nil {
+			break
+		}
+		tried[e.Name] = true
+		chunk, raw, err := c.fetch(bounded, e)
+		if err == nil {
+			return c.deliver(ctx, chunk, raw)
+		}
+		last = err
+		if bounded.Err() != nil || c.withdrawn() {
+			break
+		}
+	}
+	return c.usedOnFailure(), c.failure(last)
+}
+
+// fetch asks one engine for the whole answer.
+func (c *completion) fetch(bounded context.Context, e config.Engine) (answer.Chunk, []byte, error) {
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	src := &source{engine: e}
+	c.r.engines.Begin(e.Name)
+	defer c.r.engines.End(e.Name)
+	var chunk answer.Chunk
+	err := c.send(bounded, e, resp, answer.NewSequence(c.id), -1)
+	if err == nil {
+		src.report, err = c.accept(e, resp)
+	}
+	if err == nil {
+		err = decodeWhole(resp.Body(), c.id, &chunk)
+	}
+	if err != nil {
+		return chunk, nil, c.blame(e, err)
+	}
+	c.r.engines.Succeeded(e.Name)
+	if chunk.Usage != nil {
+		c.learn(src, chunk.Usage)
+	}
+	return chunk, append([]byte(nil), resp.Body()...), nil
+}
+
+// decodeWhole checks that a body is one finished answer to the request.
+func decodeWhole(raw []byte, id string, chunk *answer.Chunk) error {
+	if len(raw) == 0 {
+		return errEmpty
+	}
+	if err := json.Unmarshal(raw, chunk); err != nil {
+		return fmt.Errorf("answer: %w", err)
+	}
+	if chunk.ID != id {
+		return fmt.Errorf("%w: %q", errForeign, chunk.ID)
+	}
+	if !chunk.Finished() {
+		return errEmpty
+	}
+	return nil
+}
+
+func (c *completion) deliver(ctx *fasthttp.RequestCtx, chunk answer.Chunk, raw []byte) (float64, error) {
+	used := c.usedOnFailure()
+	if chunk.Usage != nil {
+		used = float64(chunk.Usage.PromptTokens + chunk.Usage.CompletionTokens)
+	}
+	if c.withdrawn() {
+		return used, refuse(fasthttp.StatusUnauthorized, "unauthorized", "the key was withdrawn").unknown()
+	}
+	c.r.metrics.first(time.Since(c.began))
+	c.r.metrics.served.Mark(1)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(raw)
+	return used, nil
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,68 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// maxBody bounds a request to a stand-in.
+const maxBody = 64 << 20
+
+// server is the listening part that all stand-ins share.
+type server struct {
+	listener net.Listener
+	http     *fasthttp.Server
+}
+
+func listen(address string, handler fasthttp.RequestHandler) (*server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("standin: listen: %w", err)
+	}
+	s := &server{
+		listener: listener,
+		http: &fasthttp.Server{
+			Handler:               handler,
+			MaxRequestBodySize:    maxBody,
+			NoDefaultServerHeader: true,
+			CloseOnShutdown:       true,
+			ReadTimeout:           time.Minute,
+		},
+	}
+	go func() { _ = s.http.Serve(listener) }()
+	return s, nil
+}
+
+// Address returns the address in use.
+func (s *server) Address() string { return s.listener.Addr().String() }
+
+// Close stops listening and gives open calls a moment to end.
+func (s *server) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	_ = s.http.ShutdownWithContext(ctx)
+}
+
+func reply(ctx *fasthttp.RequestCtx, status int, v any) {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(raw)
+}
+
+func accept(ctx *fasthttp.RequestCtx, v any) bool {
+	if err := json.Unmarshal(ctx.PostBody(), v); err != nil {
+		ctx.Error("standin: "+err.Error(), fasthttp.StatusBadRequest)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/standin/service.go
@@ -0,0 +1,104 @@
+package standin
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/marjoramrock/marjoramrock/internal/answer"
+	"github.com/valyala/fasthttp"
+)
+
+// ServiceFaults are the switches of a Service.
+type ServiceFaults struct {
+	// Fail answers with a server error after running the call.
+	Fail bool `json:"fail"`
+	// Slow delays the answer after running the call, in milliseconds.
+	Slow int `json:"slow"`
+}
+
+// ServiceCounts is what a Service has run.
+type ServiceCounts struct {
+	// Runs counts the calls by Idempotency-Key.
+	Runs  map[string]int `json:"runs"`
+	Calls int            `json:"calls"`
+	Leaks int            `json:"leaks"`
+}
+
+// Receipt is a Service's answer.
+type Receipt struct {
+	Key string `json:"key"`
+	Run int    `json:"run"`
+}
+
+// Service stands in for a plain service whose calls may not be repeated.
+type Service struct {
+	*server
+
+	mu     sync.Mutex // guards the fields below
+	faults ServiceFaults
+	counts ServiceCounts
+}
+
+// NewService starts a service at an address.
+func NewService(address string) (*Service, error) {
+	v := &Service{counts: ServiceCounts{Runs: make(map[string]int)}}
+	s, err := listen(address, v.handle)
+	if err != nil {
+		return nil, err
+	}
+	v.server = s
+	return v, nil
+}
+
+// SetFaults changes the switches.
+func (v *Service) SetFaults(f ServiceFaults) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.faults = f
+}
+
+// Counts returns what the service has run.
+func (v *Service) Counts() ServiceCounts {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	c := v.counts
+	c.Runs = make(map[string]int, len(v.counts.Runs))
+	for key, n := range v.counts.Runs {
+		c.Runs[key] = n
+	}
+	return c
+}
+
+func (v *Service) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/control/counts":
+		reply(ctx, fasthttp.StatusOK, v.Counts())
+	case "/control/faults":
+		var f ServiceFaults
+		if accept(ctx, &f) {
+			v.SetFaults(f)
+		}
+	default:
+		v.run(ctx)
+	}
+}
+
+func (v *Service) run(ctx *fasthttp.RequestCtx) {
+	key := string(ctx.Request.Header.Peek(answer.HeaderIdempotency))
+	v.mu.Lock()
+	v.counts.Calls++
+	v.counts.Runs[key]++
+	if strings.Contains(ctx.Request.String(), PlantedSecret) {
+		v.counts.Leaks++
+	}
+	receipt := Receipt{Key: key, Run: v.counts.Calls}
+	faults := v.faults
+	v.mu.Unlock()
+	time.Sleep(time.Duration(faults.Slow) * time.Millisecond)
+	if faults.Fail {
+		ctx.Error("failed after the run", fasthttp.StatusInternalServerError)
+		return
+	}
+	reply(ctx, fasthttp.StatusOK, receipt)
+}
--- /dev/null
+++ b/internal/team/budget.go
@@ -0,0 +1,37 @@
+package team
+
+import "sync"
+
+// Budget bounds retries to a part of fresh traffic. It is safe for
+// concurrent use.
+type Budget struct {
+	mu sync.Mutex // guards the fields below
+	// part is added for each fresh request; level never exceeds limit.
+	part  float64
+	limit float64
+	level float64
+}
+
+// NewBudget returns a budget that allows part retries for each fresh request
+// and saves up to limit of them.
+func NewBudget(part, limit float64) *Budget {
+	return &Budget{part: part, limit: limit, level: limit}
+}
+
+// Fresh counts a request that is no retry.
+func (b *Budget) Fresh() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.level = min(b.level+b.part, b.limit)
+}
+
+// Retry reports whether a retry is within the budget, and takes it.
+func (b *Budget) Retry() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.level < 1 {
+		return false
+	}
+	b.level--
+	return true
+}
--- /dev/null
+++ b/internal/team/collect.go
@@ -0,0 +1,153 @@
+package team
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/marjoramrock/marjoramrock/internal/timer"
+)
+
+// Errors of Collector.Collect.
+var (
+	// ErrRate means that the reachable zones cannot lend enough now.
+	ErrRate = errors.New("team: rate exceeded")
+	// ErrBurst means that no wait can help: the burst is too small.
+	ErrBurst = errors.New("team: burst too small for the request")
+	// ErrLapsed means that the loans lapsed before the start.
+	ErrLapsed = errors.New("team: loans lapsed before the start")
+)
+
+// Lender reaches the holders of a team's buckets.
+type Lender interface {
+	// Zones returns the zones to ask, the own one first.
+	Zones(team string) []string
+	// Lend asks the holder in a zone for up to want tokens.
+	Lend(ctx context.Context, zone, team string, id LoanID, want float64) (Grant, error)
+	// Report tells the holder in a zone what became of a loan. It does not
+	// wait for an answer.
+	Report(zone string, r Report)
+}
+
+// ShortfallError tells how far a charge fell short. It wraps ErrRate.
+type ShortfallError struct {
+	// Wait is the least time after which trying again makes sense.
+	Wait time.Duration
+	// Unreached counts the zones whose part could not be asked.
+	Unreached int
+}
+
+// Error implements error.
+func (e *ShortfallError) Error() string {
+	if e.Unreached > 0 {
+		return fmt.Sprintf("%v: %d zones not reached, only the reachable ones count", ErrRate, e.Unreached)
+	}
+	return ErrRate.Error()
+}
+
+// Unwrap makes errors.Is(err, ErrRate) hold.
+func (e *ShortfallError) Unwrap() error { return ErrRate }
+
+// Collector gathers the loans that a request needs. It is safe for
+// concurrent use.
+type Collector struct {
+	name   string
+	time   timer.Service
+	lender Lender
+	serial atomic.Uint64
+}
+
+// NewCollector returns a collector whose loan ids begin with name, which must
+// be unique to this run of the process.
+func NewCollector(name string, time timer.Service, lender Lender) *Collector {
+	return &Collector{name: name, time: time, lender: lender}
+}
+
+// minimumWait keeps a refused request from asking again at once.
+const minimumWait = 20 * time.Millisecond
+
+// piece is one loan of a charge.
+type piece struct {
+	zone   string
+	id     LoanID
+	amount float64
+}
+
+// Charge is the gathered loans of one request: exactly one of Start and
+// Release must be called, and Settle after Start.
+type Charge struct {
+	collector *Collector
+	team      string
+	pieces    []piece
+	total     float64
+	// expires is the earliest end of any piece.
+	expires timer.Instant
+}
+
+// Total returns the tokens charged.
+func (c *Charge) Total() float64 { return c.total }
+
+// Collect gathers want tokens, all or nothing, from the own zone first. It
+// returns ErrBurst or a ShortfallError.
+func (c *Collector) Collect(ctx context.Context, name string, burst, want float64) (*Charge, error) {
+	if want > burst {
+		return nil, fmt.Errorf("%w: needs %.0f tokens, burst is %.0f", ErrBurst, want, burst)
+	}
+	charge := &Charge{collector: c, team: name, expires: c.time.Now().Add(LoanLife)}
+	short := &ShortfallError{Wait: LoanLife}
+	for _, zone := range c.lender.Zones(name) {
+		missing := want - charge.total
+		id := LoanID(c.name + "/" + strconv.FormatUint(c.serial.Add(1), 36))
+		grant, err := c.lender.Lend(ctx, zone, name, id, missing)
+		if err != nil {
+			short.Unreached++
+			c.lender.Report(zone, Report{ID: id, Team: name, Kind: ReportReturn})
+			continue
+		}
+		if grant.Tokens > 0 {
+			charge.pieces = append(charge.pieces, piece{zone: zone, id: id, amount: grant.Tokens})
+			charge.total += grant.Tokens
+		}
+		if charge.total >= want {
+			return charge, nil
+		}
+		if grant.Possible {
+			short.Wait = min(short.Wait, grant.Wait)
+		}
+	}
+	charge.Release()
+	short.Wait = max(short.Wait, minimumWait)
+	return nil, short
+}
+
+// Start commits the charge to a request that is about to run. It fails with
+// ErrLapsed, and releases the loans, when their time is over.
+func (c *Charge) Start() error {
+	if c.collector.time.Now() >= c.expires {
+		c.Release()
+		return ErrLapsed
+	}
+	c.report(ReportStart)
+	return nil
+}
+
+// Release gives everything back; the request has not run.
+func (c *Charge) Release() { c.report(ReportReturn) }
+
+func (c *Charge) report(kind ReportKind) {
+	for _, p := range c.pieces {
+		c.collector.lender.Report(p.zone, Report{ID: p.id, Team: c.team, Kind: kind})
+	}
+}
+
+// Settle ends a started charge with the tokens that the engine counted,
+// divided over the pieces in proportion.
+func (c *Charge) Settle(used float64) {
+	for _, p := range c.pieces {
+		part := used * p.amount / c.total
+		c.collector.lender.Report(p.zone, Report{ID: p.id, Team: c.team, Kind: ReportSettle, Used: part})
+	}
+}
--- /dev/null
+++ b/internal/timer/timer.go
@@ -0,0 +1,149 @@
+package timer
+
+import (
+	"sync"
+	"time"
+)
+
+// Instant is a monotonic time, counted from the start of its Service.
+// Instants of different processes must not be compared.
+type Instant time.Duration
+
+// Add returns the instant d after i.
+func (i Instant) Add(d time.Duration) Instant { return i + Instant(d) }
+
+// Sub returns the time from o to i.
+func (i Instant) Sub(o Instant) time.Duration { return time.Duration(i - o) }
+
+// Service tells the time and calls subscribers as it passes.
+type Service interface {
+	// Now returns the current instant.
+	Now() Instant
+	// Every calls f once per period until the subscription is cancelled.
+	// A call that outlasts its period delays the next one.
+	Every(period time.Duration, f func()) Subscription
+	// OnGap calls f with the length of every pause longer than the
+	// service's threshold, before any later periodic call starts.
+	OnGap(f func(gap time.Duration)) Subscription
+}
+
+// Subscription is a running registration with a Service.
+type Subscription interface {
+	// Cancel ends the registration. A call in progress is not interrupted.
+	Cancel()
+}
+
+// Resolution is how often the system service looks at the clock.
+const Resolution = 20 * time.Millisecond
+
+// GapThreshold is the shortest time between two ticks that counts as a pause.
+const GapThreshold = 400 * time.Millisecond
+
+// System is the Service of a running process.
+type System struct {
+	start time.Time
+	stop  chan struct{}
+	once  sync.Once
+
+	mu sync.Mutex // guards the fields below
+	// last is the instant of the newest tick; it never decreases.
+	last Instant
+	subs map[*subscription]struct{}
+	gaps map[*subscription]struct{}
+}
+
+type subscription struct {
+	period time.Duration
+	next   Instant
+	busy   bool
+	call   func()
+	gap    func(time.Duration)
+	cancel func(*subscription)
+}
+
+func (s *subscription) Cancel() { s.cancel(s) }
+
+// NewSystem returns a running service. Close ends it.
+func NewSystem() *System {
+	s := &System{
+		start: time.Now(),
+		stop:  make(chan struct{}),
+		subs:  make(map[*subscription]struct{}),
+		gaps:  make(map[*subscription]struct{}),
+	}
+	go func() {
+		ticker := time.NewTicker(Resolution)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-s.stop:
+				return
+			case <-ticker.C:
+				s.tick()
+			}
+		}
+	}()
+	return s
+}
+
+// Now returns the time since the service was started.
+func (s *System) Now() Instant { return Instant(time.Since(s.start)) }
+
+// Close stops all periodic calls.
+func (s *System) Close() { s.once.Do(func() { close(s.stop) }) }
+
+// Every implements Service.
+func (s *System) Every(period time.Duration, f func()) Subscription {
+	sub := &subscription{period: period, call: f, next: s.Now().Add(period), cancel: s.remove}
+	s.mu.Lock()
+	s.subs[sub] = struct{}{}
+	s.mu.Unlock()
+	return sub
+}
+
+// OnGap implements Service.
+func (s *System) OnGap(f func(time.Duration)) Subscription {
+	sub := &subscription{gap: f, cancel: s.remove}
+	s.mu.Lock()
+	s.gaps[sub] = struct{}{}
+	s.mu.Unlock()
+	return sub
+}
+
+// Check looks for a pause now instead of at the next tick. Admission calls it
+// so that a process that has just been continued notices before it acts.
+func (s *System) Check() { s.tick() }
+
+func (s *System) remove(sub *subscription) {
+	s.mu.Lock()
+	delete(s.subs, sub)
+	delete(s.gaps, sub)
+	s.mu.Unlock()
+}
+
+func (s *System) tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Now()
+	if gap := now.Sub(s.last); gap > GapThreshold && s.last > 0 {
+		for g := range s.gaps {
+			g.gap(gap)
+		}
+	}
+	s.last = max(s.last, now)
+	for sub := range s.subs {
+		if sub.busy || now < sub.next {
+			continue
+		}
+		sub.busy = true
+		sub.next = now.Add(sub.period)
+		go s.run(sub)
+	}
+}
+
+func (s *System) run(sub *subscription) {
+	sub.call()
+	s.mu.Lock()
+	sub.busy = false
+	s.mu.Unlock()
+}
--- /dev/null
+++ b/internal/trial/client.go
@@ -0,0 +1,163 @@
+package trial
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/marjoramrock/marjoramrock/internal/answer"
+)
+
+// Ask is a model request as a caller makes it.
+type Ask struct {
+	Model string
+	// Parts are the messages, the nest's outermost level first.
+	Parts  []string
+	Tokens int
+	Whole  bool
+}
+
+// Reply is what a caller got.
+type Reply struct {
+	Status  int
+	Request string
+	Text    string
+	Usage   *answer.Usage
+	// Done is whether a stream ended with its done mark.
+	Done bool
+	// Error is the router's own word, from an error body or event.
+	Error *answer.Error
+	// First is when the first text came, Ended when the answer ended.
+	First time.Time
+	Ended time.Time
+	// Retry is the Retry-After header, in whole seconds.
+	Retry string
+}
+
+// OK reports whether the reply is a whole answer.
+func (r Reply) OK() bool { return r.Status == http.StatusOK && r.Error == nil && r.Done }
+
+// Errors that a caller notices in a stream.
+var (
+	ErrOrder = errors.New("trial: an event is out of order")
+	ErrMixed = errors.New("trial: an event of another request")
+)
+
+type request struct {
+	Model    string           `json:"model"`
+	Messages []answer.Message `json:"messages"`
+	Max      int              `json:"max_tokens"`
+	Stream   bool             `json:"stream"`
+	Options  *options         `json:"stream_options,omitempty"`
+}
+
+type options struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// Do makes a request at a router's entry address and reads the whole answer.
+func Do(ctx context.Context, client *http.Client, address, key string, a Ask) (Reply, error) {
+	var reply Reply
+	body := request{Model: a.Model, Max: a.Tokens, Stream: !a.Whole}
+	if body.Stream {
+		body.Options = &options{IncludeUsage: true}
+	}
+	for _, part := range a.Parts {
+		text, err := json.Marshal(part)
+		if err != nil {
+			return reply, fmt.Errorf("trial: encode: %w", err)
+		}
+		body.Messages = append(body.Messages, answer.Message{Role: "user", Content: text})
+	}
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return reply, fmt.Errorf("trial: encode: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", bytes.NewReader(raw))
+	if err != nil {
+		return reply, fmt.Errorf("trial: request: %w", err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply, fmt.Errorf("trial: call: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return reply, reply.read(resp, a)
+}
+
+func (r *Reply) read(resp *http.Response, a Ask) error {
+	defer func() { r.Ended = time.Now() }()
+	r.Status = resp.StatusCode
+	r.Request = resp.Header.Get(answer.HeaderRequest)
+	r.Retry = resp.Header.Get("Retry-After")
+	if resp.StatusCode == http.StatusOK && !a.Whole {
+		return r.stream(resp.Body)
+	}
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return fmt.Errorf("trial: read: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return r.refused(raw)
+	}
+	var chunk answer.Chunk
+	if err := json.Unmarshal(raw, &chunk); err != nil {
+		return fmt.Errorf("trial: answer: %w", err)
+	}
+	r.First, r.Text, r.Usage, r.Done = time.Now(), chunk.Text(), chunk.Usage, chunk.Finished()
+	return nil
+}
+
+func (r *Reply) refused(raw []byte) error {
+	var body answer.ErrorBody
+	if err := json.Unmarshal(raw, &body); err != nil {
+		return fmt.Errorf("trial: refusal: %w", err)
+	}
+	r.Error = &body.Error
+	return nil
+}
+
+// stream reads events and holds them to their order.
+func (r *Reply) stream(body io.Reader) error {
+	var text strings.Builder
+	next := 0
+	var failure error
+	answer.Read(body, func(e answer.Event) bool {
+		switch {
+		case e.Done:
+			r.Done = true
+		case e.Chunk.ID == "" && e.Err == nil:
+			failure = r.refused([]byte(e.Data))
+		case e.Err != nil:
+			failure = e.Err
+		case e.ID.Request != r.Request:
+			failure = ErrMixed
+		case e.ID.Index != next:
+			failure = ErrOrder
+		}
+		if failure != nil || r.Error != nil || r.Done {
+			return false
+		}
+		next++
+		if next == 1 {
+			r.First = time.Now()
+		}
+		text.WriteString(e.Chunk.Text())
+		if e.Chunk.Usage != nil {
+			r.Usage = e.Chunk.Usage
+		}
+		return true
+	})
+	r.Text = text.String()
+	return failure
+}
