Prove that calls on once-only routes run at most once

Cause: bookings and submissions must not run twice, and a refusal that says "not run" must be true, while routers and the platform fail.

Routers run as processes; callers repeat the same calls at all of them while routers are killed (one, two), frozen, cut from the platform, the platform is down, slow or loses answers, and the service fails or drops connections after running. The history goes through porcupine as a register of runs; the service counts runs by key and by request id.

--- a/cmd/marjoramrock/demo.go
+++ b/cmd/marjoramrock/demo.go
@@ -41,8 +41,8 @@
 		d.Engine(name, zone, "atlas", address(name)).Fenced()
 	}
 	d.Service("registry").Server("registry-1", "zone-a", address("registry-1"))
-	d.Team("observers").Rate(50_000).Burst(200_000)
-	d.Team("reviewers").Rate(20_000).Burst(100_000)
+	d.Team("observers").Rate(500_000).Burst(2_000_000)
+	d.Team("reviewers").Rate(200_000).Burst(800_000)
 	d.ModelRoute("captions", "atlas").Wait(5 * time.Second)
 	d.ServiceRoute("submissions", "/submissions", "registry").Once()
 	return d
--- a/internal/router/member.go
+++ b/internal/router/member.go
@@ -70,7 +70,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), takeTimeout)
 	defer cancel()
 	if err := r.commitSlot(ctx, t); err != nil {
-		event.SlotUnread.Log(r.log, err, log.Fields{"slot": int(t.Slot)})
+		event.SlotRaced.Log(r.log, err, log.Fields{"slot": int(t.Slot)})
 		return
 	}
 	r.slots.Taken(t)
@@ -103,7 +103,7 @@
 		err := r.commitSlot(ctx, t)
 		cancel()
 		if err != nil {
-			event.SlotUnread.Log(r.log, err, log.Fields{"slot": int(slot)})
+			event.SlotRaced.Log(r.log, err, log.Fields{"slot": int(slot)})
 			continue
 		}
 		event.SlotReleased.Log(r.log, nil, log.Fields{"slot": int(slot)})
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -32,6 +32,7 @@
 			NoDefaultServerHeader: true,
 			CloseOnShutdown:       true,
 			ReadTimeout:           time.Minute,
+			Logger:                quiet{},
 		},
 	}
 	go func() { _ = s.http.Serve(listener) }()
@@ -66,3 +67,9 @@
 	}
 	return true
 }
+
+// quiet drops the HTTP server's log lines.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -13,6 +14,8 @@
 type ServiceFaults struct {
 	// Fail answers with a server error after running the call.
 	Fail bool `json:"fail"`
+	// Drop closes the connection with no answer after every so many runs.
+	Drop int `json:"drop"`
 	// Slow delays the answer after running the call, in milliseconds.
 	Slow int `json:"slow"`
 }
@@ -20,15 +23,20 @@
 // ServiceCounts is what a Service has run.
 type ServiceCounts struct {
 	// Runs counts the calls by Idempotency-Key.
-	Runs  map[string]int `json:"runs"`
-	Calls int            `json:"calls"`
-	Leaks int            `json:"leaks"`
+	Runs map[string]int `json:"runs"`
+	// Requests counts them by the router's id of the request.
+	Requests map[string]int `json:"requests"`
+
+	Calls int `json:"calls"`
+	Leaks int `json:"leaks"`
 }
 
 // Receipt is a Service's answer.
 type Receipt struct {
 	Key string `json:"key"`
-	Run int    `json:"run"`
+	// Run counts the calls of the Server.
+	Run    int    `json:"run"`
+	Server string `json:"server"`
 }
 
 // Service stands in for a plain service whose calls may not be repeated.
@@ -42,7 +50,7 @@
 
 // NewService starts a service at an address.
 func NewService(address string) (*Service, error) {
-	v := &Service{counts: ServiceCounts{Runs: make(map[string]int)}}
+	v := &Service{counts: ServiceCounts{Runs: make(map[string]int), Requests: make(map[string]int)}}
 	s, err := listen(address, v.handle)
 	if err != nil {
 		return nil, err
@@ -63,10 +71,8 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	c := v.counts
-	c.Runs = make(map[string]int, len(v.counts.Runs))
-	for key, n := range v.counts.Runs {
-		c.Runs[key] = n
-	}
+	c.Runs = maps.Clone(v.counts.Runs)
+	c.Requests = maps.Clone(v.counts.Requests)
 	return c
 }
 
@@ -89,13 +95,18 @@
 	v.mu.Lock()
 	v.counts.Calls++
 	v.counts.Runs[key]++
+	v.counts.Requests[string(ctx.Request.Header.Peek(answer.HeaderRequest))]++
 	if strings.Contains(ctx.Request.String(), PlantedSecret) {
 		v.counts.Leaks++
 	}
-	receipt := Receipt{Key: key, Run: v.counts.Calls}
+	receipt := Receipt{Key: key, Server: v.Address(), Run: v.counts.Calls}
 	faults := v.faults
 	v.mu.Unlock()
 	time.Sleep(time.Duration(faults.Slow) * time.Millisecond)
+	if faults.Drop > 0 && receipt.Run%faults.Drop == 0 {
+		_ = ctx.Conn().Close()
+		return
+	}
 	if faults.Fail {
 		ctx.Error("failed after the run", fasthttp.StatusInternalServerError)
 		return
--- a/internal/team/collect.go
+++ b/internal/team/collect.go
@@ -69,6 +69,9 @@
 // minimumWait keeps a refused request from asking again at once.
 const minimumWait = 20 * time.Millisecond
 
+// unreachedWait is when to try again a zone that could not be asked.
+const unreachedWait = 100 * time.Millisecond
+
 // piece is one loan of a charge.
 type piece struct {
 	zone   string
@@ -104,6 +107,7 @@
 		grant, err := c.lender.Lend(ctx, zone, name, id, missing)
 		if err != nil {
 			short.Unreached++
+			short.Wait = min(short.Wait, unreachedWait)
 			c.lender.Report(zone, Report{ID: id, Team: name, Kind: ReportReturn})
 			continue
 		}
