--- a/e2e/rate_test.go
+++ b/e2e/rate_test.go
@@ -75,3 +75,41 @@
 		})
 	}
 }
+
+// exhaust uses a team's tokens up from all VMs at once.
+func (f *fleet) exhaust(name string, d time.Duration) {
+	end := time.Now().Add(d)
+	parallel(2*len(f.vms), func(i int) {
+		for time.Now().Before(end) {
+			_, _ = f.ask(f.vms[i%len(f.vms)], name, trial.Ask{Parts: []string{strings.Repeat("x", 1200)}, Tokens: 8})
+		}
+	})
+}
+
+func TestRestartedHolderStartsEmpty(t *testing.T) {
+	f := newFleet(t, shape{routers: 4, engines: 1})
+	f.exhaust(teamSmall, 500*time.Millisecond)
+	killAllRouters(f, nil)()
+	f.settled()
+	f.exhaust(teamSmall, 2500*time.Millisecond)
+	f.requireWithin(teamSmall)
+}
+
+func TestHolderIsReplacedOnlyOnProof(t *testing.T) {
+	f := newFleet(t, shape{routers: 4, engines: 1})
+	f.exhaust(teamSmall, 500*time.Millisecond)
+	frozen, gone := f.vms[0], f.vms[1]
+	f.freeze(frozen)
+	f.kill(gone)
+	f.platform.DropVM(gone.name)
+	require.Eventually(t, func() bool {
+		s, err := f.status(f.vms[3])
+		return err == nil && s.Slots == team.SlotCount
+	}, 30*time.Second, 50*time.Millisecond, "the slots of a VM that is gone are taken over")
+	s, err := f.status(f.vms[2])
+	require.NoError(t, err)
+	require.Less(t, s.Slots, team.SlotCount, "the slots of a VM that is only silent are not")
+	f.thaw(frozen)
+	f.exhaust(teamSmall, 1500*time.Millisecond)
+	f.requireWithin(teamSmall)
+}
