Prove keys and configuration under failure; find peers without the platform

Cause: two of the new tests failed at once and showed real faults. A router restarted while the platform was down had the configuration from its seeds but no VM list and no slot holders, so it refused every keyed request (429) for as long as the platform was out. And a zone cut off right after its slots moved did not know its own holders until the next read of the rows.

Now a starting router asks its seeds for the VM list, and every greeting between peers of a zone carries the slots that the sender holds, as 32 bits. A peer's word only tells whom to ask; taking a slot still needs the rows.

--- /dev/null
+++ b/e2e/keys_test.go
@@ -0,0 +1,259 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/marjoramrock/marjoramrock/declare"
+	"github.com/marjoramrock/marjoramrock/internal/config"
+	"github.com/marjoramrock/marjoramrock/internal/operator"
+	"github.com/marjoramrock/marjoramrock/internal/prefix"
+	"github.com/marjoramrock/marjoramrock/internal/router"
+	"github.com/marjoramrock/marjoramrock/internal/standin"
+	"github.com/marjoramrock/marjoramrock/internal/trial"
+	"github.com/stretchr/testify/require"
+)
+
+// withdrawnWithin is the target for a withdrawn key on every reachable VM.
+const withdrawnWithin = 3 * time.Second
+
+func slowEngine() standin.EngineOptions {
+	return standin.EngineOptions{Decode: 20 * time.Millisecond, Slots: 64}
+}
+
+func (f *fleet) withdraw(name string) time.Time {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_, err := operator.Withdraw(ctx, f.client, name)
+	require.NoError(f.t, err)
+	return time.Now()
+}
+
+func TestWithdrawnKeyStopsEverywhere(t *testing.T) {
+	tests := []struct {
+		give string
+		cut  func(f *fleet)
+	}{
+		{give: "all reachable", cut: func(*fleet) {}},
+		{give: "one zone's platform link cut, peers reachable", cut: func(f *fleet) {
+			for _, v := range f.vms {
+				if v.zone == "zone-b" {
+					f.cut(v, router.Cut{Platform: true})
+				}
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.give, func(t *testing.T) {
+			f := newFleet(t, shape{routers: 4, engines: 1, engine: slowEngine()})
+			tt.cut(f)
+			replies := make([]trial.Reply, len(f.vms))
+			ended := make([]time.Time, len(f.vms))
+			var streams sync.WaitGroup
+			for i, v := range f.vms {
+				streams.Go(func() {
+					replies[i], _ = f.ask(v, teamLarge, trial.Ask{Parts: []string{"note"}, Tokens: 1000})
+					ended[i] = time.Now()
+				})
+			}
+			require.Eventually(t, func() bool { return f.running() == len(f.vms) }, 10*time.Second, 10*time.Millisecond)
+			at := f.withdraw(teamLarge)
+			streams.Wait()
+			for i := range f.vms {
+				require.NotNil(t, replies[i].Error, "an open stream ends with an error event")
+				require.Equal(t, "unauthorized", replies[i].Error.Type)
+				require.False(t, replies[i].Done, "a stream that was ended is not marked done")
+				require.Less(t, ended[i].Sub(at), withdrawnWithin)
+			}
+			time.Sleep(time.Until(at.Add(withdrawnWithin)))
+			for _, v := range f.vms {
+				reply, err := f.ask(v, teamLarge, trial.Ask{Parts: []string{"x"}, Tokens: 1})
+				require.NoError(t, err)
+				require.Equal(t, http.StatusUnauthorized, reply.Status)
+			}
+		})
+	}
+}
+
+// running counts the requests on all engines.
+func (f *fleet) running() int {
+	n := 0
+	for _, e := range f.engines {
+		n += e.Counts().Running
+	}
+	return n
+}
+
+func TestFullCutServesKeysForTheDeclaredTimeOnly(t *testing.T) {
+	const stale = 3 * time.Second
+	f := newFleet(t, shape{routers: 4, engines: 1, tweak: func(d *declare.Deployment) { d.Stale(stale) }})
+	f.cutZone("zone-b")
+	cutAt := time.Now()
+	f.withdraw(teamLarge)
+	ask := func(v *vm) int {
+		reply, err := f.ask(v, teamSmall, trial.Ask{Parts: []string{"x"}, Tokens: 1})
+		require.NoError(t, err)
+		return reply.Status
+	}
+	require.Equal(t, http.StatusOK, ask(f.vms[1]), "within the limit the zone serves what it can")
+	time.Sleep(time.Until(cutAt.Add(stale + time.Second)))
+	for _, v := range f.vms {
+		reply, err := f.ask(v, teamLarge, trial.Ask{Parts: []string{"x"}, Tokens: 1})
+		require.NoError(t, err)
+		require.NotEqual(t, http.StatusOK, reply.Status, "a withdrawn key, %s", v.name)
+		require.Equal(t, http.StatusOK, f.call(v, "GET", "/open", "", "", "", nil).status, "open routes go on")
+	}
+	require.Equal(t, http.StatusServiceUnavailable, ask(f.vms[1]))
+	f.heal()
+	require.Eventually(t, func() bool { return ask(f.vms[1]) == http.StatusOK }, 10*time.Second, 50*time.Millisecond)
+}
+
+func TestFrozenRouterProvesKeysBeforeItAdmits(t *testing.T) {
+	f := newFleet(t, shape{routers: 2, engines: 1})
+	f.freeze(f.vms[0])
+	f.withdraw(teamLarge)
+	asked := make(chan trial.Reply, 8)
+	for range cap(asked) {
+		go func() {
+			reply, _ := f.ask(f.vms[0], teamLarge, trial.Ask{Parts: []string{"x"}, Tokens: 1})
+			asked <- reply
+		}()
+	}
+	time.Sleep(1500 * time.Millisecond)
+	f.thaw(f.vms[0])
+	for range cap(asked) {
+		reply := <-asked
+		require.Equal(t, http.StatusUnauthorized, reply.Status, "the key was withdrawn while the router was frozen")
+	}
+	for _, e := range f.engines {
+		require.Zero(t, e.Counts().Requests)
+	}
+}
+
+func TestNoBackendSeesTheKey(t *testing.T) {
+	f := newFleet(t, shape{routers: 1, engines: 1})
+	secret := standin.PlantedSecret + "0123456789"
+	_, err := operator.Commit(context.Background(), f.client, func(*config.Config) (config.Delta, error) {
+		key := config.Key{Name: "planted", Team: teamLarge, Digest: operator.Digest(secret)}
+		return config.Delta{Set: config.Document{Keys: []config.Key{key}}}, nil
+	})
+	require.NoError(t, err)
+	f.generation(2, 5*time.Second)
+	headers := map[string]string{}
+	for _, name := range []string{"X-Api-Key", "Api-Key", "Cookie", "Proxy-Authorization", "X-Forwarded-Authorization", "X-Anything", "Referer", "User-Agent", "Forwarded"} {
+		headers[name] = "token=" + secret
+	}
+	model := `{"model":"atlas","max_tokens":2,"messages":[{"role":"user","content":"x"}]}`
+	require.Equal(t, http.StatusOK, f.call(f.vms[0], "POST", "/v1/chat/completions?api_key="+secret, secret, "", model, headers).status)
+	for _, path := range []string{"/bookings?key=" + secret, "/lookups/a?" + secret + "=1", "/lookups/a?token=" + secret} {
+		got := f.call(f.vms[0], "POST", path, secret, "once", "x", headers)
+		require.Equal(t, http.StatusOK, got.status, got.body)
+	}
+	for name, e := range f.engines {
+		require.Empty(t, e.Counts().Leaks, name)
+	}
+	for name, s := range f.services {
+		require.Zero(t, s.Counts().Leaks, name)
+	}
+}
+
+// TestRequestsRunOnlyForTheTeamOfTheirKey moves a key between teams while
+// traffic runs and checks, for each request, that the engine ran it under a
+// team that the key had at some moment of the call.
+func TestRequestsRunOnlyForTheTeamOfTheirKey(t *testing.T) {
+	f := newFleet(t, shape{routers: 4, engines: 1})
+	secret, digest, err := operator.NewSecret()
+	require.NoError(t, err)
+	f.keys["moving"] = secret
+	teams := []string{teamLarge, "other"}
+	type span struct {
+		team        string
+		from, until time.Time
+	}
+	var spans []span
+	move := func(name string) {
+		began := time.Now()
+		c, err := operator.Commit(context.Background(), f.client, func(*config.Config) (config.Delta, error) {
+			set := config.Document{
+				Teams: []config.Team{{Name: "other", Rate: 1e6, Burst: 1e7}},
+				Keys:  []config.Key{{Name: "moving", Team: name, Digest: digest}},
+			}
+			return config.Delta{Set: set}, nil
+		})
+		require.NoError(t, err)
+		f.generation(c.Generation(), 5*time.Second)
+		if len(spans) > 0 {
+			spans[len(spans)-1].until = time.Now()
+		}
+		spans = append(spans, span{team: name, from: began, until: time.Now().Add(time.Hour)})
+	}
+	move(teams[0])
+	type asked struct {
+		request      string
+		began, ended time.Time
+	}
+	var mu sync.Mutex
+	var log []asked
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for _, v := range f.vms {
+		callers.Go(func() {
+			for !rest(stop, time.Millisecond) {
+				began := time.Now()
+				reply, err := f.ask(v, "moving", trial.Ask{Parts: []string{"x"}, Tokens: 2})
+				if err == nil && reply.OK() {
+					mu.Lock()
+					log = append(log, asked{reply.Request, began, time.Now()})
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	for i := range 6 {
+		time.Sleep(200 * time.Millisecond)
+		move(teams[(i+1)%2])
+	}
+	close(stop)
+	callers.Wait()
+	ran := map[string]string{}
+	for _, e := range f.engines {
+		for _, s := range e.Counts().Starts {
+			for _, name := range teams {
+				if s.Salt == (prefix.Scope{Model: modelName, Version: "v1", Team: name}).Salt() {
+					ran[s.Request] = name
+				}
+			}
+		}
+	}
+	require.Greater(t, len(log), 50)
+	for _, a := range log {
+		allowed := []string{}
+		for _, s := range spans {
+			if s.from.Before(a.ended) && s.until.After(a.began) {
+				allowed = append(allowed, s.team)
+			}
+		}
+		require.Contains(t, allowed, ran[a.request], fmt.Sprint(a))
+	}
+	t.Logf("%d requests over %d moves", len(log), len(spans)-1)
+}
+
+func TestKeyIsShownOnceAndKeptAsDigest(t *testing.T) {
+	f := newFleet(t, shape{routers: 1, engines: 1})
+	secret, c, err := operator.Issue(context.Background(), f.client, "fresh", teamLarge)
+	require.NoError(t, err)
+	raw := fmt.Sprintf("%+v", c.Document())
+	require.False(t, strings.Contains(raw, secret))
+	require.Contains(t, raw, operator.Digest(secret))
+	f.keys["fresh"] = secret
+	f.generation(c.Generation(), 5*time.Second)
+	reply, err := f.ask(f.vms[0], "fresh", trial.Ask{Parts: []string{"x"}, Tokens: 1})
+	require.NoError(t, err)
+	require.True(t, reply.OK())
+}
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -72,8 +72,20 @@
 	state [team.SlotCount]slotState
 	// mine marks the slots that this run of the process has taken.
 	mine [team.SlotCount]bool
+	// heard is what peers last said of the slots that they hold.
+	heard [team.SlotCount]claimant
 }
 
+// claimant is a VM that said it holds a slot.
+type claimant struct {
+	vm string
+	at timer.Instant
+}
+
+// heardLife is how long a peer's word of its slots goes before the rows, which
+// are read less often and not at all while the platform is out.
+const heardLife = 5 * time.Second
+
 // NewSlots returns a table in which nothing is known. A zero confirm stands
 // for Confirm.
 func NewSlots(self string, confirm time.Duration) *Slots {
@@ -128,11 +140,39 @@
 	return lost, bad
 }
 
+// Hear takes in a peer's word of the slots that it holds, one bit for each. It
+// only tells whom to ask; it is no proof of anything.
+func (s *Slots) Hear(vm string, held uint32, now timer.Instant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.heard {
+		if held&(1<<i) != 0 {
+			s.heard[i] = claimant{vm: vm, at: now}
+		}
+	}
+}
+
+// Held returns the slots that this run has taken, one bit for each.
+func (s *Slots) Held() uint32 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	held := uint32(0)
+	for i, mine := range s.mine {
+		if mine {
+			held |= 1 << i
+		}
+	}
+	return held
+}
+
 // Holder returns the VM that holds a slot, as far as known.
-func (s *Slots) Holder(slot team.Slot) (string, bool) {
+func (s *Slots) Holder(slot team.Slot, now timer.Instant) (string, bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	holder := s.state[slot].row.Holder
+	if c := s.heard[slot]; c.vm != "" && (holder == "" || now.Sub(c.at) < heardLife) {
+		holder = c.vm
+	}
 	return holder, holder != ""
 }
 
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -46,6 +46,31 @@
 	}
 }
 
+// Adopt takes in a list that a peer has, until an own one is read. It is no
+// proof of any VM's absence.
+func (v *View) Adopt(list platform.List) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.read {
+		return
+	}
+	v.vms = make(map[string]platform.VM, len(list.VMs))
+	for _, vm := range list.VMs {
+		v.vms[vm.Name] = vm
+	}
+}
+
+// List returns the VMs known now.
+func (v *View) List() platform.List {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	var list platform.List
+	for _, vm := range v.vms {
+		list.VMs = append(list.VMs, vm)
+	}
+	return list
+}
+
 func (v *View) mark(name string, at timer.Instant) {
 	if _, listed := v.vms[name]; listed {
 		delete(v.absent, name)
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -33,6 +33,8 @@
 	KindFetch
 	KindSnapshot
 	KindFailure
+	KindRoll
+	KindMembers
 )
 
 // Message is one request or reply.
@@ -49,6 +51,8 @@
 	Proved   uint64 `cbor:"4,keyasint"`
 	ProofAge uint64 `cbor:"5,keyasint"`
 	HasProof bool   `cbor:"6,keyasint"`
+	// Held has a bit set for each slot of its zone that the sender holds.
+	Held uint32 `cbor:"7,keyasint"`
 }
 
 // Borrow asks for a loan. It is answered by a Grant.
@@ -102,6 +106,15 @@
 	Data []byte `cbor:"1,keyasint"`
 }
 
+// Roll asks for the list of VMs.
+type Roll struct{}
+
+// Members answers Roll with the newest list that the sender has, encoded as
+// the platform gives it.
+type Members struct {
+	Data []byte `cbor:"1,keyasint"`
+}
+
 // FailureError answers a request that could not be served.
 type FailureError struct {
 	Text string `cbor:"1,keyasint"`
@@ -116,6 +129,8 @@
 func (*Fetch) kind() Kind        { return KindFetch }
 func (*Snapshot) kind() Kind     { return KindSnapshot }
 func (*FailureError) kind() Kind { return KindFailure }
+func (*Roll) kind() Kind         { return KindRoll }
+func (*Members) kind() Kind      { return KindMembers }
 
 // Error makes a FailureError an error.
 func (f *FailureError) Error() string { return "peer: refused: " + f.Text }
@@ -140,6 +155,10 @@
 		return &Snapshot{}, nil
 	case KindFailure:
 		return &FailureError{}, nil
+	case KindRoll:
+		return &Roll{}, nil
+	case KindMembers:
+		return &Members{}, nil
 	default:
 		return nil, fmt.Errorf("%w: %d", ErrKind, k)
 	}
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -55,6 +55,7 @@
 func (f *follower) start() {
 	for _, seed := range f.r.settings.Seeds {
 		go f.hello(seed)
+		go f.join(seed)
 	}
 	f.poll()
 }
@@ -75,6 +76,25 @@
 	f.r.keeper.Prove(head.Generation, asked)
 }
 
+// join asks a seed for the VMs, so that a router that starts while the
+// platform is out knows its peers.
+func (f *follower) join(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), gossipTimeout)
+	defer cancel()
+	members, err := peer.Ask[*peer.Members](ctx, f.r.node, address, &peer.Roll{})
+	if err != nil {
+		event.PeerUnreached.Log(f.r.log, err, log.Fields{"peer": address})
+		return
+	}
+	var list platform.List
+	if err := json.Unmarshal(members.Data, &list); err != nil {
+		event.PeerBad.Log(f.r.log, err, log.Fields{"from": address})
+		return
+	}
+	f.r.view.Adopt(list)
+	f.gossip()
+}
+
 // ReadHead returns the head and its version, zero before the first change.
 func ReadHead(ctx context.Context, tables platform.Tables) (config.Head, uint64, error) {
 	var head config.Head
@@ -236,6 +256,7 @@
 	if reply.Generation > f.r.keeper.Current().Generation() {
 		f.fromPeer(address)
 	}
+	f.r.hear(reply)
 	if reply.HasProof {
 		f.r.keeper.Prove(reply.Proved, asked.Add(-time.Duration(reply.ProofAge)*time.Millisecond))
 	}
@@ -289,5 +310,13 @@
 		Proved:     proved,
 		ProofAge:   uint64(age.Milliseconds()) + 1,
 		HasProof:   ok,
+		Held:       r.slots.Held(),
+	}
+}
+
+// hear takes in which slots of the own zone a peer holds.
+func (r *Router) hear(m *peer.Hello) {
+	if m.Zone == r.settings.Zone && m.VM != r.settings.VM {
+		r.slots.Hear(m.VM, m.Held, r.clock.Now())
 	}
 }
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -21,6 +21,7 @@
 func (r *Router) handlePeer(ctx context.Context, m peer.Message) (peer.Message, error) {
 	switch m := m.(type) {
 	case *peer.Hello:
+		r.hear(m)
 		if m.Generation > r.keeper.Current().Generation() {
 			r.hearOf(m)
 		}
@@ -33,6 +34,8 @@
 		return r.changesSince(m.Generation)
 	case *peer.Fetch:
 		return r.snapshot()
+	case *peer.Roll:
+		return r.roll()
 	default:
 		return nil, errRequest
 	}
@@ -66,6 +69,14 @@
 	return &peer.Snapshot{Data: raw}, nil
 }
 
+func (r *Router) roll() (peer.Message, error) {
+	raw, err := json.Marshal(r.view.List())
+	if err != nil {
+		return nil, fmt.Errorf("router: encode list: %w", err)
+	}
+	return &peer.Members{Data: raw}, nil
+}
+
 // limits returns this zone's part of a team's rate and burst.
 func (r *Router) limits(name string) (team.Limits, bool) {
 	c := r.keeper.Current()
@@ -96,7 +107,7 @@
 
 // holderOf returns the address of the zone's holder for a team.
 func (r *Router) holderOf(name string) (string, error) {
-	holder, ok := r.slots.Holder(team.SlotOf(name))
+	holder, ok := r.slots.Holder(team.SlotOf(name), r.clock.Now())
 	if !ok || holder == r.settings.VM {
 		return "", errNotHolder
 	}
