--- /dev/null
+++ b/e2e/answers_test.go
@@ -0,0 +1,150 @@
+package e2e
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/marjoramrock/marjoramrock/internal/standin"
+	"github.com/marjoramrock/marjoramrock/internal/trial"
+	"github.com/stretchr/testify/require"
+)
+
+func (f *fleet) engineFaults(faults standin.EngineFaults) {
+	for _, e := range f.engines {
+		e.SetFaults(faults)
+	}
+}
+
+// TestStreamsAreWholeAndInOrder breaks streams in every way that engines have
+// and holds each answer to the text that its own request generates.
+func TestStreamsAreWholeAndInOrder(t *testing.T) {
+	tests := []struct {
+		give   string
+		faults standin.EngineFaults
+		// whole means that every answer must be whole in spite of the faults.
+		whole bool
+	}{
+		{give: "no fault", whole: true},
+		{give: "crossed chunks", faults: standin.EngineFaults{Cross: 0.5}, whole: true},
+		{give: "repeated chunks", faults: standin.EngineFaults{Repeat: 0.5}, whole: true},
+		{give: "missing chunks", faults: standin.EngineFaults{Skip: 0.1}},
+		{give: "cut streams, resumed", faults: standin.EngineFaults{Cut: 0.1}},
+		{give: "cut streams, continued elsewhere", faults: standin.EngineFaults{Cut: 0.05, Forget: true}},
+		{give: "empty answers", faults: standin.EngineFaults{Empty: 0.1}},
+		{give: "failures", faults: standin.EngineFaults{Fail: 0.1}},
+		{give: "everything", faults: standin.EngineFaults{Cross: 0.1, Repeat: 0.1, Skip: 0.05, Cut: 0.1, Empty: 0.05, Fail: 0.05}},
+	}
+	f := newFleet(t, shape{routers: 4, engines: 3, engine: standin.EngineOptions{Decode: 200 * time.Microsecond, Slots: 32}})
+	for _, tt := range tests {
+		t.Run(tt.give, func(t *testing.T) {
+			f.engineFaults(tt.faults)
+			defer f.engineFaults(standin.EngineFaults{})
+			var whole, honest atomic.Int64
+			parallel(12, func(i int) {
+				r := rand.New(rand.NewPCG(*seed, uint64(i)))
+				for n := range 25 {
+					parts := []string{"common", fmt.Sprintf("caller %d ask %d", i, n)}
+					tokens := 20 + r.IntN(40)
+					reply, err := f.ask(pickVM(f, r), teamLarge, trial.Ask{Parts: parts, Tokens: tokens, Whole: r.IntN(5) == 0})
+					if !check(t, reply, err, parts, tokens) {
+						honest.Add(1)
+						continue
+					}
+					whole.Add(1)
+				}
+			})
+			t.Logf("%d whole, %d ended with an honest error", whole.Load(), honest.Load())
+			if tt.whole {
+				require.Zero(t, honest.Load())
+			}
+			require.Greater(t, whole.Load(), 10*honest.Load(), "most answers survive")
+		})
+	}
+}
+
+// check holds an answer to its own request and reports whether it is whole. An
+// answer that is not must say so, and may hold only the beginning of the text.
+func check(t *testing.T, reply trial.Reply, err error, parts []string, tokens int) bool {
+	t.Helper()
+	want := standin.Expected(parts, "v1", tokens)
+	require.NoError(t, err)
+	if reply.OK() {
+		require.Equal(t, want, reply.Text)
+		return true
+	}
+	require.False(t, reply.Done, "only a whole answer is marked done")
+	require.NotNil(t, reply.Error, "an answer that is not whole says so")
+	require.True(t, strings.HasPrefix(want, reply.Text))
+	return false
+}
+
+func TestEngineCrashInMidStream(t *testing.T) {
+	f := newFleet(t, shape{routers: 2, zones: []string{"zone-a"}, engines: 3, engine: standin.EngineOptions{Decode: 5 * time.Millisecond}})
+	parts := []string{"site history", "method question"}
+	done := make(chan trial.Reply, 12)
+	for i := range cap(done) {
+		go func() {
+			reply, _ := f.ask(f.vms[i%2], teamLarge, trial.Ask{Parts: parts, Tokens: 100})
+			done <- reply
+		}()
+	}
+	require.Eventually(t, func() bool { return f.running() == cap(done) }, 10*time.Second, 5*time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
+	for _, e := range f.engines {
+		if e.Counts().Running > 0 {
+			e.Restart()
+			break
+		}
+	}
+	for range cap(done) {
+		reply := <-done
+		require.True(t, reply.OK(), "%+v", reply.Error)
+		require.Equal(t, standin.Expected(parts, "v1", 100), reply.Text)
+	}
+}
+
+func TestLeavingCallerCancelsUpstream(t *testing.T) {
+	f := newFleet(t, shape{routers: 1, engines: 1, engine: standin.EngineOptions{Decode: 10 * time.Millisecond}})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		_, _ = trial.Do(ctx, f.http, f.vms[0].entry, f.keys[teamLarge],
+			trial.Ask{Model: modelName, Parts: []string{"x"}, Tokens: 3000})
+	}()
+	require.Eventually(t, func() bool { return f.running() == 1 }, 10*time.Second, 5*time.Millisecond)
+	cancel()
+	require.Eventually(t, func() bool { return f.running() == 0 }, 10*time.Second, 5*time.Millisecond, "30 s of work is not left running")
+}
+
+func TestSlowCallerIsBounded(t *testing.T) {
+	f := newFleet(t, shape{routers: 1, engines: 1, engine: standin.EngineOptions{Decode: 50 * time.Microsecond}})
+	conn, err := net.Dial("tcp", f.vms[0].entry)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(t, conn.(*net.TCPConn).SetReadBuffer(64<<10))
+	body := `{"model":"atlas","stream":true,"max_tokens":4000,"messages":[{"role":"user","content":"x"}]}`
+	_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		f.keys[teamLarge], len(body), body)
+	require.NoError(t, err)
+	time.Sleep(time.Second)
+	s, err := f.status(f.vms[0])
+	require.NoError(t, err)
+	require.Equal(t, int64(1), s.InFlight)
+	// The rest comes whole once the caller reads on.
+	lines := bufio.NewScanner(conn)
+	events, done := 0, false
+	for !done && lines.Scan() {
+		if strings.HasPrefix(lines.Text(), "id: ") {
+			events++
+		}
+		done = lines.Text() == "data: [DONE]"
+	}
+	require.True(t, done)
+	require.Equal(t, 4000, events)
+}
--- a/e2e/keys_test.go
+++ b/e2e/keys_test.go
@@ -257,3 +257,26 @@
 	require.NoError(t, err)
 	require.True(t, reply.OK())
 }
+
+func TestWaitingRequestOfAWithdrawnKeyDoesNotRun(t *testing.T) {
+	f := newFleet(t, shape{routers: 2, engines: 1})
+	f.exhaust(teamSmall, 500*time.Millisecond)
+	waiting := make(chan trial.Reply, 6)
+	for i := range cap(waiting) {
+		go func() {
+			reply, _ := f.ask(f.vms[i%2], teamSmall, trial.Ask{Parts: []string{strings.Repeat("x", 3600)}, Tokens: 700})
+			waiting <- reply
+		}()
+	}
+	f.withdraw(teamSmall)
+	f.generation(2, withdrawnWithin)
+	before := len(f.started(teamSmall))
+	refused := 0
+	for range cap(waiting) {
+		if reply := <-waiting; reply.Status != http.StatusOK {
+			refused++
+		}
+	}
+	require.Positive(t, refused, "nobody waited: the test proves nothing")
+	require.Len(t, f.started(teamSmall), before, "a request ran after its key was withdrawn")
+}
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -70,21 +70,27 @@
 	return near
 }
 
-// candidates returns the engines that take new work.
+// candidates returns the engines that take new work: those of the own zone,
+// else of any zone, else also those that rest after failures.
 func (r *Router) candidates(model string, tried map[string]bool) ([]config.Engine, []prefix.Candidate) {
-	engines, list := r.usable(r.reachable(model), tried)
-	if len(list) == 0 {
-		return r.usable(r.keeper.Current().Serving(model), tried)
+	near, all := r.reachable(model), r.keeper.Current().Serving(model)
+	for _, choice := range []struct {
+		from    []config.Engine
+		resting bool
+	}{{near, false}, {all, false}, {near, true}, {all, true}} {
+		if engines, list := r.usable(choice.from, tried, choice.resting); len(list) > 0 {
+			return engines, list
+		}
 	}
-	return engines, list
+	return nil, nil
 }
 
-func (r *Router) usable(from []config.Engine, tried map[string]bool) ([]config.Engine, []prefix.Candidate) {
+func (r *Router) usable(from []config.Engine, tried map[string]bool, resting bool) ([]config.Engine, []prefix.Candidate) {
 	var engines []config.Engine
 	var list []prefix.Candidate
 	for _, e := range from {
 		s := r.engines.Status(e.Name)
-		if tried[e.Name] || s.Resting || r.view.Leaving(e.Name) {
+		if tried[e.Name] || (s.Resting && !resting) || r.view.Leaving(e.Name) {
 			continue
 		}
 		engines = append(engines, e)
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -59,21 +59,23 @@
 }
 
 // servers returns the service's backend servers that take work, those of the
-// own zone first.
+// own zone first and those that rest after failures last.
 func (c *call) servers() []config.Server {
 	s, _ := c.r.keeper.Current().Services().Get(c.route.Service)
-	var near, far []config.Server
+	var near, far, resting []config.Server
 	for _, server := range s.Servers {
 		status := c.r.engines.Status(server.Name)
 		switch {
-		case c.r.view.Leaving(server.Name) || status.Resting:
+		case c.r.view.Leaving(server.Name):
+		case status.Resting:
+			resting = append(resting, server)
 		case server.Zone == c.r.settings.Zone:
 			near = append(near, server)
 		default:
 			far = append(far, server)
 		}
 	}
-	return append(near, far...)
+	return append(append(near, far...), resting...)
 }
 
 // repeatable sends a call that may run more than once.
--- a/internal/standin/complete.go
+++ b/internal/standin/complete.go
@@ -114,6 +114,7 @@
 	}
 	e.mu.Lock()
 	e.leak(ctx)
+	e.counts.Calls++
 	faults := e.faults
 	fail := e.chance(faults.Fail) || e.loading
 	empty := e.chance(faults.Empty)
