Load tool, policies side by side, and one placement policy

Cause: placement was chosen by reasoning only. `marjoramrock load` plans arrivals from a seed for the two users' workloads, sends them open-loop, and reports the five measures, by team and by class, with policies in turn on one plan and an oracle that looks into the engines' caches.

Found by it, one change each: - engines of the own zone only were placed on; every zone then recomputes each prefix. Also: requests inside their team's rate are now told from the plan, in order of arrival; before, they were told in order of completion, which was wrong.

--- a/cmd/marjoramrock/main.go
+++ b/cmd/marjoramrock/main.go
@@ -49,7 +49,7 @@
 		HideHelpCommand: true,
 		Commands: []*cli.Command{
 			routerCommand(), certsCommand(), checkCommand(), diffCommand(), applyCommand(),
-			keysCommand(), statusCommand(), dumpCommand(), demoCommand(), standinCommand(),
+			keysCommand(), statusCommand(), dumpCommand(), loadCommand(), demoCommand(), standinCommand(),
 		},
 		OnUsageError: wrongUsage,
 		ExitErrHandler: func(*cli.Context, error) {
--- a/declare/declare.go
+++ b/declare/declare.go
@@ -205,12 +205,6 @@
 	return d
 }
 
-// PreferTail weighs the tail of time to first token above recomputation.
-func (d *Deployment) PreferTail() *Deployment {
-	d.policy().Preset = config.PresetTail
-	return d
-}
-
 // Stale sets how long keyed requests are served with no fresh proof that the
 // configuration is the newest.
 func (d *Deployment) Stale(t time.Duration) *Deployment {
--- a/e2e/cache_test.go
+++ b/e2e/cache_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,10 +42,12 @@
 	var callers sync.WaitGroup
 	var mu sync.Mutex
 	whole := map[string]int{}
+	var changed atomic.Bool
 	for i := range 8 {
 		callers.Go(func() {
 			r := rand.New(rand.NewPCG(*seed, uint64(i)))
 			for !rest(stop, 5*time.Millisecond) {
+				after := changed.Load()
 				reply, err := f.ask(pickVM(f, r), names[i%2], trial.Ask{Parts: parts, Tokens: 10})
 				if err != nil || !reply.OK() {
 					continue
@@ -55,6 +58,9 @@
 						version = v
 					}
 				}
+				if after {
+					require.Equal(t, "v2", version, "an answer from older weights than those in force")
+				}
 				mu.Lock()
 				whole[version]++
 				mu.Unlock()
@@ -67,6 +73,7 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	f.setVersion("v2")
+	changed.Store(true)
 	f.awaitVersion("v2")
 	time.Sleep(500 * time.Millisecond)
 	close(stop)
@@ -75,6 +82,9 @@
 	require.Zero(t, whole[""], "an answer mixes weights or requests")
 	require.Positive(t, whole["v1"])
 	require.Positive(t, whole["v2"])
+	for _, name := range names {
+		require.NotEmpty(t, f.started(name), "engines keep %s under a salt of its own", name)
+	}
 	cached := 0
 	for name, e := range f.engines {
 		c := e.Counts()
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -240,9 +240,6 @@
 	if p == nil {
 		return
 	}
-	if p.Preset != "" && p.Preset != PresetReuse && p.Preset != PresetTail {
-		c.report("policy.preset", fmt.Sprintf("unknown preset %q", p.Preset), "write reuse or tail")
-	}
 	if p.Stale < 0 {
 		c.report("policy.stale", "below zero", "give a time above zero")
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -76,14 +76,6 @@
 // Serving returns the engines of a model in the order of their names.
 func (c *Config) Serving(model string) []Engine { return c.serving[model] }
 
-// Preset returns the placement preset.
-func (c *Config) Preset() Preset {
-	if c.policy.Preset == "" {
-		return PresetReuse
-	}
-	return c.policy.Preset
-}
-
 // Stale returns how long keyed requests are served with no fresh proof.
 func (c *Config) Stale() time.Duration {
 	if c.policy.Stale == 0 {
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -39,6 +39,8 @@
 // Zone is an availability zone.
 type Zone struct {
 	Name string `json:"name"`
+	// Region groups zones whose engines serve each other's requests.
+	Region string `json:"region,omitempty"`
 	// Weight is the zone's part of every team's rate and burst. The
 	// weights of all zones sum to 1.
 	Weight float64 `json:"weight"`
@@ -132,19 +134,8 @@
 	Name string `json:"name"`
 }
 
-// Preset names a set of placement weights.
-type Preset string
-
-// The presets.
-const (
-	PresetReuse Preset = "reuse"
-	PresetTail  Preset = "tail"
-)
-
 // Policy holds the deployment's few tunable decisions.
 type Policy struct {
-	// Preset weighs recomputation against tail latency.
-	Preset Preset `json:"preset,omitempty"`
 	// Stale is how long keyed requests are served with no fresh proof of
 	// the configuration.
 	Stale Duration `json:"stale,omitempty"`
--- /dev/null
+++ b/internal/peer/message_test.go
@@ -0,0 +1,97 @@
+package peer
+
+import (
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+)
+
+var samples = []Message{
+	&Hello{VM: "vm-1", Zone: "zone-a", Generation: 7, Proved: 7, ProofAge: 12, HasProof: true, Held: 0xffff},
+	&Borrow{Team: "team", ID: "vm-1/x/1", Want: 20000, Forward: true},
+	&Grant{Tokens: 100, Wait: 5, Possible: true},
+	&Reports{List: []Report{{ID: "vm-1/x/1", Team: "team", What: 3, Used: 7}}, Forward: true},
+	&Since{Generation: 3},
+	&Changes{List: [][]byte{[]byte("{}")}, Whole: true},
+	&Fetch{},
+	&Snapshot{Data: []byte("{}")},
+	&Roll{},
+	&Members{Data: []byte("{}")},
+	&FailureError{Text: "no"},
+}
+
+func TestMessagesKeepTheirForm(t *testing.T) {
+	for _, m := range samples {
+		raw, err := Encode(m)
+		require.NoError(t, err)
+		again, err := Decode(raw)
+		require.NoError(t, err)
+		require.Equal(t, m, again)
+		for cut := range raw {
+			_, err := Decode(raw[:cut])
+			require.Error(t, err, "truncated at %d", cut)
+		}
+	}
+}
+
+func TestDecodeRefuses(t *testing.T) {
+	envelopeOf := func(version uint8, kind Kind, body any) []byte {
+		raw, err := cbor.Marshal(body)
+		require.NoError(t, err)
+		out, err := cbor.Marshal(envelope{Version: version, Kind: kind, Body: raw})
+		require.NoError(t, err)
+		return out
+	}
+	tests := []struct {
+		give string
+		raw  []byte
+		want error
+	}{
+		{give: "another version", raw: envelopeOf(Version+1, KindFetch, Fetch{}), want: ErrVersion},
+		{give: "an unknown kind", raw: envelopeOf(Version, 99, Fetch{}), want: ErrKind},
+		{give: "a body of another kind", raw: envelopeOf(Version, KindHello, []int{1, 2})},
+		{give: "nothing"},
+		{give: "text", raw: []byte("GET / HTTP/1.1")},
+	}
+	for _, tt := range tests {
+		t.Run(tt.give, func(t *testing.T) {
+			_, err := Decode(tt.raw)
+			require.Error(t, err)
+			if tt.want != nil {
+				require.ErrorIs(t, err, tt.want)
+			}
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, m := range samples {
+		raw, err := Encode(m)
+		require.NoError(f, err)
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		m, err := Decode(raw)
+		if err != nil {
+			return
+		}
+		_, err = Encode(m)
+		require.NoError(t, err)
+	})
+}
+
+func BenchmarkMessages(b *testing.B) {
+	for _, m := range samples[:4] {
+		raw, err := Encode(m)
+		require.NoError(b, err)
+		b.Run(string(rune('0'+m.kind())), func(b *testing.B) {
+			b.ReportAllocs()
+			b.ReportMetric(float64(len(raw)), "B/message")
+			for b.Loop() {
+				raw, _ := Encode(m)
+				_, _ = Decode(raw)
+			}
+		})
+	}
+}
--- a/internal/prefix/place.go
+++ b/internal/prefix/place.go
@@ -147,8 +147,9 @@
 type Weights struct {
 	// Queue is the price of one request ahead on an engine without a free slot.
 	Queue float64
-	// Share is the price of one request running beside.
-	Share float64
+	// Least is the part of a prompt that an engine must be known to hold for
+	// its blocks to count at all.
+	Least float64
 	// Margin is how much dearer the home engine may be and still be taken.
 	Margin float64
 }
@@ -183,9 +184,14 @@
 
 func (c *Cost) price(p Prompt, e Candidate) float64 {
 	known := c.directory.Match(p, e.Name, e.Incarnation)
+	if float64(known) < c.weights.Least*float64(len(p.chain)) {
+		// A short common opening is soon everywhere; following it would gather
+		// all sections on the engine that saw it first.
+		known = 0
+	}
 	missing := float64(len(p.chain)-known) * BlockTokens
 	waiting := float64(max(0, e.busy()+1-e.Slots))
-	return missing + waiting*c.weights.Queue + float64(e.busy())*c.weights.Share
+	return missing + waiting*c.weights.Queue
 }
 
 // Placed implements Learner.
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -12,7 +12,7 @@
 
 // Bounds towards backend servers.
 const (
-	dialTimeout      = 2 * time.Second
+	dialTimeout      = 500 * time.Millisecond
 	backendConns     = 512
 	backendIdle      = 10 * time.Second
 	maxAnswerBytes   = 32 << 20
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -54,24 +54,21 @@
 	s.end()
 }
 
-// reachable returns the engines of a model in the own zone, or in all zones
-// when the own has none.
+// reachable returns the engines of a model in the own region.
 func (r *Router) reachable(model string) []config.Engine {
-	all := r.keeper.Current().Serving(model)
+	c := r.keeper.Current()
+	own, _ := c.Zones().Get(r.settings.Zone)
 	var near []config.Engine
-	for _, e := range all {
-		if e.Zone == r.settings.Zone {
+	for _, e := range c.Serving(model) {
+		if zone, _ := c.Zones().Get(e.Zone); zone.Region == own.Region {
 			near = append(near, e)
 		}
 	}
-	if len(near) == 0 {
-		return all
-	}
 	return near
 }
 
-// candidates returns the engines that take new work: those of the own zone,
-// else of any zone, else also those that rest after failures.
+// candidates returns the engines that take new work: those of the own region,
+// else of any, else also those that rest after failures.
 func (r *Router) candidates(model string, tried map[string]bool) ([]config.Engine, []prefix.Candidate) {
 	near, all := r.reachable(model), r.keeper.Current().Serving(model)
 	for _, choice := range []struct {
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -165,7 +165,6 @@
 		names[e.Name] = true
 	}
 	f.r.engines.Keep(names)
-	f.r.setPreset(c.Preset())
 }
 
 // LoadSnapshot reads a whole generation from the object store.
--- a/internal/router/placement.go
+++ b/internal/router/placement.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 
-	"github.com/marjoramrock/marjoramrock/internal/config"
 	"github.com/marjoramrock/marjoramrock/internal/prefix"
 )
 
@@ -24,16 +23,11 @@
 
 var errPolicy = errors.New("router: unknown placement")
 
-// weightsOf returns the prices of a preset, in tokens of prefill.
-func weightsOf(p config.Preset) prefix.Weights {
-	if p == config.PresetTail {
-		return prefix.Weights{Queue: 4000, Share: 250, Margin: 100}
-	}
-	return prefix.Weights{Queue: 2000, Share: 50, Margin: 500}
-}
+// costWeights are the prices of the default policy, in tokens of prefill.
+var costWeights = prefix.Weights{Queue: 2000, Margin: 2000, Least: 0.5}
 
 // newPolicy returns a placement policy by name; empty stands for the default.
-func newPolicy(name string, preset config.Preset) (prefix.Policy, error) {
+func newPolicy(name string) (prefix.Policy, error) {
 	switch name {
 	case PlacementRoundRobin:
 		return &prefix.RoundRobin{}, nil
@@ -46,28 +40,18 @@
 	case PlacementSpread:
 		return prefix.NewLevel(spreadBound), nil
 	case PlacementCost, "":
-		return prefix.NewCost(weightsOf(preset)), nil
+		return prefix.NewCost(costWeights), nil
 	default:
 		return nil, fmt.Errorf("%w %q", errPolicy, name)
 	}
 }
 
-// placement is the policy in use and the preset it was made for.
-type placement struct {
-	policy prefix.Policy
-	preset config.Preset
-}
+// placement holds the policy in use.
+type placement struct{ policy prefix.Policy }
 
-// setPreset replaces the policy when the declared preset is another.
-func (r *Router) setPreset(p config.Preset) {
-	if now := r.policy.Load(); now != nil && now.preset == p {
-		return
-	}
-	policy, err := newPolicy(r.settings.Placement, p)
-	if err != nil {
-		policy = prefix.NewCost(weightsOf(p))
-	}
-	r.policy.Store(&placement{policy: policy, preset: p})
+// UsePolicy replaces the placement policy for good; for trials.
+func (r *Router) UsePolicy(p prefix.Policy) {
+	r.policy.Store(&placement{policy: p})
 }
 
 func (r *Router) placement() prefix.Policy { return r.policy.Load().policy }
--- a/internal/router/queues.go
+++ b/internal/router/queues.go
@@ -10,7 +10,7 @@
 const (
 	queueWaiting     = 512
 	queueTeamWaiting = 192
-	// overcommit is how much of the engines' slots all routers of a zone
+	// overcommit is how much of the engines' slots all routers of a region
 	// together let through, so that uneven arrivals leave none idle.
 	overcommit = 2
 	// minimumRunning keeps a model alive whose engines are few.
@@ -58,10 +58,23 @@
 	for _, e := range r.reachable(model) {
 		slots += e.Slots
 	}
-	routers := max(1, len(r.view.Routers(r.settings.Zone)))
+	routers := max(1, r.neighbours())
 	return max(minimumRunning, overcommit*slots/routers)
 }
 
+// neighbours returns the number of live routers in the own region.
+func (r *Router) neighbours() int {
+	c := r.keeper.Current()
+	own, _ := c.Zones().Get(r.settings.Zone)
+	n := 0
+	for _, vm := range r.view.Routers("") {
+		if zone, _ := c.Zones().Get(vm.Zone); zone.Region == own.Region {
+			n++
+		}
+	}
+	return n
+}
+
 // depths returns the running and waiting entries by model.
 func (q *queues) depths() map[string][2]int {
 	q.mu.Lock()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -96,7 +96,11 @@
 	r.orderer = newOrderer(r)
 	r.follower = newFollower(r)
 	r.usage = team.NewUsage()
-	r.setPreset(config.PresetReuse)
+	policy, err := newPolicy(s.Placement)
+	if err != nil {
+		return nil, err
+	}
+	r.UsePolicy(policy)
 	if err := r.listen(secure); err != nil {
 		r.clock.Close()
 		return nil, err
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -97,7 +97,7 @@
 			report(f.name, fmt.Sprintf("%q is no address; write IP:PORT", f.value))
 		}
 	}
-	if _, err := newPolicy(s.Placement, config.PresetReuse); err != nil {
+	if _, err := newPolicy(s.Placement); err != nil {
 		report("placement", err.Error())
 	}
 	if len(e.Problems) > 0 {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -32,6 +32,8 @@
 	// Fenced refuses orders with an old fencing number.
 	Fenced bool `json:"fenced"`
 	Seed   uint64
+	// Computed, if not nil, records what this and other engines compute.
+	Computed *Computed `json:"-"`
 }
 
 // EngineFaults are the switches of an Engine. Fractions are of requests.
@@ -131,6 +133,33 @@
 // startsLimit bounds the recorded starts.
 const startsLimit = 100_000
 
+// Computed is the record, shared by engines, of all blocks ever computed.
+type Computed struct {
+	mu     sync.Mutex // guards the fields below
+	blocks map[prefix.Hash]bool
+	wasted int
+}
+
+// NewComputed returns an empty record.
+func NewComputed() *Computed { return &Computed{blocks: make(map[prefix.Hash]bool)} }
+
+// Wasted returns the tokens that were computed although some engine had
+// computed them before.
+func (c *Computed) Wasted() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.wasted
+}
+
+func (c *Computed) add(h prefix.Hash) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.blocks[h] {
+		c.wasted += prefix.BlockTokens
+	}
+	c.blocks[h] = true
+}
+
 // WeightStore is the store that engines load weights from; it slows down
 // while more than two load at once.
 type WeightStore struct {
@@ -301,6 +330,9 @@
 }
 
 func (e *Engine) insert(b block) {
+	if e.options.Computed != nil {
+		e.options.Computed.add(b.hash)
+	}
 	e.cache[b.hash] = e.used.PushFront(b)
 	if e.used.Len() > e.options.Blocks {
 		last := e.used.Back()
--- /dev/null
+++ b/internal/trial/report.go
@@ -0,0 +1,254 @@
+package trial
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/marjoramrock/marjoramrock/internal/config"
+)
+
+// TeamReport is how one team fared.
+type TeamReport struct {
+	Team    string  `json:"team"`
+	Offered int     `json:"offered"`
+	Served  int     `json:"served"`
+	Refused int     `json:"refused"`
+	Failed  int     `json:"failed"`
+	Wrong   int     `json:"wrong"`
+	P50     float64 `json:"p50"`
+	P99     float64 `json:"p99"`
+	// Share is the tokens served, of those that the team's rate and burst
+	// give it of what it offered.
+	Share float64 `json:"share"`
+}
+
+// LevelReport is how much of one level of the nest was cached.
+type LevelReport struct {
+	Class string  `json:"class"`
+	Hit   float64 `json:"hit"`
+}
+
+// Report is what a run measured. Times are in milliseconds and of requests
+// within their teams' rates.
+type Report struct {
+	Profile string  `json:"profile"`
+	Policy  string  `json:"policy"`
+	Seed    uint64  `json:"seed"`
+	Offered int     `json:"offered"`
+	Served  int     `json:"served"`
+	Hit     float64 `json:"hit"`
+	P50     float64 `json:"p50"`
+	P95     float64 `json:"p95"`
+	P99     float64 `json:"p99"`
+	// Waste is the part of all prompt tokens that was computed although some
+	// engine had computed it before.
+	Waste float64 `json:"waste"`
+	// Worst is the share of the worst-served team that kept to its rate.
+	Worst float64 `json:"worst"`
+	// Wrong is the part of requests within the team's rate that was refused.
+	Wrong  float64        `json:"wrong"`
+	Errors map[string]int `json:"errors"`
+	Teams  []TeamReport   `json:"teams"`
+	Levels []LevelReport  `json:"levels"`
+	// Early and Steady are the hit rates of the first requests after a herd
+	// restart and of as many before it; both 0 without one.
+	Early  float64 `json:"early"`
+	Steady float64 `json:"steady"`
+}
+
+// Bounds of the histogram, in microseconds.
+const (
+	histogramLow  = 1
+	histogramHigh = int64(2 * time.Minute / time.Microsecond)
+	histogramFine = 3
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(histogramLow, histogramHigh, histogramFine)
+}
+
+func millis(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
+
+// hits counts prompt tokens and those of them that were cached.
+type hits struct{ prompt, cached int }
+
+func (h *hits) add(r Reply) {
+	if r.Usage != nil {
+		h.prompt += r.Usage.PromptTokens
+		h.cached += r.Usage.Details.CachedTokens
+	}
+}
+
+func (h hits) rate() float64 { return float64(h.cached) / float64(max(1, h.prompt)) }
+
+// tally gathers the outcomes of a run.
+type tally struct {
+	load    Load
+	all     hits
+	first   *hdrhistogram.Histogram
+	errors  map[string]int
+	teams   map[string]*teamTally
+	classes map[string]*hits
+	herdAt  time.Duration
+	early   hits
+	steady  hits
+}
+
+// teamTally is one team's part.
+type teamTally struct {
+	TeamReport
+	first *hdrhistogram.Histogram
+	// got is the tokens served of those due, which are what the team's rate
+	// and burst cover of its offer.
+	got, due float64
+}
+
+func newTally(l Load, doc config.Document) *tally {
+	t := &tally{
+		load: l, first: newHistogram(), errors: make(map[string]int),
+		teams: make(map[string]*teamTally), classes: make(map[string]*hits),
+	}
+	for _, f := range l.Faults {
+		if f.kind == FaultHerd {
+			t.herdAt = f.at
+		}
+	}
+	for _, d := range doc.Teams {
+		t.teams[d.Name] = &teamTally{
+			TeamReport: TeamReport{Team: d.Name}, first: newHistogram(),
+		}
+	}
+	return t
+}
+
+func (t *tally) add(a arrival, intended time.Time, reply Reply, err error) {
+	one := t.teams[a.class.team]
+	one.Offered++
+	if a.inside {
+		one.due += a.size()
+	}
+	switch {
+	case err != nil:
+		one.Failed++
+		t.errors[kindOf(err)]++
+	case !reply.OK():
+		t.refuse(one, reply, a.inside)
+	default:
+		t.serve(one, a, intended, reply)
+	}
+}
+
+// kindOf names an error without its details.
+func kindOf(err error) string {
+	for errors.Unwrap(err) != nil {
+		err = errors.Unwrap(err)
+	}
+	return err.Error()
+}
+
+func (t *tally) refuse(one *teamTally, reply Reply, inside bool) {
+	one.Refused++
+	kind := http.StatusText(reply.Status)
+	if reply.Error != nil {
+		kind = reply.Error.Type
+	}
+	t.errors[kind]++
+	if inside {
+		one.Wrong++
+	}
+}
+
+// herdWindow is how long after a herd restart counts as early.
+const herdWindow = 3 * time.Second
+
+func (t *tally) serve(one *teamTally, a arrival, intended time.Time, reply Reply) {
+	one.Served++
+	if a.class.path != "" {
+		return
+	}
+	t.all.add(reply)
+	if !a.inside {
+		return
+	}
+	wait := reply.First.Sub(intended).Microseconds()
+	_ = t.first.RecordValue(wait)
+	_ = one.first.RecordValue(wait)
+	one.got += a.size()
+	if t.classes[a.class.name] == nil {
+		t.classes[a.class.name] = &hits{}
+	}
+	t.classes[a.class.name].add(reply)
+	if t.herdAt > 0 && a.at >= t.herdAt && a.at < t.herdAt+herdWindow {
+		t.early.add(reply)
+	}
+	if t.herdAt > 0 && a.at < t.herdAt && a.at >= t.herdAt-herdWindow {
+		t.steady.add(reply)
+	}
+}
+
+func (r *run) report() *Report {
+	t := r.tally
+	out := &Report{
+		Profile: r.load.Profile.name, Policy: r.load.Policy, Seed: r.load.Seed,
+		Hit: t.all.rate(), P50: millis(t.first, 50), P95: millis(t.first, 95), P99: millis(t.first, 99),
+		Worst: 1, Errors: t.errors, Early: t.early.rate(), Steady: t.steady.rate(),
+	}
+	prompt, wrong, inside := 0, 0, 0
+	for _, e := range r.cluster.Engines {
+		prompt += e.Counts().Prompt
+	}
+	out.Waste = float64(r.wasted.Wasted()) / float64(max(1, prompt))
+	for _, name := range sortedKeys(t.teams) {
+		one := t.teams[name].close()
+		out.Teams = append(out.Teams, one)
+		out.Offered += one.Offered
+		out.Served += one.Served
+		wrong += one.Wrong
+		inside += one.Wrong + one.Served
+		out.Worst = min(out.Worst, one.Share)
+	}
+	out.Wrong = float64(wrong) / float64(max(1, inside))
+	for _, name := range sortedKeys(t.classes) {
+		out.Levels = append(out.Levels, LevelReport{Class: name, Hit: t.classes[name].rate()})
+	}
+	return out
+}
+
+func (one *teamTally) close() TeamReport {
+	one.P50, one.P99 = millis(one.first, 50), millis(one.first, 99)
+	one.Share = 1
+	if one.due > 0 {
+		one.Share = min(1, one.got/one.due)
+	}
+	return one.TeamReport
+}
+
+// Print writes reports as tables: the measures side by side, then the teams of
+// each run.
+func Print(w io.Writer, reports []*Report) {
+	say := func(format string, args ...any) { _, _ = fmt.Fprintf(w, format+"\n", args...) }
+	say("%-12s %8s %8s %8s %8s %8s %8s %8s %8s %8s", "policy", "offered", "served", "hit %", "p50 ms", "p95 ms", "p99 ms", "waste %", "worst %", "wrong %")
+	for _, r := range reports {
+		say("%-12s %8d %8d %8.2f %8.1f %8.1f %8.1f %8.2f %8.1f %8.2f", r.Policy, r.Offered, r.Served,
+			100*r.Hit, r.P50, r.P95, r.P99, 100*r.Waste, 100*r.Worst, 100*r.Wrong)
+	}
+	for _, r := range reports {
+		say("\n%s, %s, seed %d; refusals and errors: %v", r.Profile, r.Policy, r.Seed, r.Errors)
+		if r.Steady > 0 {
+			say("hit rate before the herd restart %.2f %%, after it %.2f %%", 100*r.Steady, 100*r.Early)
+		}
+		say("%-14s %8s %8s %8s %8s %8s %8s %8s", "team", "offered", "served", "refused", "wrong", "share %", "p50 ms", "p99 ms")
+		for _, t := range r.Teams {
+			say("%-14s %8d %8d %8d %8d %8.1f %8.1f %8.1f", t.Team, t.Offered, t.Served, t.Refused, t.Wrong, 100*t.Share, t.P50, t.P99)
+		}
+		for _, l := range r.Levels {
+			say("  hit rate of %-14s %6.2f %%", l.Class, 100*l.Hit)
+		}
+	}
+}
