--- a/cmd/marjoramrock/load.go
+++ b/cmd/marjoramrock/load.go
@@ -25,6 +25,7 @@
 			&cli.IntFlag{Name: "routers", Value: 6},
 			&cli.Float64Flag{Name: "speed", Value: 5, Usage: "`FACTOR` on arrivals, rates and the engines"},
 			&cli.IntFlag{Name: "blocks", Value: 120, Usage: "cached blocks of each engine"},
+			&cli.Float64Flag{Name: "press", Value: 1, Usage: "`FACTOR` on arrivals and rates alone"},
 			&cli.Float64Flag{Name: "skew", Value: 1, Usage: "`FACTOR` on how hot the hottest prefixes are"},
 			&cli.StringSliceFlag{Name: "fault", Usage: "`KIND@TIME`: engine, shift, vm, herd or platform; may be given again"},
 			&cli.StringFlag{Name: "json", Usage: "also write the reports to `FILE`"},
@@ -40,7 +41,7 @@
 	}
 	base := trial.Load{
 		Profile: profile, Seed: c.Uint64("seed"), Length: c.Duration("for"),
-		Routers: c.Int("routers"), Speed: c.Float64("speed"), Blocks: c.Int("blocks"), Skew: c.Float64("skew"), Progress: os.Stderr,
+		Routers: c.Int("routers"), Speed: c.Float64("speed"), Blocks: c.Int("blocks"), Skew: c.Float64("skew"), Press: c.Float64("press"), Progress: os.Stderr,
 	}
 	for _, text := range c.StringSlice("fault") {
 		f, err := trial.ParseFault(text)
--- a/internal/trial/load.go
+++ b/internal/trial/load.go
@@ -30,6 +30,8 @@
 	Routers int
 	// Speed multiplies arrivals, rates and the engines' speed.
 	Speed float64
+	// Press multiplies arrivals and rates, but not the engines' speed.
+	Press float64
 	// Skew multiplies how hot the hottest prefixes are.
 	Skew float64
 	// Blocks is the size of each engine's cache.
@@ -85,7 +87,7 @@
 		placement = ""
 	}
 	return Shape{
-		Deployment: func(a profiles.Addresses) *declare.Deployment { return faster(l.Profile.deployment(a), l.Speed) },
+		Deployment: func(a profiles.Addresses) *declare.Deployment { return faster(l.Profile.deployment(a), l.Speed*l.Press) },
 		Routers:    l.Routers,
 		Placement:  placement,
 		Engine: standin.EngineOptions{
--- a/internal/trial/workload.go
+++ b/internal/trial/workload.go
@@ -116,7 +116,7 @@
 func (c *class) plan(r *rand.Rand, l Load, shifts []time.Duration) []arrival {
 	var out []arrival
 	for at := time.Duration(0); ; {
-		rate := c.perSecond * l.Speed
+		rate := c.perSecond * l.Speed * l.Press
 		if part := float64(at) / float64(l.Length); c.surges > 0 && part >= surgeFrom && part < surgeTo {
 			rate *= c.surges
 		}
