Bring control inside its budget, and notice pauses before the first tick

Cause: BenchmarkControl, new here, watched idle fleets of 6, 12, 24 and 48 routers. Engines were polled twice a second by their orderer: now every 10 s unless a load is due.

--- /dev/null
+++ b/e2e/control_test.go
@@ -0,0 +1,84 @@
+package e2e
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// controlFor is how long an idle fleet is watched.
+const controlFor = 8 * time.Second
+
+// clockTicks is the unit of a process's times on Linux.
+const clockTicks = 100
+
+// BenchmarkControl is what an idle router spends on control, by fleet size:
+// processor time, memory, bytes on the loopback interface (which counts each
+// byte once, sent by one process and received by another) and exchanges with
+// the platform.
+func BenchmarkControl(b *testing.B) {
+	for _, n := range []int{6, 12, 24, 48} {
+		b.Run(fmt.Sprintf("routers=%d", n), func(b *testing.B) {
+			f := newFleet(b, shape{zones: []string{"zone-a", "zone-b", "zone-c"}, routers: n, log: "error"})
+			time.Sleep(3 * time.Second)
+			for b.Loop() {
+				cpu, bytes, reads := f.cpu(), loopbackBytes(b), f.platform.Counts().Reads
+				time.Sleep(controlFor)
+				nodes, seconds := float64(n), controlFor.Seconds()
+				b.ReportMetric(100*(f.cpu()-cpu)/nodes/seconds, "cpu-%/node")
+				b.ReportMetric((loopbackBytes(b)-bytes)/nodes/seconds, "B/s/node")
+				b.ReportMetric(float64(f.platform.Counts().Reads-reads)/nodes/seconds, "reads/s/node")
+				b.ReportMetric(f.memory()/nodes, "MB/node")
+			}
+		})
+	}
+}
+
+// cpu returns the processor seconds that all routers have used.
+func (f *fleet) cpu() float64 {
+	total := 0.0
+	for _, v := range f.vms {
+		raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", v.cmd.Process.Pid))
+		require.NoError(f.t, err)
+		fields := strings.Fields(string(raw[strings.LastIndexByte(string(raw), ')')+2:]))
+		for _, field := range fields[11:13] {
+			n, err := strconv.ParseFloat(field, 64)
+			require.NoError(f.t, err)
+			total += n / clockTicks
+		}
+	}
+	return total
+}
+
+// memory returns the resident memory of all routers, in MB.
+func (f *fleet) memory() float64 {
+	total := 0.0
+	for _, v := range f.vms {
+		raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", v.cmd.Process.Pid))
+		require.NoError(f.t, err)
+		pages, err := strconv.ParseFloat(strings.Fields(string(raw))[1], 64)
+		require.NoError(f.t, err)
+		total += pages * float64(os.Getpagesize()) / 1e6
+	}
+	return total
+}
+
+// loopbackBytes returns what the loopback interface has received.
+func loopbackBytes(b *testing.B) float64 {
+	raw, err := os.ReadFile("/proc/net/dev")
+	require.NoError(b, err)
+	for _, line := range strings.Split(string(raw), "\n") {
+		name, counters, ok := strings.Cut(line, ":")
+		if ok && strings.TrimSpace(name) == "lo" {
+			n, err := strconv.ParseFloat(strings.Fields(counters)[0], 64)
+			require.NoError(b, err)
+			return n
+		}
+	}
+	return 0
+}
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -85,7 +85,7 @@
 
 // fleet is a running deployment under test.
 type fleet struct {
-	t        *testing.T
+	t        testing.TB
 	dir      string
 	platform *standin.Platform
 	client   *platform.Client
@@ -106,7 +106,7 @@
 	modelName = "atlas"
 )
 
-func newFleet(t *testing.T, s shape) *fleet {
+func newFleet(t testing.TB, s shape) *fleet {
 	t.Helper()
 	if len(s.zones) == 0 {
 		s.zones = []string{"zone-a", "zone-b"}
@@ -129,7 +129,7 @@
 	t.Cleanup(f.platform.Close)
 	f.client = platform.NewClient(f.platform.Settings(), nil)
 	f.backends(s)
-	f.certs(s.routers)
+	f.certs()
 	for i := range s.routers {
 		f.vms = append(f.vms, f.newVM(i, s.zones[i%len(s.zones)]))
 	}
@@ -197,7 +197,7 @@
 	f.platform.PutVM(platform.VM{Name: name, Zone: zone, Role: platform.RoleBackend, State: platform.StateLive})
 }
 
-func (f *fleet) certs(n int) {
+func (f *fleet) certs() {
 	authority, err := peer.NewAuthority()
 	require.NoError(f.t, err)
 	pair, err := authority.Issue()
@@ -234,7 +234,7 @@
 	require.NoError(f.t, os.WriteFile(v.settings, raw, 0o600))
 }
 
-func freePort(t *testing.T, host string) string {
+func freePort(t testing.TB, host string) string {
 	l, err := net.Listen("tcp", host+":0")
 	require.NoError(t, err)
 	defer func() { _ = l.Close() }()
--- /dev/null
+++ b/internal/config/check_test.go
@@ -0,0 +1,92 @@
+package config
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const valid = `{
+  // one of everything
+  "zones": [{"name": "a", "weight": 0.5}, {"name": "b", "weight": 0.5}],
+  "models": [{"name": "m", "version": "v1", "bytes": 3, "limit": 100}],
+  "engines": [{"name": "e", "zone": "a", "address": "10.0.0.1:9", "model": "m", "slots": 4}],
+  "services": [{"name": "s", "servers": [{"name": "s1", "zone": "b", "address": "10.0.0.2:9"}]}],
+  "teams": [{"name": "t", "rate": 10, "burst": 20}],
+  "routes": [
+    {"name": "r", "model": "m", "deadline": "10s"},
+    {"name": "q", "service": "s", "path": "/s/", "once": true},
+  ],
+}`
+
+func TestReadReportsEverythingInOnePass(t *testing.T) {
+	tests := []struct {
+		give string
+		old  string
+		new  string
+		want []string
+	}{
+		{give: "nothing wrong"},
+		{give: "unknown field", old: `"slots": 4`, new: `"slot": 4`, want: []string{"f:5: engines[0].slot: unknown field"}},
+		{give: "field twice", old: `"slots": 4`, new: `"slots": 4, "slots": 5`, want: []string{"f:5: engines[0].slots: given twice"}},
+		{give: "wrong kind", old: `"rate": 10`, new: `"rate": "ten"`, want: []string{"f:7: teams[0].rate: not a number"}},
+		{give: "null", old: `"rate": 10`, new: `"rate": null`, want: []string{"f:7: teams[0].rate: not a number"}},
+		{give: "bad time", old: `"10s"`, new: `"soon"`, want: []string{"f:9: routes[0].deadline"}},
+		{give: "rate of zero", old: `"rate": 10`, new: `"rate": 0`, want: []string{"f:7: teams[0].rate: not above zero"}},
+		{give: "name twice", old: `"name": "b", "weight"`, new: `"name": "a", "weight"`, want: []string{`f:3: zones[1].name: "a" stands twice`, `no zone "b"`}},
+		{give: "dangling reference", old: `"zone": "a"`, new: `"zone": "x"`, want: []string{`f:5: engines[0].zone: no zone "x"`}},
+		{give: "bad address", old: `10.0.0.1:9`, new: `host:9`, want: []string{"f:5: engines[0].address"}},
+		{give: "overlapping routes", old: `{"name": "q"`, new: `{"name": "q2", "service": "s", "path": "/s/x"}, {"name": "q"`, want: []string{"routes[2].path: overlaps route q2"}},
+		{give: "reserved path", old: `"/s/"`, new: `"/v1/s"`, want: []string{"f:10: routes[1].path: overlaps /v1/"}},
+		{give: "once on a model", old: `"deadline": "10s"`, new: `"once": true`, want: []string{"f:9: routes[0].model"}},
+		{give: "once on an open route", old: `"once": true`, new: `"once": true, "open": true`, want: []string{"f:10: routes[1].open"}},
+		{give: "wait beyond the deadline", old: `"deadline": "10s"`, new: `"deadline": "1s", "wait": "2s"`, want: []string{"f:9: routes[0].wait"}},
+		{give: "weights", old: `"name": "b", "weight": 0.5`, new: `"name": "b", "weight": 0.6`, want: []string{"f:3: zones: weights sum to 1.1"}},
+		{give: "no JSON", old: `"zones"`, new: `zones`, want: []string{"correct the JSON"}},
+		{
+			give: "several at once", old: `"rate": 10, "burst": 20`, new: `"rate": 0, "burst": -1`,
+			want: []string{"teams[0].rate", "teams[0].burst"},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.give, func(t *testing.T) {
+			require.True(t, tt.old == "" || strings.Contains(valid, tt.old))
+			_, problems := Read("f", []byte(strings.Replace(valid, tt.old, tt.new, 1)))
+			require.Len(t, problems, len(tt.want), "%v", problems)
+			for i, want := range tt.want {
+				require.Contains(t, problems[i].String(), want)
+			}
+		})
+	}
+}
+
+func TestDiffLeadsFromOneDocumentToAnother(t *testing.T) {
+	doc, problems := Read("f", []byte(valid))
+	require.Empty(t, problems)
+	c := Empty().with(Delta{Set: doc})
+	require.True(t, c.Diff(doc).Empty())
+	other := doc
+	other.Teams = []Team{{Name: "u", Rate: 1, Burst: 1}}
+	other.Policy = &Policy{Stale: 5}
+	d := c.Diff(other)
+	require.Equal(t, []string{"t"}, d.Drop.Teams)
+	next := c.with(d)
+	require.True(t, next.Diff(other).Empty())
+	_, kept := next.Teams().Get("t")
+	require.False(t, kept)
+	_, still := c.Teams().Get("t")
+	require.True(t, still, "a generation in force is not changed by the next")
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Add([]byte(`{"routes":[{"path":"/"}]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		doc, problems := Read("f", raw)
+		if len(problems) > 0 {
+			return
+		}
+		require.Empty(t, Check(doc))
+	})
+}
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -232,6 +232,20 @@
 	return v.Absent(holder) >= time.Duration(1+rank)*s.confirm
 }
 
+// Settled reports whether every slot is known to be held by a listed VM that
+// is not retired.
+func (s *Slots) Settled(v *View, retired func(string) bool) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for i := range s.state {
+		holder := s.state[i].row.Holder
+		if _, listed := v.Find(holder); !listed || retired(holder) || (holder == s.self && !s.mine[i]) {
+			return false
+		}
+	}
+	return true
+}
+
 // Taken records that a Take was committed.
 func (s *Slots) Taken(t Take) {
 	s.mu.Lock()
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -16,7 +16,6 @@
 // Timings of connections.
 const (
 	idleTimeout      = 20 * time.Second
-	keepAlive        = 5 * time.Second
 	handshakeTimeout = 2 * time.Second
 	serveTimeout     = 10 * time.Second
 )
@@ -94,7 +93,6 @@
 func quicConfig() *quic.Config {
 	return &quic.Config{
 		MaxIdleTimeout:       idleTimeout,
-		KeepAlivePeriod:      keepAlive,
 		HandshakeIdleTimeout: handshakeTimeout,
 		MaxIncomingStreams:   maxStreams,
 	}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
@@ -44,6 +45,11 @@
 	http     *http.Client
 	tables   *dynamodb.Client
 	objects  *s3.Client
+
+	mu sync.Mutex // guards the fields below
+	// tag is the entity tag of last, the newest list read.
+	tag  string
+	last List
 }
 
 var _ Services = (*Client)(nil)
@@ -95,23 +101,35 @@
 	return s
 }
 
-// ListVMs implements VMs.
+// ListVMs implements VMs. A list that has not changed is not sent again.
 func (c *Client) ListVMs(ctx context.Context) (List, error) {
 	var list List
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.settings.VMs, nil)
 	if err != nil {
 		return list, fmt.Errorf("platform: list request: %w", err)
 	}
+	c.mu.Lock()
+	tag, last := c.tag, c.last
+	c.mu.Unlock()
+	if tag != "" {
+		req.Header.Set("If-None-Match", tag)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return list, fmt.Errorf("platform: list: %w", trace.ConnectionProblem(err, "VM list"))
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusNotModified {
+		return last, nil
+	}
 	if resp.StatusCode != http.StatusOK {
 		return list, fmt.Errorf("platform: list: %w", trace.ConnectionProblem(nil, "status %d", resp.StatusCode))
 	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&list); err != nil {
 		return list, fmt.Errorf("platform: list: %w", trace.BadParameter("%v", err))
 	}
+	c.mu.Lock()
+	c.tag, c.last = resp.Header.Get("ETag"), list
+	c.mu.Unlock()
 	return list, nil
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -89,7 +89,8 @@
 
 // VMs gives the platform's list.
 type VMs interface {
-	// ListVMs returns the newest list that the platform has.
+	// ListVMs returns the newest list that the platform has. The caller must
+	// not change it.
 	ListVMs(ctx context.Context) (List, error)
 }
 
--- a/internal/prefix/directory.go
+++ b/internal/prefix/directory.go
@@ -3,7 +3,7 @@
 import "sync"
 
 // DirectoryLimit bounds the blocks that a Directory remembers per engine.
-const DirectoryLimit = 1 << 13
+const DirectoryLimit = 1 << 10
 
 // Directory remembers which blocks engines were seen to hold. Entries belong
 // to one incarnation of an engine and go with it. It is safe for concurrent
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -7,12 +7,14 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/gravitational/trace"
 	"github.com/marjoramrock/marjoramrock/internal/config"
 	"github.com/marjoramrock/marjoramrock/internal/event"
+	"github.com/marjoramrock/marjoramrock/internal/fleet"
 	"github.com/marjoramrock/marjoramrock/internal/peer"
 	"github.com/marjoramrock/marjoramrock/internal/platform"
 )
@@ -45,6 +47,8 @@
 // follower brings newer generations into force, from peers or the platform.
 type follower struct {
 	r *Router
+	// rounds counts the rounds of gossip.
+	rounds atomic.Int64
 
 	mu sync.Mutex // held while one goroutine catches up
 }
@@ -92,7 +96,7 @@
 		return
 	}
 	f.r.view.Adopt(list)
-	f.gossip()
+	f.greet()
 }
 
 // ReadHead returns the head and its version, zero before the first change.
@@ -206,40 +210,64 @@
 
 // gossip exchanges generations with two peers of the zone and one beyond.
 func (f *follower) gossip() {
+	f.greet()
+	c := f.r.keeper.Current()
+	if c.Generation() > 0 && !f.r.keeper.Fresh(f.r.clock.Now()) {
+		event.ProofStale.Log(f.r.log, nil, log.Fields{"generation": c.Generation()})
+	}
+}
+
+// greet does one round of gossip.
+func (f *follower) greet() {
 	var asked sync.WaitGroup
 	for _, address := range f.contacts() {
 		asked.Go(func() { f.hello(address) })
 	}
 	asked.Wait()
-	c := f.r.keeper.Current()
-	if c.Generation() > 0 && !f.r.keeper.Fresh(f.r.clock.Now()) {
-		event.ProofStale.Log(f.r.log, nil, log.Fields{"generation": c.Generation()})
-	}
 }
 
-// zoneContacts is how many peers of the own zone one round of gossip reaches.
-const zoneContacts = 2
+// Contacts of one round of gossip. They stay the same while they answer, so
+// that their number of connections does not grow with the fleet; every so
+// often a random peer of the zone is asked besides.
+const (
+	zoneContacts = 2
+	farContacts  = 1
+	randomEvery  = 20
+)
 
 func (f *follower) contacts() []string {
-	var near, far []string
+	var near, far []platform.VM
 	for _, vm := range f.r.view.Routers("") {
 		switch {
-		case vm.Name == f.r.settings.VM:
+		case vm.Name == f.r.settings.VM || f.r.unreach.recently(vm.Name, "", f.r.clock.Now()):
 		case vm.Zone == f.r.settings.Zone:
-			near = append(near, vm.Address)
+			near = append(near, vm)
 		default:
-			far = append(far, vm.Address)
+			far = append(far, vm)
 		}
 	}
 	if len(near)+len(far) == 0 {
 		return f.r.settings.Seeds
 	}
-	return append(pick(near, zoneContacts), pick(far, 1)...)
+	chosen := append(f.preferred(near, zoneContacts), f.preferred(far, farContacts)...)
+	if f.rounds.Add(1)%randomEvery == 0 && len(near) > zoneContacts {
+		chosen = append(chosen, near[rand.IntN(len(near))].Address)
+	}
+	return chosen
 }
 
-func pick(list []string, n int) []string {
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:min(n, len(list))]
+// preferred returns the addresses of this VM's first n contacts among vms.
+func (f *follower) preferred(vms []platform.VM, n int) []string {
+	names := fleet.Order(f.r.settings.VM, vms)
+	var out []string
+	for _, name := range names[:min(n, len(names))] {
+		for _, vm := range vms {
+			if vm.Name == name {
+				out = append(out, vm.Address)
+			}
+		}
+	}
+	return out
 }
 
 // hello exchanges generations with one peer.
@@ -249,6 +277,7 @@
 	asked := f.r.clock.Now()
 	reply, err := peer.Ask[*peer.Hello](ctx, f.r.node, address, f.r.hello())
 	if err != nil {
+		f.r.avoid(address)
 		event.PeerUnreached.Log(f.r.log, err, log.Fields{"peer": address})
 		return
 	}
@@ -261,6 +290,15 @@
 	}
 }
 
+// avoid passes over a contact that does not answer, for a while.
+func (r *Router) avoid(address string) {
+	for _, vm := range r.view.Routers("") {
+		if vm.Address == address {
+			r.unreach.mark(vm.Name, "", r.clock.Now())
+		}
+	}
+}
+
 // fromPeer takes newer generations from a peer.
 func (f *follower) fromPeer(address string) {
 	f.mu.Lock()
--- a/internal/router/member.go
+++ b/internal/router/member.go
@@ -34,6 +34,15 @@
 	r.queues.resize(r)
 }
 
+// lookAfterSlots reads the zone's slot rows, often only while some slot may
+// need a holder.
+func (r *Router) lookAfterSlots() {
+	r.slotRound++
+	if r.slotRound%slotRounds == 0 || !r.slots.Settled(r.view, r.retired) {
+		r.readSlots()
+	}
+}
+
 // readSlots takes in the zone's slot rows and takes what this VM should hold.
 func (r *Router) readSlots() {
 	ctx, cancel := context.WithTimeout(context.Background(), takeTimeout)
--- a/internal/router/orderer.go
+++ b/internal/router/orderer.go
@@ -35,8 +35,15 @@
 	epoch uint64
 	since timer.Instant
 	loads *engine.Loads
+	// version is the one last seen on all engines; look is when to look again
+	// while it is the declared one.
+	version string
+	look    timer.Instant
 }
 
+// lookAgain is how often engines that run the declared weights are asked.
+const lookAgain = 10 * time.Second
+
 func newOrderer(r *Router) *orderer { return &orderer{r: r, groups: make(map[string]*group)} }
 
 // run looks after every model that this VM orders.
@@ -53,7 +60,8 @@
 			g = &group{epoch: epoch, since: o.r.clock.Now(), loads: engine.NewLoads()}
 			o.groups[m.Name] = g
 		}
-		if o.r.clock.Now().Sub(g.since) >= orderWait {
+		now := o.r.clock.Now()
+		if now.Sub(g.since) >= orderWait && (g.version != m.Version || now >= g.look) {
 			o.order(g, m, c.Serving(m.Name))
 		}
 	}
@@ -75,12 +83,16 @@
 
 // order sends the orders that are due to the engines of one model.
 func (o *orderer) order(g *group, m config.Model, engines []config.Engine) {
+	g.version, g.look = m.Version, o.r.clock.Now().Add(lookAgain)
 	sights := make([]engine.Sight, len(engines))
 	byName := make(map[string]config.Engine, len(engines))
 	for i, e := range engines {
 		byName[e.Name] = e
 		version, err := o.version(e)
 		sights[i] = engine.Sight{Name: e.Name, Version: version, Known: err == nil}
+		if version != m.Version {
+			g.version = ""
+		}
 		if err != nil {
 			event.EngineUnread.Log(o.r.log, err, log.Fields{"engine": e.Name})
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -68,6 +68,8 @@
 	// proof of the configuration that is newer.
 	resumedAt atomic.Int64
 	subs      []timer.Subscription
+	// slotRound counts the timer's calls of lookAfterSlots.
+	slotRound int
 }
 
 // New starts a router. Shutdown or Close ends it.
@@ -167,11 +169,14 @@
 
 // Periods of the router's own work.
 const (
-	headPeriod   = 700 * time.Millisecond
+	headPeriod   = time.Second
 	gossipPeriod = 500 * time.Millisecond
-	listPeriod   = 700 * time.Millisecond
+	listPeriod   = time.Second
+	// slotPeriod applies while a slot of the zone may need a holder, and
+	// slotRounds times as long otherwise.
 	slotPeriod   = 2 * time.Second
-	reportPeriod = 20 * time.Millisecond
+	slotRounds   = 5
+	reportPeriod = 40 * time.Millisecond
 	orderPeriod  = 500 * time.Millisecond
 )
 
@@ -181,7 +186,7 @@
 		r.clock.Every(headPeriod, r.follower.poll),
 		r.clock.Every(gossipPeriod, r.follower.gossip),
 		r.clock.Every(listPeriod, r.readList),
-		r.clock.Every(slotPeriod, r.readSlots),
+		r.clock.Every(slotPeriod, r.lookAfterSlots),
 		r.clock.Every(reportPeriod, r.reports.flush),
 		r.clock.Every(orderPeriod, r.orderer.run),
 	)
@@ -197,7 +202,7 @@
 	r.resumedAt.Store(int64(r.clock.Now()))
 	event.Paused.Log(r.log, nil, log.Fields{"gap": gap.String()})
 	go r.follower.poll()
-	go r.follower.gossip()
+	go r.follower.greet()
 }
 
 // EntryAddress returns the callers' address in use.
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -1,11 +1,14 @@
 package standin
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/marjoramrock/marjoramrock/internal/platform"
 	"github.com/valyala/fasthttp"
 )
@@ -126,7 +129,7 @@
 	limit := time.Now().Add(-time.Duration(p.faults.Lag) * time.Millisecond)
 	for i := len(p.lists) - 1; i >= 0; i-- {
 		if !p.lists[i].at.After(limit) {
-			return p.lists[i].vms
+			return slices.Clone(p.lists[i].vms)
 		}
 	}
 	return nil
@@ -154,16 +157,28 @@
 	case strings.HasPrefix(path, "/objects/"):
 		p.object(ctx, strings.TrimPrefix(path, "/objects/"))
 	case path == "/vms":
-		p.mu.Lock()
-		list := platform.List{VMs: p.view()}
-		p.reads++
-		p.mu.Unlock()
-		reply(ctx, fasthttp.StatusOK, list)
+		p.list(ctx)
 	default:
 		ctx.Error("no such path", fasthttp.StatusNotFound)
 	}
 }
 
+// list answers with the VMs, or that they are as the caller has them.
+func (p *Platform) list(ctx *fasthttp.RequestCtx) {
+	p.mu.Lock()
+	list := platform.List{VMs: p.view()}
+	p.reads++
+	p.mu.Unlock()
+	slices.SortFunc(list.VMs, func(a, b platform.VM) int { return strings.Compare(a.Name, b.Name) })
+	reply(ctx, fasthttp.StatusOK, list)
+	tag := fmt.Sprintf("\"%x\"", xxhash.Sum64(ctx.Response.Body()))
+	ctx.Response.Header.Set(fasthttp.HeaderETag, tag)
+	if string(ctx.Request.Header.Peek(fasthttp.HeaderIfNoneMatch)) == tag {
+		ctx.Response.ResetBody()
+		ctx.SetStatusCode(fasthttp.StatusNotModified)
+	}
+}
+
 // control changes the stand-in from another process.
 func (p *Platform) control(ctx *fasthttp.RequestCtx, what string) {
 	switch what {
--- a/internal/team/bucket_test.go
+++ b/internal/team/bucket_test.go
@@ -1,12 +1,12 @@
 package team
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
 	"time"
 
+	"github.com/marjoramrock/marjoramrock/internal/fixedseed"
 	"github.com/marjoramrock/marjoramrock/internal/timer"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -14,16 +14,7 @@
 
 const tolerance = 1e-3
 
-// TestMain fixes the seed, so that every run checks the same histories.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "3000", "rapid.nofailfile": "true"} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			_ = f.Value.Set(value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fixedseed.Run(m, 3000)) }
 
 // world is one bucket with borrowers whose messages may be lost or late.
 type world struct {
--- a/internal/timer/timer.go
+++ b/internal/timer/timer.go
@@ -34,7 +34,7 @@
 }
 
 // Resolution is how often the system service looks at the clock.
-const Resolution = 20 * time.Millisecond
+const Resolution = 40 * time.Millisecond
 
 // GapThreshold is the shortest time between two ticks that counts as a pause.
 const GapThreshold = 400 * time.Millisecond
@@ -46,7 +46,8 @@
 	once  sync.Once
 
 	mu sync.Mutex // guards the fields below
-	// last is the instant of the newest tick; it never decreases.
+	// last is the instant of the newest tick; it never decreases. It is zero,
+	// the start, before the first one, so that an early pause counts too.
 	last Instant
 	subs map[*subscription]struct{}
 	gaps map[*subscription]struct{}
@@ -125,7 +126,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Now()
-	if gap := now.Sub(s.last); gap > GapThreshold && s.last > 0 {
+	if gap := now.Sub(s.last); gap > GapThreshold {
 		for g := range s.gaps {
 			g.gap(gap)
 		}
--- /dev/null
+++ b/internal/timer/timer_test.go
@@ -0,0 +1,58 @@
+package timer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// stopped returns a service whose ticks the test makes, started some time ago.
+func stopped(ago time.Duration) *System {
+	return &System{
+		start: time.Now().Add(-ago), subs: map[*subscription]struct{}{}, gaps: map[*subscription]struct{}{},
+	}
+}
+
+func TestSystemNoticesPauses(t *testing.T) {
+	tests := []struct {
+		give  string
+		pause time.Duration
+		ticks bool
+		want  int
+	}{
+		{give: "no pause", pause: GapThreshold / 4},
+		{give: "a pause between two ticks", pause: 2 * GapThreshold, ticks: true, want: 1},
+		{give: "a pause before the first tick", pause: 2 * GapThreshold, want: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.give, func(t *testing.T) {
+			s := stopped(0)
+			gaps := 0
+			s.OnGap(func(time.Duration) { gaps++ })
+			if tt.ticks {
+				s.Check()
+			}
+			s.start = s.start.Add(-tt.pause)
+			s.Check()
+			s.Check()
+			require.Equal(t, tt.want, gaps)
+		})
+	}
+}
+
+func TestManual(t *testing.T) {
+	m := &Manual{}
+	var calls []Instant
+	sub := m.Every(time.Second, func() { calls = append(calls, m.Now()) })
+	gaps := 0
+	m.OnGap(func(time.Duration) { gaps++ })
+	m.Advance(2500 * time.Millisecond)
+	require.Equal(t, []Instant{Instant(time.Second), Instant(2 * time.Second)}, calls)
+	m.Pause(10 * time.Second)
+	require.Equal(t, 1, gaps)
+	require.Len(t, calls, 2, "no call during a pause")
+	sub.Cancel()
+	m.Advance(time.Minute)
+	require.Len(t, calls, 2)
+}
--- a/internal/trial/load.go
+++ b/internal/trial/load.go
@@ -18,6 +18,7 @@
 	"github.com/marjoramrock/marjoramrock/internal/prefix"
 	"github.com/marjoramrock/marjoramrock/internal/router"
 	"github.com/marjoramrock/marjoramrock/internal/standin"
+	"golang.org/x/sync/errgroup"
 )
 
 // Load says what a load run does.
@@ -87,9 +88,11 @@
 		placement = ""
 	}
 	return Shape{
-		Deployment: func(a profiles.Addresses) *declare.Deployment { return faster(l.Profile.deployment(a), l.Speed*l.Press) },
-		Routers:    l.Routers,
-		Placement:  placement,
+		Deployment: func(a profiles.Addresses) *declare.Deployment {
+			return faster(l.Profile.deployment(a), l.Speed*l.Press)
+		},
+		Routers:   l.Routers,
+		Placement: placement,
 		Engine: standin.EngineOptions{
 			Blocks: l.Blocks, Computed: computed, Load: 500 * time.Millisecond,
 			Prefill: time.Duration(float64(prefillTime) / l.Speed), Decode: time.Duration(float64(decodeTime) / l.Speed),
@@ -136,14 +139,12 @@
 	ctx, cancel := context.WithTimeout(ctx, r.load.Length+time.Minute)
 	defer cancel()
 	r.began = time.Now()
-	var callers, troubles sync.WaitGroup
-	failed := make(chan error, len(r.load.Faults)+1)
+	var callers sync.WaitGroup
+	var troubles errgroup.Group
 	for _, f := range r.load.Faults {
-		troubles.Go(func() {
+		troubles.Go(func() error {
 			time.Sleep(time.Until(r.began.Add(f.at)))
-			if err := r.bring(ctx, f); err != nil {
-				failed <- err
-			}
+			return r.bring(ctx, f)
 		})
 	}
 	for i, a := range plan {
@@ -152,9 +153,10 @@
 		callers.Go(func() { r.send(ctx, i, a) })
 	}
 	callers.Wait()
-	troubles.Wait()
-	close(failed)
-	return <-failed
+	if err := troubles.Wait(); err != nil {
+		return fmt.Errorf("trial: fault: %w", err)
+	}
+	return nil
 }
 
 // progressEvery is how many arrivals pass between two progress lines.
