--- a/cmd/marjoramrock/operate.go
+++ b/cmd/marjoramrock/operate.go
@@ -41,8 +41,16 @@
 	return platform.NewClient(s, nil), nil
 }
 
-func bounded(c *cli.Context) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(c.Context, c.Duration("timeout"))
+// onPlatform runs part of a command with the platform's services, within the
+// command's time.
+func onPlatform(c *cli.Context, f func(context.Context, *platform.Client) error) error {
+	client, err := services(c)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.Context, c.Duration("timeout"))
+	defer cancel()
+	return f(ctx, client)
 }
 
 // readDocument reads and checks a configuration file.
@@ -62,14 +70,10 @@
 	return command(&cli.Command{
 		Name: "check", Usage: "report every problem of a configuration file", ArgsUsage: "FILE",
 		Action: func(c *cli.Context) error {
-			file, err := oneFile(c)
-			if err != nil {
+			if _, err := documentOf(c); err != nil {
 				return err
 			}
-			if _, err := readDocument(file); err != nil {
-				return err
-			}
-			fmt.Println(file + ": fine")
+			fmt.Println(c.Args().First() + ": fine")
 			return nil
 		},
 	})
@@ -80,37 +84,40 @@
 		Name: "diff", Usage: "show what apply would change", ArgsUsage: "FILE",
 		Flags: []cli.Flag{platformFlag(), timeoutFlag()},
 		Action: func(c *cli.Context) error {
-			file, err := oneFile(c)
-			if err != nil {
-				return err
-			}
-			doc, err := readDocument(file)
+			doc, err := documentOf(c)
 			if err != nil {
 				return err
 			}
-			client, err := services(c)
-			if err != nil {
-				return err
-			}
-			ctx, cancel := bounded(c)
-			defer cancel()
-			before, _, _, err := operator.Read(ctx, client)
-			if err != nil {
-				return err
-			}
-			delta, err := operator.Replace(doc, 0)(before)
-			if err != nil {
-				return err
-			}
-			fmt.Printf("against generation %d\n", before.Generation())
-			for _, line := range operator.Describe(delta) {
-				fmt.Println(line)
-			}
-			return nil
+			return onPlatform(c, func(ctx context.Context, client *platform.Client) error { return diff(ctx, client, doc) })
 		},
 	})
 }
 
+// documentOf reads and checks the file that a command is about.
+func documentOf(c *cli.Context) (config.Document, error) {
+	file, err := oneFile(c)
+	if err != nil {
+		return config.Document{}, err
+	}
+	return readDocument(file)
+}
+
+func diff(ctx context.Context, client *platform.Client, doc config.Document) error {
+	before, _, _, err := operator.Read(ctx, client)
+	if err != nil {
+		return err
+	}
+	delta, err := operator.Replace(doc, 0)(before)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("against generation %d\n", before.Generation())
+	for _, line := range operator.Describe(delta) {
+		fmt.Println(line)
+	}
+	return nil
+}
+
 func applyCommand() *cli.Command {
 	return command(&cli.Command{
 		Name: "apply", Usage: "commit a configuration file as the next generation", ArgsUsage: "FILE",
@@ -126,29 +133,26 @@
 }
 
 func apply(c *cli.Context) error {
-	file, err := oneFile(c)
-	if err != nil {
-		return err
-	}
-	doc, err := readDocument(file)
-	if err != nil {
-		return err
-	}
-	client, err := services(c)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := bounded(c)
-	defer cancel()
-	after, err := operator.Commit(ctx, client, operator.Replace(doc, c.Uint64("on")))
+	doc, err := documentOf(c)
 	if err != nil {
 		return err
 	}
-	fmt.Printf("generation %d\n", after.Generation())
+	return onPlatform(c, func(ctx context.Context, client *platform.Client) error {
+		after, err := operator.Commit(ctx, client, operator.Replace(doc, c.Uint64("on")))
+		if err != nil {
+			return err
+		}
+		fmt.Printf("generation %d\n", after.Generation())
+		return awaitIfAsked(ctx, c, client, after.Generation())
+	})
+}
+
+// awaitIfAsked waits for a generation where the command has --wait.
+func awaitIfAsked(ctx context.Context, c *cli.Context, client platform.VMs, generation uint64) error {
 	if !c.Bool("wait") {
 		return nil
 	}
-	return await(ctx, client, after.Generation())
+	return await(ctx, client, generation)
 }
 
 // await lists the routers once a generation is in force on all of them.
@@ -197,52 +201,36 @@
 }
 
 func issueKey(c *cli.Context) error {
-	team, err := oneFile(c)
-	if err != nil {
+	if c.NArg() != 1 {
 		return usage("keys issue takes one TEAM")
 	}
-	client, err := services(c)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := bounded(c)
-	defer cancel()
-	name := c.String("name")
+	team, name := c.Args().First(), c.String("name")
 	if name == "" {
 		name = team + "-" + platform.NewToken()[:8]
 	}
-	secret, after, err := operator.Issue(ctx, client, name, team)
-	if err != nil {
-		return err
-	}
-	fmt.Fprintf(os.Stderr, "key %s, generation %d; the secret is shown this once:\n", name, after.Generation())
-	fmt.Println(secret)
-	if c.Bool("wait") {
-		return await(ctx, client, after.Generation())
-	}
-	return nil
+	return onPlatform(c, func(ctx context.Context, client *platform.Client) error {
+		secret, after, err := operator.Issue(ctx, client, name, team)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(os.Stderr, "key %s, generation %d; the secret is shown this once:\n", name, after.Generation())
+		fmt.Println(secret)
+		return awaitIfAsked(ctx, c, client, after.Generation())
+	})
 }
 
 func withdrawKey(c *cli.Context) error {
-	name, err := oneFile(c)
-	if err != nil {
+	if c.NArg() != 1 {
 		return usage("keys withdraw takes one NAME")
 	}
-	client, err := services(c)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := bounded(c)
-	defer cancel()
-	after, err := operator.Withdraw(ctx, client, name)
-	if err != nil {
-		return err
-	}
-	fmt.Printf("generation %d\n", after.Generation())
-	if c.Bool("wait") {
-		return await(ctx, client, after.Generation())
-	}
-	return nil
+	return onPlatform(c, func(ctx context.Context, client *platform.Client) error {
+		after, err := operator.Withdraw(ctx, client, c.Args().First())
+		if err != nil {
+			return err
+		}
+		fmt.Printf("generation %d\n", after.Generation())
+		return awaitIfAsked(ctx, c, client, after.Generation())
+	})
 }
 
 func statusCommand() *cli.Command {
@@ -250,18 +238,14 @@
 		Name: "status", Usage: "show every router and the generation in force on it",
 		Flags: []cli.Flag{platformFlag(), timeoutFlag()},
 		Action: func(c *cli.Context) error {
-			client, err := services(c)
-			if err != nil {
-				return err
-			}
-			ctx, cancel := bounded(c)
-			defer cancel()
-			reports, err := operator.Watch(ctx, client)
-			if err != nil {
-				return err
-			}
-			printReports(reports)
-			return nil
+			return onPlatform(c, func(ctx context.Context, client *platform.Client) error {
+				reports, err := operator.Watch(ctx, client)
+				if err != nil {
+					return err
+				}
+				printReports(reports)
+				return nil
+			})
 		},
 	})
 }
--- a/declare/declare.go
+++ b/declare/declare.go
@@ -35,7 +35,13 @@
 // Zone declares an availability zone with its part of every team's rate and
 // burst. The weights of all zones must sum to 1.
 func (d *Deployment) Zone(name string, weight float64) *Deployment {
-	d.doc.Zones = append(d.doc.Zones, config.Zone{Name: name, Weight: weight})
+	return d.RegionZone(name, "", weight)
+}
+
+// RegionZone declares an availability zone of a region. Engines of one region
+// serve each other's requests.
+func (d *Deployment) RegionZone(name, region string, weight float64) *Deployment {
+	d.doc.Zones = append(d.doc.Zones, config.Zone{Name: name, Region: region, Weight: weight})
 	return d
 }
 
@@ -140,6 +146,12 @@
 	return t
 }
 
+// Region keeps the team's tokens in the zones of one region.
+func (t Team) Region(name string) Team {
+	t.d.doc.Teams[t.i].Region = name
+	return t
+}
+
 // Key declares a key of a team by the SHA-256 digest of its secret, in hex.
 func (d *Deployment) Key(name, team, digest string) *Deployment {
 	d.doc.Keys = append(d.doc.Keys, config.Key{Name: name, Team: team, Digest: digest})
--- a/e2e/control_test.go
+++ b/e2e/control_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"strconv"
@@ -8,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/marjoramrock/marjoramrock/declare"
+	"github.com/marjoramrock/marjoramrock/internal/operator"
 	"github.com/stretchr/testify/require"
 )
 
@@ -34,6 +37,51 @@
 				b.ReportMetric((loopbackBytes(b)-bytes)/nodes/seconds, "B/s/node")
 				b.ReportMetric(float64(f.platform.Counts().Reads-reads)/nodes/seconds, "reads/s/node")
 				b.ReportMetric(f.memory()/nodes, "MB/node")
+				began := time.Now()
+				c, err := operator.Commit(context.Background(), f.client, addTeam("fresh"))
+				require.NoError(b, err)
+				f.generation(c.Generation(), time.Minute)
+				b.ReportMetric(float64(time.Since(began).Milliseconds()), "ms-in-force")
+			}
+		})
+	}
+}
+
+// BenchmarkTeams is what a router spends by the number of teams: memory, the
+// processor time of one change, and the time from its start to its first
+// configuration in force.
+func BenchmarkTeams(b *testing.B) {
+	const changes = 8
+	for _, n := range []int{1000, 10000, 37000} {
+		b.Run(fmt.Sprintf("teams=%d", n), func(b *testing.B) {
+			f := newFleet(b, shape{zones: []string{"zone-a"}, routers: 2, log: "error", tweak: func(d *declare.Deployment) {
+				for i := range n {
+					d.Team(fmt.Sprintf("team-%d", i)).Rate(1000).Burst(4000)
+					d.Key(fmt.Sprintf("key-%d", i), fmt.Sprintf("team-%d", i), operator.Digest(fmt.Sprint(i)))
+				}
+			}})
+			nodes := float64(len(f.vms))
+			for b.Loop() {
+				idle := f.cpu()
+				time.Sleep(controlFor)
+				idle = f.cpu() - idle
+				busy := f.cpu()
+				for i := range changes {
+					c, err := operator.Commit(context.Background(), f.client, addTeam(fmt.Sprintf("fresh-%d", i)))
+					require.NoError(b, err)
+					f.generation(c.Generation(), time.Minute)
+					time.Sleep(controlFor / changes / 2)
+				}
+				b.ReportMetric(1000*(f.cpu()-busy-idle)/nodes/changes, "cpu-ms/change")
+				b.ReportMetric(f.memory()/nodes, "MB/node")
+				f.kill(f.vms[0])
+				began := time.Now()
+				f.start(f.vms[0])
+				require.Eventually(b, func() bool {
+					s, err := f.status(f.vms[0])
+					return err == nil && s.Ready
+				}, time.Minute, time.Millisecond)
+				b.ReportMetric(float64(time.Since(began).Milliseconds()), "ms-restart")
 			}
 		})
 	}
--- a/e2e/leaving_test.go
+++ b/e2e/leaving_test.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -101,9 +100,7 @@
 	}
 	time.Sleep(300 * time.Millisecond)
 	for _, v := range f.vms[:2] {
-		require.NoError(t, v.cmd.Process.Signal(syscall.SIGTERM))
-		require.NoError(t, v.cmd.Wait(), "exit code 0")
-		v.cmd = nil
+		f.terminate(v)
 		f.platform.DropVM(v.name)
 		time.Sleep(200 * time.Millisecond)
 	}
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -1,9 +1,14 @@
 package e2e
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/marjoramrock/marjoramrock/internal/standin"
 	"github.com/marjoramrock/marjoramrock/internal/trial"
@@ -51,3 +56,38 @@
 	require.Equal(t, http.StatusOK, f.call(f.vms[0], "GET", "/open", "", "", "", nil).status)
 	require.Equal(t, http.StatusOK, f.call(f.vms[0], "GET", "/v1/models", f.keys[teamLarge], "", "", nil).status)
 }
+
+// TestBadInputIsAnswered sends what no caller should, and wants an answer that
+// says what is wrong on every connection.
+func TestBadInputIsAnswered(t *testing.T) {
+	f := newFleet(t, shape{routers: 1, engines: 1})
+	auth := "Authorization: Bearer " + f.keys[teamLarge] + "\r\n"
+	tests := []struct {
+		give string
+		raw  string
+		want string
+	}{
+		{"no HTTP", "hello\r\n\r\n", "400"},
+		{"headers too large", "GET /healthz HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("y", 64<<10) + "\r\n\r\n", "431"},
+		{"body too large", "POST /v1/completions HTTP/1.1\r\nHost: x\r\n" + auth + "Content-Length: 99000000\r\n\r\n", "413"},
+		{"bad length", "POST /v1/completions HTTP/1.1\r\nHost: x\r\n" + auth + "Content-Length: many\r\n\r\n", "400"},
+		{"deep nonsense", "POST /v1/completions HTTP/1.1\r\nHost: x\r\n" + auth + "Content-Length: 20000\r\n\r\n" + strings.Repeat("[", 20000), "400"},
+		{"wrong method", "GET /v1/completions HTTP/1.1\r\nHost: x\r\n" + auth + "\r\n", "405"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.give, func(t *testing.T) {
+			conn, err := net.Dial("tcp", f.vms[0].entry)
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = conn.Write([]byte(tt.raw))
+			require.NoError(t, err)
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			raw, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			require.Equal(t, tt.want, strconv.Itoa(resp.StatusCode), string(raw))
+			require.Contains(t, string(raw), `"run":"no"`)
+		})
+	}
+}
--- a/e2e/rate_test.go
+++ b/e2e/rate_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -113,3 +114,26 @@
 	f.exhaust(teamSmall, 1500*time.Millisecond)
 	f.requireWithin(teamSmall)
 }
+
+// terminate ends a router gracefully.
+func (f *fleet) terminate(v *vm) {
+	f.t.Helper()
+	require.NoError(f.t, v.cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(f.t, v.cmd.Wait(), "exit code 0")
+	v.cmd = nil
+}
+
+func TestGracefulReplacementKeepsTokens(t *testing.T) {
+	f := newFleet(t, shape{routers: 4, engines: 1})
+	for _, v := range f.vms {
+		f.terminate(v)
+		f.start(v)
+		f.settled()
+	}
+	// All but the whole burst, right after every holder has changed.
+	reply, err := f.ask(f.vms[0], teamSmall, trial.Ask{Parts: []string{strings.Repeat("x", 9000)}, Tokens: 900})
+	require.NoError(t, err)
+	require.True(t, reply.OK(), "%+v", reply.Error)
+	f.exhaust(teamSmall, time.Second)
+	f.requireWithin(teamSmall)
+}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -49,7 +49,7 @@
 	c.models(doc.Models)
 	c.engines(doc.Engines, zones, models)
 	c.services(doc.Services, zones)
-	c.teams(doc.Teams)
+	c.teams(doc.Teams, doc.Zones)
 	c.keys(doc.Keys, teams)
 	c.routes(doc.Routes, models, services)
 	c.policy(doc.Policy)
@@ -147,8 +147,13 @@
 	}
 }
 
-func (c checker) teams(teams []Team) {
+func (c checker) teams(teams []Team, zones []Zone) {
+	regions := nameSet{"": true}
+	for _, z := range zones {
+		regions[z.Region] = true
+	}
 	for i, t := range teams {
+		c.refer(at("teams", i, "region"), "region", t.Region, regions)
 		c.positive(at("teams", i, "rate"), t.Rate)
 		c.positive(at("teams", i, "burst"), t.Burst)
 	}
--- a/internal/config/check_test.go
+++ b/internal/config/check_test.go
@@ -90,3 +90,25 @@
 		require.Empty(t, Check(doc))
 	})
 }
+
+func TestPartsSumToOne(t *testing.T) {
+	c := Empty().with(Delta{Set: Document{Zones: []Zone{
+		{Name: "a", Region: "north", Weight: 0.2}, {Name: "b", Region: "north", Weight: 0.2}, {Name: "c", Region: "south", Weight: 0.6},
+	}}})
+	tests := []struct {
+		give string
+		team Team
+		want map[string]float64
+	}{
+		{give: "everywhere", want: map[string]float64{"a": 0.2, "b": 0.2, "c": 0.6}},
+		{give: "one region", team: Team{Region: "north"}, want: map[string]float64{"a": 0.5, "b": 0.5, "c": 0}},
+		{give: "no such region", team: Team{Region: "west"}, want: map[string]float64{"a": 0, "b": 0, "c": 0}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.give, func(t *testing.T) {
+			for zone, want := range tt.want {
+				require.InDelta(t, want, c.Part(tt.team, zone), 1e-9, zone)
+			}
+		})
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -41,6 +41,8 @@
 	byModel map[string]Route
 	byPath  []Route
 	serving map[string][]Engine
+	// minting holds the zones of each region, and of all under "".
+	minting map[string][]Zone
 }
 
 // Empty returns generation zero, which serves nothing.
@@ -76,6 +78,26 @@
 // Serving returns the engines of a model in the order of their names.
 func (c *Config) Serving(model string) []Engine { return c.serving[model] }
 
+// Minting returns the zones that a team's rate and burst are divided over, in
+// the order of their names.
+func (c *Config) Minting(t Team) []Zone { return c.minting[t.Region] }
+
+// Part returns a zone's part of a team's rate and burst; the parts of all
+// zones sum to 1.
+func (c *Config) Part(t Team, zone string) float64 {
+	sum, own := 0.0, 0.0
+	for _, z := range c.minting[t.Region] {
+		sum += z.Weight
+		if z.Name == zone {
+			own = z.Weight
+		}
+	}
+	if sum == 0 {
+		return 0
+	}
+	return own / sum
+}
+
 // Stale returns how long keyed requests are served with no fresh proof.
 func (c *Config) Stale() time.Duration {
 	if c.policy.Stale == 0 {
@@ -246,6 +268,13 @@
 		}
 		c.byPath = append(c.byPath, r)
 	}
+	c.minting = make(map[string][]Zone)
+	for _, z := range c.zones.Sorted() {
+		c.minting[""] = append(c.minting[""], z)
+		if z.Region != "" {
+			c.minting[z.Region] = append(c.minting[z.Region], z)
+		}
+	}
 	c.serving = make(map[string][]Engine)
 	for _, e := range c.engines.Sorted() {
 		c.serving[e.Model] = append(c.serving[e.Model], e)
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -90,6 +90,9 @@
 	Name  string  `json:"name"`
 	Rate  float64 `json:"rate"`
 	Burst float64 `json:"burst"`
+	// Region, if set, keeps the team's tokens in the zones of one region, so
+	// that large requests there need not borrow from afar.
+	Region string `json:"region,omitempty"`
 }
 
 // Key is an issued key. Only the digest of its secret is kept.
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,72 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/marjoramrock/marjoramrock/internal/timer"
+	"github.com/stretchr/testify/require"
+)
+
+func TestTableRestsFailingEngines(t *testing.T) {
+	clock := &timer.Manual{}
+	table := NewTable(clock)
+	for n, want := range []time.Duration{minimumRest, 2 * minimumRest, 4 * minimumRest} {
+		table.Failed("e")
+		require.True(t, table.Status("e").Resting, "failure %d", n)
+		clock.Advance(want)
+		require.False(t, table.Status("e").Resting, "failure %d", n)
+	}
+	for range 20 {
+		table.Failed("e")
+	}
+	clock.Advance(maximumRest)
+	require.False(t, table.Status("e").Resting)
+	table.Failed("e")
+	table.Succeeded("e")
+	require.False(t, table.Status("e").Resting)
+}
+
+func TestTableObserves(t *testing.T) {
+	clock := &timer.Manual{}
+	table := NewTable(clock)
+	require.False(t, table.Observe("e", Report{Incarnation: "one", Load: 5}))
+	require.False(t, table.Observe("e", Report{Incarnation: "one", Load: 5}))
+	require.True(t, table.Observe("e", Report{Incarnation: "two", Load: 5}))
+	require.Equal(t, 5, table.Status("e").Load)
+	clock.Advance(loadLife)
+	require.Zero(t, table.Status("e").Load, "an old report is not believed")
+	table.Begin("busy")
+	table.Keep(map[string]bool{})
+	require.Len(t, table.All(), 1, "only idle engines are forgotten")
+	table.End("busy")
+	table.Keep(map[string]bool{})
+	require.Empty(t, table.All())
+}
+
+func TestLoadsAreTwoAtOnce(t *testing.T) {
+	l := NewLoads()
+	versions := map[string]string{}
+	sights := func() []Sight {
+		var out []Sight
+		for i := range 5 {
+			name := fmt.Sprint(i)
+			out = append(out, Sight{Name: name, Version: versions[name], Known: true})
+		}
+		return out
+	}
+	require.Equal(t, []string{"0", "1"}, l.Plan(sights(), "v2", 0))
+	require.Empty(t, l.Plan(sights(), "v2", 1))
+	versions["0"] = "v2"
+	require.Equal(t, []string{"2"}, l.Plan(sights(), "v2", 2))
+	l.Refused("2")
+	require.Equal(t, []string{"2"}, l.Plan(sights(), "v2", 3), "a refused order is given again")
+	late := timer.Instant(orderAgain) + 4
+	require.Equal(t, []string{"1", "2"}, l.Plan(sights(), "v2", late), "an order without effect is given again")
+	unknown := sights()
+	for i := range unknown {
+		unknown[i].Known = false
+	}
+	require.Empty(t, NewLoads().Plan(unknown, "v2", 0), "an engine that cannot be asked is not ordered")
+}
--- a/internal/engine/order.go
+++ b/internal/engine/order.go
@@ -12,7 +12,7 @@
 
 // orderAgain is how long an order is left to take effect before it is sent
 // again.
-const orderAgain = 5 * time.Second
+const orderAgain = 30 * time.Second
 
 // Order tells an engine to load weights.
 type Order struct {
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -31,6 +31,8 @@
 	Epoch uint64 `json:"epoch"`
 	// Attempt tells this write from all others.
 	Attempt string `json:"attempt"`
+	// Estate is what a holder that released the slot left.
+	Estate team.Estate `json:"estate,omitzero"`
 }
 
 // Take is a slot that this VM should try to get.
@@ -39,8 +41,9 @@
 	// Expect is the version of the row, zero if there is none.
 	Expect uint64
 	Row    SlotRow
-	// Virgin means that nobody ever held the slot.
-	Virgin bool
+	// Estate is what the former holder left; of a slot that nobody ever held,
+	// full buckets.
+	Estate team.Estate
 }
 
 // Key returns the row's key.
@@ -61,6 +64,19 @@
 	freeSince timer.Instant
 }
 
+// estate returns what the next holder finds. A holder that did not release
+// the slot left nothing that is known.
+func (st slotState) estate() team.Estate {
+	switch {
+	case st.version == 0:
+		return team.Estate{Full: true}
+	case st.row.Holder == "":
+		return st.row.Estate
+	default:
+		return team.Estate{}
+	}
+}
+
 // Slots decides which slots this VM should hold. It is safe for concurrent
 // use.
 type Slots struct {
@@ -141,15 +157,23 @@
 }
 
 // Hear takes in a peer's word of the slots that it holds, one bit for each. It
-// only tells whom to ask; it is no proof of anything.
-func (s *Slots) Hear(vm string, held uint32, now timer.Instant) {
+// only tells whom to ask, and is no proof of anything. It reports true when the
+// rows say otherwise and should be read again.
+func (s *Slots) Hear(vm string, held uint32, now timer.Instant) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	differs := false
 	for i := range s.heard {
-		if held&(1<<i) != 0 {
+		has := held&(1<<i) != 0
+		differs = differs || has != (s.state[i].row.Holder == vm)
+		switch {
+		case has:
 			s.heard[i] = claimant{vm: vm, at: now}
+		case s.heard[i].vm == vm:
+			s.heard[i] = claimant{}
 		}
 	}
+	return differs
 }
 
 // Held returns the slots that this run has taken, one bit for each.
@@ -209,7 +233,7 @@
 			Slot:   slot,
 			Expect: st.version,
 			Row:    SlotRow{Holder: s.self, Epoch: st.row.Epoch + 1, Attempt: platform.NewToken()},
-			Virgin: st.version == 0,
+			Estate: st.estate(),
 		})
 	}
 	return takes
@@ -232,14 +256,14 @@
 	return v.Absent(holder) >= time.Duration(1+rank)*s.confirm
 }
 
-// Settled reports whether every slot is known to be held by a listed VM that
-// is not retired.
+// Settled reports whether every slot is known to be held by a live VM that is
+// not retired.
 func (s *Slots) Settled(v *View, retired func(string) bool) bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	for i := range s.state {
 		holder := s.state[i].row.Holder
-		if _, listed := v.Find(holder); !listed || retired(holder) || (holder == s.self && !s.mine[i]) {
+		if !v.Live(holder) || retired(holder) || (holder == s.self && !s.mine[i]) {
 			return false
 		}
 	}
@@ -254,9 +278,9 @@
 	s.mine[t.Slot] = true
 }
 
-// Release returns the write that frees a slot of this run, and stops counting
-// it as taken. ok is false if the slot is not this run's.
-func (s *Slots) Release(slot team.Slot) (t Take, ok bool) {
+// Release returns the write that frees a slot of this run with what it leaves,
+// and stops counting it as taken. ok is false if the slot is not this run's.
+func (s *Slots) Release(slot team.Slot, left team.Estate) (t Take, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.mine[slot] {
@@ -266,7 +290,7 @@
 	st := s.state[slot]
 	return Take{
 		Slot: slot, Expect: st.version,
-		Row: SlotRow{Epoch: st.row.Epoch + 1, Attempt: platform.NewToken()},
+		Row: SlotRow{Epoch: st.row.Epoch + 1, Attempt: platform.NewToken(), Estate: left},
 	}, true
 }
 
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -23,6 +23,9 @@
 // maxStreams bounds the requests in progress on one connection.
 const maxStreams = 1024
 
+// closing is the reason that peers are given for the end of a connection.
+const closing = "closing"
+
 const protocolName = "marjoramrock/1"
 
 // ErrUnexpected means that a reply was of another kind than asked for.
@@ -101,13 +104,23 @@
 // Address returns the address in use.
 func (n *Node) Address() string { return n.transport.Conn.LocalAddr().String() }
 
-// Close ends all exchanges.
+// Close ends all exchanges and tells the peers.
 func (n *Node) Close() {
 	n.cancel()
 	_ = n.listener.Close()
+	n.mu.Lock()
+	open := n.conns
+	n.conns = make(map[string]*link)
+	n.mu.Unlock()
+	for _, l := range open {
+		<-l.ready
+		if l.conn != nil {
+			_ = l.conn.CloseWithError(0, closing)
+		}
+	}
+	n.done.Wait()
 	_ = n.transport.Close()
 	_ = n.transport.Conn.Close()
-	n.done.Wait()
 }
 
 func (n *Node) accept(ctx context.Context) {
@@ -124,6 +137,7 @@
 	for {
 		stream, err := conn.AcceptStream(ctx)
 		if err != nil {
+			_ = conn.CloseWithError(0, closing)
 			return
 		}
 		n.done.Go(func() { n.answer(ctx, conn.RemoteAddr().String(), stream) })
@@ -203,7 +217,9 @@
 		return nil, err
 	}
 	reply, err := exchange(ctx, conn, m)
-	if err != nil && conn.Context().Err() != nil {
+	if err != nil {
+		// The peer may have been replaced by one that does not know the
+		// connection, which nothing tells us; the next call dials anew.
 		n.forget(address, conn)
 	}
 	return reply, err
@@ -230,7 +246,7 @@
 func (n *Node) connect(ctx context.Context, address string) (*quic.Conn, error) {
 	n.mu.Lock()
 	l, ok := n.conns[address]
-	if !ok {
+	if !ok || l.ended() {
 		l = &link{ready: make(chan struct{})}
 		n.conns[address] = l
 		go n.dial(address, l)
@@ -244,13 +260,19 @@
 	if l.err != nil {
 		return nil, l.err
 	}
-	if l.conn.Context().Err() != nil {
-		n.forget(address, l.conn)
-		return nil, fmt.Errorf("connection ended: %w", context.Cause(l.conn.Context()))
-	}
 	return l.conn, nil
 }
 
+// ended reports whether the connection was made and is over.
+func (l *link) ended() bool {
+	select {
+	case <-l.ready:
+		return l.conn != nil && l.conn.Context().Err() != nil
+	default:
+		return false
+	}
+}
+
 func (n *Node) dial(address string, l *link) {
 	defer close(l.ready)
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
--- /dev/null
+++ b/internal/peer/node_test.go
@@ -0,0 +1,156 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var errRefused = errors.New("refused")
+
+func newNode(t testing.TB, secure *tls.Config, gate Gate, bad func(string, error)) *Node {
+	t.Helper()
+	return newNodeAt(t, "127.0.0.1:0", secure, gate, bad)
+}
+
+func newNodeAt(t testing.TB, address string, secure *tls.Config, gate Gate, bad func(string, error)) *Node {
+	t.Helper()
+	n, err := NewNode(Options{
+		Address: address, TLS: secure, Gate: gate, Bad: bad,
+		Handler: func(_ context.Context, m Message) (Message, error) {
+			switch m := m.(type) {
+			case *Borrow:
+				return &Grant{Tokens: m.Want, Possible: true}, nil
+			case *Hello:
+				return &Hello{VM: "other", Generation: m.Generation}, nil
+			default:
+				return nil, errRefused
+			}
+		},
+	})
+	require.NoError(t, err)
+	t.Cleanup(n.Close)
+	return n
+}
+
+func newTLS(t testing.TB) *tls.Config {
+	t.Helper()
+	authority, err := NewAuthority()
+	require.NoError(t, err)
+	pair, err := authority.Issue()
+	require.NoError(t, err)
+	secure, err := NewTLS(pair, authority.Cert())
+	require.NoError(t, err)
+	return secure
+}
+
+func open(string) error { return nil }
+
+func ignore(string, error) {}
+
+func TestAsk(t *testing.T) {
+	secure := newTLS(t)
+	a, b := newNode(t, secure, open, ignore), newNode(t, secure, open, ignore)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	grant, err := Ask[*Grant](ctx, a, b.Address(), &Borrow{Team: "t", ID: "1", Want: 7})
+	require.NoError(t, err)
+	require.Equal(t, 7.0, grant.Tokens)
+	_, err = Ask[*Grant](ctx, a, b.Address(), &Hello{})
+	require.ErrorIs(t, err, ErrUnexpected)
+	_, err = Ask[*Grant](ctx, a, b.Address(), &Fetch{})
+	var failure *FailureError
+	require.ErrorAs(t, err, &failure)
+	b.Close()
+	short, stop := context.WithTimeout(ctx, 300*time.Millisecond)
+	defer stop()
+	_, err = Ask[*Grant](short, a, b.Address(), &Borrow{Want: 1})
+	require.Error(t, err)
+}
+
+// TestReplacedPeerIsReached restarts a peer at its address, with and without a
+// word to those connected to it.
+func TestReplacedPeerIsReached(t *testing.T) {
+	tests := []struct {
+		give string
+		end  func(n *Node)
+		// fail is how many calls may fail before one succeeds.
+		fail int
+	}{
+		{give: "closed", end: (*Node).Close},
+		{give: "killed", end: func(n *Node) { _ = n.transport.Conn.Close() }, fail: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.give, func(t *testing.T) {
+			secure := newTLS(t)
+			a, b := newNode(t, secure, open, ignore), newNode(t, secure, open, ignore)
+			ctx := context.Background()
+			_, err := Ask[*Grant](ctx, a, b.Address(), &Borrow{Want: 1})
+			require.NoError(t, err)
+			address := b.Address()
+			tt.end(b)
+			newNodeAt(t, address, secure, open, ignore)
+			failed := 0
+			for {
+				short, cancel := context.WithTimeout(ctx, time.Second)
+				_, err := Ask[*Grant](short, a, address, &Borrow{Want: 1})
+				cancel()
+				if err == nil {
+					break
+				}
+				failed++
+				require.LessOrEqual(t, failed, tt.fail, "%v", err)
+			}
+		})
+	}
+}
+
+func TestStrangersAndCutLinksAreRefused(t *testing.T) {
+	secure := newTLS(t)
+	b := newNode(t, secure, open, ignore)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	stranger := newNode(t, newTLS(t), open, ignore)
+	_, err := Ask[*Grant](ctx, stranger, b.Address(), &Borrow{Want: 1})
+	require.Error(t, err, "a certificate of another authority")
+	cut := newNode(t, secure, func(string) error { return errRefused }, ignore)
+	_, err = Ask[*Grant](ctx, cut, b.Address(), &Borrow{Want: 1})
+	require.ErrorIs(t, err, errRefused)
+	_, err = Ask[*Grant](ctx, b, cut.Address(), &Borrow{Want: 1})
+	require.Error(t, err, "a cut holds in both directions")
+}
+
+func TestBadMessageIsReported(t *testing.T) {
+	secure := newTLS(t)
+	bad := make(chan error, 1)
+	a := newNode(t, secure, open, ignore)
+	b := newNode(t, secure, open, func(_ string, err error) { bad <- err })
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	conn, err := a.connect(ctx, b.Address())
+	require.NoError(t, err)
+	stream, err := conn.OpenStreamSync(ctx)
+	require.NoError(t, err)
+	_, err = stream.Write([]byte("not a message"))
+	require.NoError(t, err)
+	require.NoError(t, stream.Close())
+	require.Error(t, <-bad)
+	_, err = Ask[*Grant](ctx, a, b.Address(), &Borrow{Want: 1})
+	require.NoError(t, err, "the connection goes on")
+}
+
+// BenchmarkAsk is one exchange between two nodes of one process: the processor
+// time of both sides.
+func BenchmarkAsk(b *testing.B) {
+	secure := newTLS(b)
+	from, to := newNode(b, secure, open, ignore), newNode(b, secure, open, ignore)
+	b.ReportAllocs()
+	for b.Loop() {
+		_, err := Ask[*Grant](context.Background(), from, to.Address(), &Borrow{Team: "team-1", ID: "vm-1/abc/1", Want: 9000})
+		require.NoError(b, err)
+	}
+}
--- a/internal/router/complete.go
+++ b/internal/router/complete.go
@@ -68,7 +68,8 @@
 		end(used)
 		return false, err
 	}
-	src, err := c.open(bounded, nil, answer.NewSequence(id))
+	r.budget.Fresh()
+	src, err := c.open(bounded, make(map[string]bool), answer.NewSequence(id))
 	if err != nil {
 		end(c.usedOnFailure())
 		return false, err
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -114,13 +114,10 @@
 // attempts bounds the engines tried for one answer.
 const attempts = 4
 
-// open starts a stream on some engine and returns it once its first event is
-// there. With tried it passes over those engines.
-func (c *completion) open(ctx context.Context, tried map[string]bool, seq *answer.Sequence) (*source, error) {
-	if tried == nil {
-		tried = make(map[string]bool)
-		c.r.budget.Fresh()
-	}
+// eachEngine makes attempts at engines in the order of placement until one
+// succeeds. It passes over those in tried, which it adds to, and stops when the
+// retry budget, the deadline or the caller's key is at its end.
+func (c *completion) eachEngine(ctx context.Context, tried map[string]bool, attempt func(config.Engine) error) error {
 	last := errNoEngine
 	for n := range attempts {
 		if n > 0 && !c.r.budget.Retry() {
@@ -132,16 +129,25 @@
 			break
 		}
 		tried[e.Name] = true
-		src, err := c.try(ctx, e, seq, -1)
-		if err == nil {
-			return src, nil
+		if last = attempt(e); last == nil {
+			return nil
 		}
-		last = err
 		if ctx.Err() != nil || c.withdrawn() {
 			break
 		}
 	}
-	return nil, c.failure(last)
+	return c.failure(last)
+}
+
+// open starts a stream on some engine that is not in tried, and returns it
+// once its first event is there.
+func (c *completion) open(ctx context.Context, tried map[string]bool, seq *answer.Sequence) (*source, error) {
+	var src *source
+	err := c.eachEngine(ctx, tried, func(e config.Engine) (err error) {
+		src, err = c.try(ctx, e, seq, fromStart)
+		return err
+	})
+	return src, err
 }
 
 func (c *completion) withdrawn() bool {
@@ -153,8 +159,11 @@
 	}
 }
 
-// try opens a stream on one engine, from an event on when resume is not
-// negative.
+// fromStart asks an engine for a whole stream, in place of the index of the
+// event to resume from.
+const fromStart = -1
+
+// try opens a stream on one engine, whole or resumed from an event.
 func (c *completion) try(ctx context.Context, e config.Engine, seq *answer.Sequence, resume int) (*source, error) {
 	resp := fasthttp.AcquireResponse()
 	resp.StreamBody = true
@@ -193,7 +202,7 @@
 func (c *completion) send(ctx context.Context, e config.Engine, resp *fasthttp.Response, seq *answer.Sequence, resume int) error {
 	text, tokens := seq.Text()
 	u := upstream{salt: c.salt, priority: c.priority, sent: text, count: tokens}
-	if resume >= 0 {
+	if resume != fromStart {
 		u = c.resumed
 	}
 	raw, err := c.body.encode(u)
@@ -206,7 +215,7 @@
 	req.SetRequestURI("http://" + e.Address + c.path)
 	req.Header.SetContentType("application/json")
 	req.Header.Set(answer.HeaderRequest, c.id)
-	if resume >= 0 {
+	if resume != fromStart {
 		req.Header.Set(answer.HeaderResume, strconv.Itoa(resume))
 	}
 	c.resumed = u
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -14,7 +13,6 @@
 	"github.com/gravitational/trace"
 	"github.com/marjoramrock/marjoramrock/internal/config"
 	"github.com/marjoramrock/marjoramrock/internal/event"
-	"github.com/marjoramrock/marjoramrock/internal/fleet"
 	"github.com/marjoramrock/marjoramrock/internal/peer"
 	"github.com/marjoramrock/marjoramrock/internal/platform"
 )
@@ -207,153 +205,3 @@
 	}
 	return change, nil
 }
-
-// gossip exchanges generations with two peers of the zone and one beyond.
-func (f *follower) gossip() {
-	f.greet()
-	c := f.r.keeper.Current()
-	if c.Generation() > 0 && !f.r.keeper.Fresh(f.r.clock.Now()) {
-		event.ProofStale.Log(f.r.log, nil, log.Fields{"generation": c.Generation()})
-	}
-}
-
-// greet does one round of gossip.
-func (f *follower) greet() {
-	var asked sync.WaitGroup
-	for _, address := range f.contacts() {
-		asked.Go(func() { f.hello(address) })
-	}
-	asked.Wait()
-}
-
-// Contacts of one round of gossip. They stay the same while they answer, so
-// that their number of connections does not grow with the fleet; every so
-// often a random peer of the zone is asked besides.
-const (
-	zoneContacts = 2
-	farContacts  = 1
-	randomEvery  = 20
-)
-
-func (f *follower) contacts() []string {
-	var near, far []platform.VM
-	for _, vm := range f.r.view.Routers("") {
-		switch {
-		case vm.Name == f.r.settings.VM || f.r.unreach.recently(vm.Name, "", f.r.clock.Now()):
-		case vm.Zone == f.r.settings.Zone:
-			near = append(near, vm)
-		default:
-			far = append(far, vm)
-		}
-	}
-	if len(near)+len(far) == 0 {
-		return f.r.settings.Seeds
-	}
-	chosen := append(f.preferred(near, zoneContacts), f.preferred(far, farContacts)...)
-	if f.rounds.Add(1)%randomEvery == 0 && len(near) > zoneContacts {
-		chosen = append(chosen, near[rand.IntN(len(near))].Address)
-	}
-	return chosen
-}
-
-// preferred returns the addresses of this VM's first n contacts among vms.
-func (f *follower) preferred(vms []platform.VM, n int) []string {
-	names := fleet.Order(f.r.settings.VM, vms)
-	var out []string
-	for _, name := range names[:min(n, len(names))] {
-		for _, vm := range vms {
-			if vm.Name == name {
-				out = append(out, vm.Address)
-			}
-		}
-	}
-	return out
-}
-
-// hello exchanges generations with one peer.
-func (f *follower) hello(address string) {
-	ctx, cancel := context.WithTimeout(context.Background(), gossipTimeout)
-	defer cancel()
-	asked := f.r.clock.Now()
-	reply, err := peer.Ask[*peer.Hello](ctx, f.r.node, address, f.r.hello())
-	if err != nil {
-		f.r.avoid(address)
-		event.PeerUnreached.Log(f.r.log, err, log.Fields{"peer": address})
-		return
-	}
-	if reply.Generation > f.r.keeper.Current().Generation() {
-		f.fromPeer(address)
-	}
-	f.r.hear(reply)
-	if reply.HasProof {
-		f.r.keeper.Prove(reply.Proved, asked.Add(-time.Duration(reply.ProofAge)*time.Millisecond))
-	}
-}
-
-// avoid passes over a contact that does not answer, for a while.
-func (r *Router) avoid(address string) {
-	for _, vm := range r.view.Routers("") {
-		if vm.Address == address {
-			r.unreach.mark(vm.Name, "", r.clock.Now())
-		}
-	}
-}
-
-// fromPeer takes newer generations from a peer.
-func (f *follower) fromPeer(address string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), followTimeout)
-	defer cancel()
-	have := f.r.keeper.Current().Generation()
-	changes, err := peer.Ask[*peer.Changes](ctx, f.r.node, address, &peer.Since{Generation: have})
-	if err != nil {
-		event.PeerUnreached.Log(f.r.log, err, log.Fields{"peer": address})
-		return
-	}
-	if !changes.Whole {
-		f.fetch(ctx, address)
-		return
-	}
-	for _, raw := range changes.List {
-		var change config.Change
-		if err := json.Unmarshal(raw, &change); err != nil {
-			event.PeerBad.Log(f.r.log, err, log.Fields{"from": address})
-			return
-		}
-		if !f.apply(change) {
-			return
-		}
-	}
-	f.inForce(address)
-}
-
-func (f *follower) fetch(ctx context.Context, address string) {
-	snapshot, err := peer.Ask[*peer.Snapshot](ctx, f.r.node, address, &peer.Fetch{})
-	if err != nil {
-		event.PeerUnreached.Log(f.r.log, err, log.Fields{"peer": address})
-		return
-	}
-	f.install(decodeSnapshot(snapshot.Data))
-	f.inForce(address)
-}
-
-// hello returns what this router tells of itself.
-func (r *Router) hello() *peer.Hello {
-	proved, age, ok := r.keeper.Proof(r.clock.Now())
-	return &peer.Hello{
-		VM: r.settings.VM, Zone: r.settings.Zone,
-		Generation: r.keeper.Current().Generation(),
-		Proved:     proved,
-		ProofAge:   uint64(age.Milliseconds()) + 1,
-		HasProof:   ok,
-		Held:       r.slots.Held(),
-	}
-}
-
-// hear takes in which slots of the own zone a peer holds.
-func (r *Router) hear(m *peer.Hello) {
-	if m.Zone == r.settings.Zone && m.VM != r.settings.VM {
-		r.slots.Hear(m.VM, m.Held, r.clock.Now())
-	}
-}
--- a/internal/router/member.go
+++ b/internal/router/member.go
@@ -10,7 +10,6 @@
 	"github.com/marjoramrock/marjoramrock/internal/event"
 	"github.com/marjoramrock/marjoramrock/internal/fleet"
 	"github.com/marjoramrock/marjoramrock/internal/platform"
-	"github.com/marjoramrock/marjoramrock/internal/team"
 )
 
 // Bounds of one exchange about membership.
@@ -34,11 +33,13 @@
 	r.queues.resize(r)
 }
 
-// lookAfterSlots reads the zone's slot rows, often only while some slot may
-// need a holder.
+// lookAfterSlots reads the zone's slot rows: at once after a peer's word that
+// differs from them, and else seldom unless some slot may need a holder.
 func (r *Router) lookAfterSlots() {
 	r.slotRound++
-	if r.slotRound%slotRounds == 0 || !r.slots.Settled(r.view, r.retired) {
+	due := r.slotRound%slotRounds == 0
+	due = due || r.slotRound%slotUnsettled == 0 && !r.slots.Settled(r.view, r.retired)
+	if r.slotDoubt.Swap(false) || due {
 		r.readSlots()
 	}
 }
@@ -57,7 +58,7 @@
 		event.SlotBad.Log(r.log, err, nil)
 	}
 	for _, slot := range lost {
-		r.ledger.Drop(slot)
+		r.ledger.Drop(slot, r.clock.Now())
 		event.SlotLost.Log(r.log, nil, log.Fields{"slot": int(slot)})
 	}
 	if r.draining.Load() {
@@ -73,8 +74,7 @@
 	return ok
 }
 
-// take commits a slot to this VM and starts minting once every loan of a
-// former holder must have ended.
+// take commits a slot to this VM and makes it the holder.
 func (r *Router) take(t fleet.Take) {
 	ctx, cancel := context.WithTimeout(context.Background(), takeTimeout)
 	defer cancel()
@@ -83,7 +83,7 @@
 		return
 	}
 	r.slots.Taken(t)
-	r.ledger.Take(t.Slot, t.Row.Epoch, t.Virgin, r.clock.Now().Add(team.ForgetAfter))
+	r.ledger.Take(t.Slot, t.Row.Epoch, t.Estate, r.clock.Now())
 	event.SlotTaken.Log(r.log, nil, log.Fields{"slot": int(t.Slot), "epoch": t.Row.Epoch})
 }
 
@@ -103,8 +103,7 @@
 // release cannot be written stays this VM's until the list shows it gone.
 func (r *Router) releaseSlots(ctx context.Context) {
 	for _, slot := range r.slots.Mine() {
-		r.ledger.Drop(slot)
-		t, ok := r.slots.Release(slot)
+		t, ok := r.slots.Release(slot, r.ledger.Drop(slot, r.clock.Now()))
 		if !ok {
 			continue
 		}
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -84,8 +84,8 @@
 	if !ok {
 		return team.Limits{}, false
 	}
-	zone, ok := c.Zones().Get(r.settings.Zone)
-	return team.Limits{Rate: t.Rate * zone.Weight, Cap: t.Burst * zone.Weight}, ok
+	part := c.Part(t, r.settings.Zone)
+	return team.Limits{Rate: t.Rate * part, Cap: t.Burst * part}, part > 0
 }
 
 // lendTo lends as the holder, or passes the request on to the holder once.
@@ -145,13 +145,16 @@
 const lendTimeout = 250 * time.Millisecond
 
 // Zones implements team.Lender.
-func (l lender) Zones(string) []string {
-	own := l.r.settings.Zone
-	zones := []string{own}
-	for _, zone := range l.r.keeper.Current().Zones().Sorted() {
-		if zone.Name != own {
-			zones = append(zones, zone.Name)
+func (l lender) Zones(name string) []string {
+	c := l.r.keeper.Current()
+	t, _ := c.Teams().Get(name)
+	var zones []string
+	for _, zone := range c.Minting(t) {
+		if zone.Name == l.r.settings.Zone {
+			zones = append([]string{zone.Name}, zones...)
+			continue
 		}
+		zones = append(zones, zone.Name)
 	}
 	return zones
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -70,6 +70,7 @@
 	subs      []timer.Subscription
 	// slotRound counts the timer's calls of lookAfterSlots.
 	slotRound int
+	slotDoubt atomic.Bool
 }
 
 // New starts a router. Shutdown or Close ends it.
@@ -172,12 +173,14 @@
 	headPeriod   = time.Second
 	gossipPeriod = 500 * time.Millisecond
 	listPeriod   = time.Second
-	// slotPeriod applies while a slot of the zone may need a holder, and
-	// slotRounds times as long otherwise.
-	slotPeriod   = 2 * time.Second
-	slotRounds   = 5
-	reportPeriod = 40 * time.Millisecond
-	orderPeriod  = 500 * time.Millisecond
+	// Slot rows are read every slotRounds periods, every slotUnsettled while a
+	// slot of the zone may need a holder, and in the next one after a peer's
+	// word that differs from them.
+	slotPeriod    = 250 * time.Millisecond
+	slotUnsettled = 8
+	slotRounds    = 40
+	reportPeriod  = 40 * time.Millisecond
+	orderPeriod   = 500 * time.Millisecond
 )
 
 func (r *Router) subscribe() {
@@ -226,6 +229,7 @@
 	r.draining.Store(true)
 	event.Draining.Log(r.log, nil, nil)
 	r.releaseSlots(ctx)
+	r.follower.greet()
 	drain := time.Duration(r.settings.Drain)
 	if drain == 0 {
 		drain = DefaultDrain
--- a/internal/router/whole.go
+++ b/internal/router/whole.go
@@ -14,29 +14,17 @@
 // whole serves a request that wants its answer in one piece, and returns the
 // tokens used.
 func (c *completion) whole(bounded context.Context, ctx *fasthttp.RequestCtx) (float64, error) {
-	tried := make(map[string]bool)
+	var chunk answer.Chunk
+	var raw []byte
 	c.r.budget.Fresh()
-	last := errNoEngine
-	for n := range attempts {
-		if n > 0 && !c.r.budget.Retry() {
-			last = fmt.Errorf("%w: %w", errBudget, last)
-			break
-		}
-		e, err := c.place(tried)
-		if err != nil {
-			break
-		}
-		tried[e.Name] = true
-		chunk, raw, err := c.fetch(bounded, e)
-		if err == nil {
-			return c.deliver(ctx, chunk, raw)
-		}
-		last = err
-		if bounded.Err() != nil || c.withdrawn() {
-			break
-		}
+	err := c.eachEngine(bounded, make(map[string]bool), func(e config.Engine) (err error) {
+		chunk, raw, err = c.fetch(bounded, e)
+		return err
+	})
+	if err != nil {
+		return c.usedOnFailure(), err
 	}
-	return c.usedOnFailure(), c.failure(last)
+	return c.deliver(ctx, chunk, raw)
 }
 
 // fetch asks one engine for the whole answer.
@@ -47,7 +35,7 @@
 	c.r.engines.Begin(e.Name)
 	defer c.r.engines.End(e.Name)
 	var chunk answer.Chunk
-	err := c.send(bounded, e, resp, answer.NewSequence(c.id), -1)
+	err := c.send(bounded, e, resp, answer.NewSequence(c.id), fromStart)
 	if err == nil {
 		src.report, err = c.accept(e, resp)
 	}
--- a/internal/team/bucket_test.go
+++ b/internal/team/bucket_test.go
@@ -75,7 +75,7 @@
 
 func (w *world) step() {
 	w.now = w.now.Add(time.Duration(rapid.SampledFrom([]int{0, 0, 0, 0, 1, 10, 100, 300, 900, 2100}).Draw(w.t, "ms")) * time.Millisecond)
-	what := rapid.SampledFrom([]string{"lend", "lend", "start", "start", "settle", "settle", "return", "replace"}).Draw(w.t, "what")
+	what := rapid.SampledFrom([]string{"lend", "lend", "start", "start", "settle", "settle", "return", "replace", "hand over"}).Draw(w.t, "what")
 	switch {
 	case what == "lend":
 		w.lend()
@@ -87,9 +87,23 @@
 		w.bucket.Return(w.now, w.take(&w.lent).id)
 	case what == "replace" && rapid.IntRange(0, 15).Draw(w.t, "rarely") == 0:
 		w.bucket = NewBucket(w.limits, 0, w.now.Add(ForgetAfter))
+	case what == "hand over" && rapid.IntRange(0, 7).Draw(w.t, "rarely") == 0:
+		w.handOver()
 	}
 }
 
+// handOver moves the bucket to another holder gracefully; reports of old loans
+// then mean nothing to it.
+func (w *world) handOver() {
+	var from, to Ledger
+	from.slots[SlotOf("team")].held = true
+	from.slots[SlotOf("team")].buckets = map[string]*Bucket{"team": w.bucket}
+	to.Take(SlotOf("team"), 2, from.Drop(SlotOf("team"), w.now), w.now)
+	_, held := to.Lend(w.now, "team", w.limits, "", 0)
+	require.True(w.t, held)
+	w.bucket = to.slots[SlotOf("team")].buckets["team"]
+}
+
 // TestBucketWindowBound drives one bucket through lost and late messages,
 // replacements and refunds and checks every window of what was started.
 func TestBucketWindowBound(t *testing.T) {
--- a/internal/team/ledger.go
+++ b/internal/team/ledger.go
@@ -1,6 +1,8 @@
 package team
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,13 +30,30 @@
 	// held is whether this VM may mint for the slot.
 	held  bool
 	epoch uint64
-	// virgin is whether nobody held the slot before, so that buckets may
-	// start full.
-	virgin  bool
+	// estate is what the former holder left; buckets not in it open as if
+	// they had been minting since from.
+	estate  Estate
 	from    timer.Instant
 	buckets map[string]*Bucket
 }
 
+// Level is what a team's bucket held, in tokens; negative while in debt.
+type Level struct {
+	Team   string  `json:"team"`
+	Tokens float64 `json:"tokens"`
+}
+
+// Estate is what a holder leaves to the next one. The zero value says nothing:
+// the next holder must start every bucket empty, when all loans have ended.
+type Estate struct {
+	// Full means that buckets without a level are full.
+	Full bool `json:"full,omitempty"`
+	// Minted is how long buckets without a level have been minting, from
+	// empty.
+	Minted time.Duration `json:"minted,omitempty"`
+	Levels []Level       `json:"levels,omitempty"`
+}
+
 // Grant is a holder's answer to a borrower.
 type Grant struct {
 	// Tokens is the amount lent, possibly zero.
@@ -44,9 +63,10 @@
 	Possible bool
 }
 
-// Take makes this VM the holder of a slot. Minting starts at an instant, at
-// level zero, or full if the slot is virgin.
-func (l *Ledger) Take(s Slot, epoch uint64, virgin bool, from timer.Instant) {
+// Take makes this VM the holder of a slot, with what the former one left.
+// Nothing new is minted for ForgetAfter, since loans of a former holder may
+// still be started; what was left can be lent at once.
+func (l *Ledger) Take(s Slot, epoch uint64, e Estate, now timer.Instant) {
 	slot := &l.slots[s]
 	slot.mu.Lock()
 	defer slot.mu.Unlock()
@@ -55,18 +75,31 @@
 	}
 	slot.held = true
 	slot.epoch = epoch
-	slot.virgin = virgin
-	slot.from = from
-	slot.buckets = make(map[string]*Bucket)
+	slot.estate = e
+	slot.from = now.Add(ForgetAfter)
+	slot.buckets = make(map[string]*Bucket, len(e.Levels))
+	for _, level := range e.Levels {
+		slot.buckets[level.Team] = NewBucket(Limits{Cap: max(0, level.Tokens)}, level.Tokens, slot.from)
+	}
 }
 
-// Drop ends minting for a slot at once.
-func (l *Ledger) Drop(s Slot) {
+// Drop ends minting for a slot at once and returns what it leaves.
+func (l *Ledger) Drop(s Slot, now timer.Instant) Estate {
 	slot := &l.slots[s]
 	slot.mu.Lock()
 	defer slot.mu.Unlock()
+	if !slot.held {
+		return Estate{}
+	}
+	e := Estate{Full: slot.estate.Full, Minted: max(0, now.Sub(slot.from)) + slot.estate.Minted}
+	for name, b := range slot.buckets {
+		b.refill(now)
+		e.Levels = append(e.Levels, Level{Team: name, Tokens: b.level})
+	}
+	slices.SortFunc(e.Levels, func(a, b Level) int { return strings.Compare(a.Team, b.Team) })
 	slot.held = false
 	slot.buckets = nil
+	return e
 }
 
 // Held reports whether this VM mints for a slot, and under which epoch.
@@ -95,12 +128,12 @@
 	return true
 }
 
-// open makes a bucket as if it had been minting since the slot was taken.
+// open makes the bucket of a team that none was kept for.
 func (s *ledgerSlot) open(now timer.Instant, limits Limits) *Bucket {
-	if s.virgin {
+	if s.estate.Full {
 		return NewBucket(limits, limits.Cap, now)
 	}
-	return NewBucket(limits, 0, s.from)
+	return NewBucket(limits, limits.Rate*s.estate.Minted.Seconds(), s.from)
 }
 
 // Lend lends to a borrower. It reports false when this VM is not the holder.
