--- a/internal/engine/order.go
+++ b/internal/engine/order.go
@@ -77,5 +77,11 @@
 	}
 }
 
+// Loading reports whether an order to an engine may still be taking effect.
+func (l *Loads) Loading(name string) bool {
+	_, ok := l.ordered[name]
+	return ok
+}
+
 // Refused takes back an order that its engine did not accept.
 func (l *Loads) Refused(name string) { delete(l.ordered, name) }
--- a/internal/router/orderer.go
+++ b/internal/router/orderer.go
@@ -35,15 +35,41 @@
 	epoch uint64
 	since timer.Instant
 	loads *engine.Loads
-	// version is the one last seen on all engines; look is when to look again
-	// while it is the declared one.
-	version string
-	look    timer.Instant
+	// seen holds the version last seen on each engine since the last look.
+	seen map[string]string
+	look timer.Instant
+	// cursor is the engine to ask next, so that one that does not answer does
+	// not keep the others waiting.
+	cursor int
 }
 
 // lookAgain is how often engines that run the declared weights are asked.
 const lookAgain = 10 * time.Second
 
+// due returns the engines to ask now: those that are loading, and a few of
+// those not yet seen to run a version.
+func (g *group) due(engines []config.Engine, version string, now timer.Instant) []config.Engine {
+	if now >= g.look {
+		g.look = now.Add(lookAgain)
+		g.seen = make(map[string]string, len(engines))
+	}
+	var out []config.Engine
+	others := 0
+	for i := range engines {
+		e := engines[(g.cursor+i)%len(engines)]
+		switch {
+		case g.seen[e.Name] == version:
+		case g.loads.Loading(e.Name):
+			out = append(out, e)
+		case others < engine.LoadsAtOnce:
+			others++
+			out = append(out, e)
+		}
+	}
+	g.cursor++
+	return out
+}
+
 func newOrderer(r *Router) *orderer { return &orderer{r: r, groups: make(map[string]*group)} }
 
 // run looks after every model that this VM orders.
@@ -61,8 +87,8 @@
 			o.groups[m.Name] = g
 		}
 		now := o.r.clock.Now()
-		if now.Sub(g.since) >= orderWait && (g.version != m.Version || now >= g.look) {
-			o.order(g, m, c.Serving(m.Name))
+		if now.Sub(g.since) >= orderWait {
+			o.order(g, m, g.due(c.Serving(m.Name), m.Version, now))
 		}
 	}
 }
@@ -81,18 +107,16 @@
 	return o.r.ledger.Held(team.SlotOf(model))
 }
 
-// order sends the orders that are due to the engines of one model.
+// order asks some engines of one model which weights they run, and sends the
+// orders that are due to them.
 func (o *orderer) order(g *group, m config.Model, engines []config.Engine) {
-	g.version, g.look = m.Version, o.r.clock.Now().Add(lookAgain)
 	sights := make([]engine.Sight, len(engines))
 	byName := make(map[string]config.Engine, len(engines))
 	for i, e := range engines {
 		byName[e.Name] = e
 		version, err := o.version(e)
 		sights[i] = engine.Sight{Name: e.Name, Version: version, Known: err == nil}
-		if version != m.Version {
-			g.version = ""
-		}
+		g.seen[e.Name] = version
 		if err != nil {
 			event.EngineUnread.Log(o.r.log, err, log.Fields{"engine": e.Name})
 		}
