Read as a newcomer: clearer targets, typed queue state, bad rows and bodies

Cause: reading the change once more. Targets that did not answer were kept under strings made by a trick with runes; they are a type now. Queue depths in the dump are a struct. One event was never logged, one method never called. A charge that was started and then found to be of a withdrawn key is settled with nothing used; releasing it had no effect.

--- a/e2e/config_test.go
+++ b/e2e/config_test.go
@@ -13,8 +13,10 @@
 
 	"github.com/anishathalye/porcupine"
 	"github.com/marjoramrock/marjoramrock/internal/config"
+	slotrows "github.com/marjoramrock/marjoramrock/internal/fleet"
 	"github.com/marjoramrock/marjoramrock/internal/operator"
 	"github.com/marjoramrock/marjoramrock/internal/platform"
+	"github.com/marjoramrock/marjoramrock/internal/router"
 	"github.com/marjoramrock/marjoramrock/internal/standin"
 	"github.com/marjoramrock/marjoramrock/internal/trial"
 	"github.com/stretchr/testify/require"
@@ -182,3 +184,32 @@
 	t.Logf("first answer after %v", time.Since(began))
 	require.Less(t, time.Since(began), servesWithin)
 }
+
+// TestBadRowsChangeNothing writes rows that do not parse where the
+// configuration and the slots are kept.
+func TestBadRowsChangeNothing(t *testing.T) {
+	f := newFleet(t, shape{routers: 2, engines: 1})
+	ctx := context.Background()
+	head, err := f.client.Get(ctx, router.HeadKey())
+	require.NoError(t, err)
+	bad := platform.Write{Key: router.HeadKey(), Expect: head.Version, Data: []byte(`{"generation":`)}
+	require.NoError(t, f.client.Commit(ctx, platform.NewToken(), bad))
+	rows, err := f.client.List(ctx, slotrows.SlotGroup("zone-a"))
+	require.NoError(t, err)
+	bad = platform.Write{Key: rows[0].Key, Expect: rows[0].Version, Data: []byte("{")}
+	require.NoError(t, f.client.Commit(ctx, platform.NewToken(), bad))
+	time.Sleep(2 * time.Second)
+	for _, v := range f.vms {
+		s, err := f.status(v)
+		require.NoError(t, err)
+		require.Equal(t, uint64(1), s.Generation)
+		reply, err := f.ask(v, teamLarge, trial.Ask{Parts: []string{"x"}, Tokens: 1})
+		require.NoError(t, err)
+		require.True(t, reply.OK(), "%+v", reply.Error)
+	}
+	good := platform.Write{Key: router.HeadKey(), Expect: head.Version + 1, Data: head.Data}
+	require.NoError(t, f.client.Commit(ctx, platform.NewToken(), good))
+	c, err := operator.Commit(ctx, f.client, addTeam("after"))
+	require.NoError(t, err)
+	f.generation(c.Generation(), inForceWithin)
+}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -103,13 +103,6 @@
 	return v.at.Sub(since)
 }
 
-// Known reports whether any list was read.
-func (v *View) Known() bool {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	return v.read
-}
-
 // Live reports whether the last list shows a VM as live.
 func (v *View) Live(name string) bool {
 	v.mu.RLock()
--- a/internal/router/complete.go
+++ b/internal/router/complete.go
@@ -149,7 +149,7 @@
 	err := c.charged(ctx, cost)
 	if err == nil && !c.r.stillValid(c.who) {
 		err = refuse(fasthttp.StatusUnauthorized, "unauthorized", "the key was withdrawn")
-		c.release()
+		c.settle(0)
 	}
 	if err != nil {
 		c.r.streams.remove(c.stream)
@@ -158,13 +158,6 @@
 	return nil
 }
 
-func (c *completion) release() {
-	if c.charge != nil {
-		c.charge.Release()
-		c.charge = nil
-	}
-}
-
 func (c *completion) charged(ctx context.Context, cost float64) error {
 	if c.who.open {
 		return nil
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -46,7 +46,7 @@
 	var near, far []platform.VM
 	for _, vm := range f.r.view.Routers("") {
 		switch {
-		case vm.Name == f.r.settings.VM || f.r.unreach.recently(vm.Name, "", f.r.clock.Now()):
+		case vm.Name == f.r.settings.VM || f.r.unreach.recently(vmTarget(vm.Name), f.r.clock.Now()):
 		case vm.Zone == f.r.settings.Zone:
 			near = append(near, vm)
 		default:
@@ -101,7 +101,7 @@
 func (r *Router) avoid(address string) {
 	for _, vm := range r.view.Routers("") {
 		if vm.Address == address {
-			r.unreach.mark(vm.Name, "", r.clock.Now())
+			r.unreach.mark(vmTarget(vm.Name), r.clock.Now())
 		}
 	}
 }
--- a/internal/router/operate.go
+++ b/internal/router/operate.go
@@ -31,7 +31,7 @@
 	Status  Status                   `json:"status"`
 	Ledger  []team.SlotState         `json:"ledger"`
 	Engines map[string]engine.Status `json:"engines"`
-	Queues  map[string][2]int        `json:"queues"`
+	Queues  map[string]QueueState    `json:"queues"`
 	Streams int                      `json:"streams"`
 	VMs     []platform.VM            `json:"vms"`
 	Teams   int                      `json:"teams"`
@@ -62,7 +62,7 @@
 		Status:  r.Status(),
 		Ledger:  r.ledger.State(),
 		Engines: r.engines.All(),
-		Queues:  r.queues.depths(),
+		Queues:  r.queues.state(),
 		Streams: r.streams.len(),
 		VMs:     r.view.Routers(""),
 		Teams:   c.Teams().Len(),
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/marjoramrock/marjoramrock/internal/event"
 	"github.com/marjoramrock/marjoramrock/internal/peer"
 	"github.com/marjoramrock/marjoramrock/internal/team"
 )
@@ -161,12 +163,13 @@
 
 // Lend implements team.Lender.
 func (l lender) Lend(ctx context.Context, zone, name string, id team.LoanID, want float64) (team.Grant, error) {
-	if l.r.unreach.recently(zone, name, l.r.clock.Now()) {
+	if l.r.unreach.recently(holderTarget(zone, name), l.r.clock.Now()) {
 		return team.Grant{}, errNotHolder
 	}
 	grant, err := l.lend(ctx, zone, name, id, want)
 	if err != nil {
-		l.r.unreach.mark(zone, name, l.r.clock.Now())
+		l.r.unreach.mark(holderTarget(zone, name), l.r.clock.Now())
+		event.LoanFailed.Log(l.r.log, err, log.Fields{"zone": zone, "team": name})
 	}
 	return grant, err
 }
--- a/internal/router/queues.go
+++ b/internal/router/queues.go
@@ -75,14 +75,20 @@
 	return n
 }
 
-// depths returns the running and waiting entries by model.
-func (q *queues) depths() map[string][2]int {
+// QueueState is one model's queue as a state dump shows it.
+type QueueState struct {
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+}
+
+// state returns every queue by model.
+func (q *queues) state() map[string]QueueState {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	out := make(map[string][2]int, len(q.models))
+	out := make(map[string]QueueState, len(q.models))
 	for model, queue := range q.models {
 		running, waiting := queue.Depth()
-		out[model] = [2]int{running, waiting}
+		out[model] = QueueState{Running: running, Waiting: waiting}
 	}
 	return out
 }
--- a/internal/router/reports.go
+++ b/internal/router/reports.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/apex/log"
 	"github.com/marjoramrock/marjoramrock/internal/event"
 	"github.com/marjoramrock/marjoramrock/internal/peer"
 	"github.com/marjoramrock/marjoramrock/internal/team"
-	"github.com/marjoramrock/marjoramrock/internal/timer"
 )
 
 // pendingLimit bounds the reports that wait for one address.
@@ -66,48 +64,3 @@
 		event.ReportLost.Log(p.r.log, err, log.Fields{"peer": to.address, "reports": len(list)})
 	}
 }
-
-// unreachedFor is how long a zone's holder that did not answer is passed over.
-const unreachedFor = 500 * time.Millisecond
-
-// unreached remembers which holders did not answer lately. It is bounded by
-// dropping everything when it is full.
-type unreached struct {
-	mu    sync.Mutex // guards the fields below
-	until map[string]timer.Instant
-	turns map[string]int
-}
-
-const unreachedLimit = 4096
-
-func newUnreached() *unreached {
-	return &unreached{until: make(map[string]timer.Instant), turns: make(map[string]int)}
-}
-
-func slotName(zone, name string) string {
-	return zone + "/" + string(rune('A'+int(team.SlotOf(name))))
-}
-
-func (u *unreached) recently(zone, name string, now timer.Instant) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return now < u.until[slotName(zone, name)]
-}
-
-func (u *unreached) mark(zone, name string, now timer.Instant) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if len(u.until) > unreachedLimit {
-		clear(u.until)
-	}
-	u.until[slotName(zone, name)] = now.Add(unreachedFor)
-	u.turns[zone]++
-}
-
-// turn returns which of n routers of a zone to ask; it moves on after each
-// failure.
-func (u *unreached) turn(zone string, n int) int {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.turns[zone] % n
-}
