Drop a field and an accessor that nothing uses

Cause: reading the whole change once more found tally.load, written and never read, and Bucket.Limits, never called. Behaviour is as before.

--- a/internal/team/bucket.go
+++ b/internal/team/bucket.go
@@ -70,9 +70,6 @@
 // Lent returns the tokens in loans that may not have been started.
 func (b *Bucket) Lent() float64 { return b.lent }
 
-// Limits returns the rate and cap in force.
-func (b *Bucket) Limits() Limits { return b.limits }
-
 // Open returns the number of unsettled loans.
 func (b *Bucket) Open() int { return len(b.loans) }
 
--- a/internal/trial/report.go
+++ b/internal/trial/report.go
@@ -89,7 +89,6 @@
 
 // tally gathers the outcomes of a run.
 type tally struct {
-	load    Load
 	all     hits
 	first   *hdrhistogram.Histogram
 	errors  map[string]int
@@ -111,7 +110,7 @@
 
 func newTally(l Load, doc config.Document) *tally {
 	t := &tally{
-		load: l, first: newHistogram(), errors: make(map[string]int),
+		first: newHistogram(), errors: make(map[string]int),
 		teams: make(map[string]*teamTally), classes: make(map[string]*hits),
 	}
 	for _, f := range l.Faults {
