Call a peer again that closed its connection in good order

A peer that closes tells its callers, but a call may have opened its stream before that word arrives; it then fails with the peer's "closing" although the process that took the address would answer.

Ruled out: waiting in the test until the caller has noticed, which would have hidden that a router loses a loan request whenever a peer is replaced; any retry of other errors, since a killed peer says nothing and the caller's time is better spent on another zone.

Change: a call that ends with the peer's own closing code is sent once more on a new connection. Loans carry ids and reports are booked once, so every message is idempotent.

The check and its bound are as they were.

--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -23,8 +23,12 @@
 // maxStreams bounds the requests in progress on one connection.
 const maxStreams = 1024
 
-// closing is the reason that peers are given for the end of a connection.
-const closing = "closing"
+// closing and closingCode are the reason that peers are given for the end of a
+// connection.
+const (
+	closing                               = "closing"
+	closingCode quic.ApplicationErrorCode = 0
+)
 
 const protocolName = "marjoramrock/1"
 
@@ -115,7 +119,7 @@
 	for _, l := range open {
 		<-l.ready
 		if l.conn != nil {
-			_ = l.conn.CloseWithError(0, closing)
+			_ = l.conn.CloseWithError(closingCode, closing)
 		}
 	}
 	n.done.Wait()
@@ -137,7 +141,7 @@
 	for {
 		stream, err := conn.AcceptStream(ctx)
 		if err != nil {
-			_ = conn.CloseWithError(0, closing)
+			_ = conn.CloseWithError(closingCode, closing)
 			return
 		}
 		n.done.Go(func() { n.answer(ctx, conn.RemoteAddr().String(), stream) })
@@ -212,6 +216,15 @@
 	if err := n.options.Gate(address); err != nil {
 		return nil, err
 	}
+	reply, err := n.try(ctx, address, m)
+	if !saidGoodbye(err) {
+		return reply, err
+	}
+	return n.try(ctx, address, m)
+}
+
+// try makes one attempt at a call.
+func (n *Node) try(ctx context.Context, address string, m Message) (Message, error) {
 	conn, err := n.connect(ctx, address)
 	if err != nil {
 		return nil, err
@@ -225,6 +238,14 @@
 	return reply, err
 }
 
+// saidGoodbye reports whether a call failed because the peer closed the
+// connection in good order while the call was on its way. Every message is
+// idempotent, so it may be sent again to the process that took the address.
+func saidGoodbye(err error) bool {
+	var ended *quic.ApplicationError
+	return errors.As(err, &ended) && ended.Remote && ended.ErrorCode == closingCode
+}
+
 func exchange(ctx context.Context, conn *quic.Conn, m Message) (Message, error) {
 	stream, err := conn.OpenStreamSync(ctx)
 	if err != nil {
