load: tell what a refused team had left, and which refusals must be

The measure "inside the rate" compares with a bucket that lets nothing wait, while routers let requests wait.

Change: stand-in engines note when a request came; after a run each refusal is listed with what the team's rate and burst, charged with what was really started until then, still held, and how many of its requests ran. Each team gets the refusals that one place with the same rate, burst and wait must make, and the run the part refused beyond them (excess). The former measure stays.

--- a/internal/standin/complete.go
+++ b/internal/standin/complete.go
@@ -33,6 +33,7 @@
 	id   string
 	chat bool
 	ask  completion
+	came time.Time
 	base uint64
 	// shift is the number of tokens that a continued answer begins with,
 	// from the event that a resumed stream begins with.
@@ -111,6 +112,7 @@
 		id:   string(ctx.Request.Header.Peek(answer.HeaderRequest)),
 		chat: string(ctx.Path()) == "/v1/chat/completions",
 		ask:  ask,
+		came: time.Now(),
 	}
 	e.mu.Lock()
 	e.leak(ctx)
@@ -211,7 +213,8 @@
 	e.counts.Cached += j.cached
 	if len(e.counts.Starts) < startsLimit {
 		e.counts.Starts = append(e.counts.Starts, EngineStart{
-			Request: j.id, Salt: j.ask.Salt, At: time.Now().UnixMicro(), Tokens: j.prompt + j.ask.Max,
+			Request: j.id, Salt: j.ask.Salt, At: time.Now().UnixMicro(), Came: j.came.UnixMicro(),
+			Tokens: j.prompt + j.ask.Max,
 		})
 	}
 	e.known[j.id] = j.ask.Max
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -81,8 +81,10 @@
 type EngineStart struct {
 	Request string `json:"request"`
 	Salt    string `json:"salt"`
-	// At is in microseconds since the Unix epoch.
+	// At is when it began to run, Came when it arrived, in microseconds
+	// since the Unix epoch.
 	At     int64 `json:"at"`
+	Came   int64 `json:"came"`
 	Tokens int   `json:"tokens"`
 }
 
--- /dev/null
+++ b/internal/trial/audit_test.go
@@ -0,0 +1,53 @@
+package trial
+
+import (
+	"testing"
+	"time"
+
+	"github.com/marjoramrock/marjoramrock/internal/config"
+	"github.com/stretchr/testify/require"
+)
+
+// oneTeam is a team that has 100 tokens a second and may save 100, on a route
+// that waits a second.
+func oneTeam() config.Document {
+	return config.Document{
+		Teams:  []config.Team{{Name: "t", Rate: 100, Burst: 100}},
+		Routes: []config.Route{{Name: "r", Model: "m", Wait: config.Duration(time.Second)}},
+	}
+}
+
+func TestUnavoidable(t *testing.T) {
+	sixty := &class{team: "t", model: "m", note: 60}
+	tests := []struct {
+		give string
+		at   []time.Duration
+		want int
+	}{
+		{give: "within the burst", at: []time.Duration{0}},
+		{give: "the second waits", at: []time.Duration{0, 0}},
+		{give: "the fourth would wait 1.4 s; it takes nothing", at: []time.Duration{0, 0, 0, 0, 1400 * time.Millisecond}, want: 1},
+		{give: "spread out", at: []time.Duration{0, 500 * time.Millisecond, time.Second, 1500 * time.Millisecond}},
+	}
+	for _, tt := range tests {
+		var plan []arrival
+		for _, at := range tt.at {
+			plan = append(plan, arrival{at: at, class: sixty})
+		}
+		require.Equal(t, tt.want, unavoidable(plan, oneTeam())["t"], tt.give)
+	}
+}
+
+func TestReplayFindsWhatWasLeft(t *testing.T) {
+	debits := []debit{
+		{team: "t", at: time.Second, ended: 3 * time.Second, tokens: 80},
+		{team: "t", at: 0, ended: time.Second, tokens: 100},
+		{team: "t", at: 2 * time.Second, ended: 3 * time.Second, tokens: 20},
+	}
+	refusals := []Refusal{{Team: "t", End: 2500}, {Team: "t", End: 1500}}
+	replay(oneTeam(), debits, refusals)
+	require.InDelta(t, 70, refusals[0].Level, 1e-6, "100 - 100, + 100 - 80, + 50")
+	require.Equal(t, 1, refusals[0].Running)
+	require.InDelta(t, 100, refusals[1].Level, 1e-6, "70 + 50 - 20, + 50, at most 100")
+	require.Equal(t, 2, refusals[1].Running)
+}
--- a/internal/trial/load.go
+++ b/internal/trial/load.go
@@ -136,6 +136,9 @@
 	}
 	plan := r.load.plan(shifts)
 	audit(plan, r.cluster.Document())
+	for name, n := range unavoidable(plan, r.cluster.Document()) {
+		r.tally.teams[name].Unavoidable = n
+	}
 	ctx, cancel := context.WithTimeout(ctx, r.load.Length+time.Minute)
 	defer cancel()
 	r.began = time.Now()
--- a/internal/trial/report.go
+++ b/internal/trial/report.go
@@ -13,14 +13,17 @@
 
 // TeamReport is how one team fared.
 type TeamReport struct {
-	Team    string  `json:"team"`
-	Offered int     `json:"offered"`
-	Served  int     `json:"served"`
-	Refused int     `json:"refused"`
-	Failed  int     `json:"failed"`
-	Wrong   int     `json:"wrong"`
-	P50     float64 `json:"p50"`
-	P99     float64 `json:"p99"`
+	Team    string `json:"team"`
+	Offered int    `json:"offered"`
+	Served  int    `json:"served"`
+	Refused int    `json:"refused"`
+	Failed  int    `json:"failed"`
+	Wrong   int    `json:"wrong"`
+	// Unavoidable is how many model requests one place with the same rate,
+	// burst and wait must refuse.
+	Unavoidable int     `json:"unavoidable"`
+	P50         float64 `json:"p50"`
+	P99         float64 `json:"p99"`
 	// Share is the tokens served, of those that the team's rate and burst
 	// give it of what it offered.
 	Share float64 `json:"share"`
@@ -50,10 +53,14 @@
 	// Worst is the share of the worst-served team that kept to its rate.
 	Worst float64 `json:"worst"`
 	// Wrong is the part of requests within the team's rate that was refused.
-	Wrong  float64        `json:"wrong"`
-	Errors map[string]int `json:"errors"`
-	Teams  []TeamReport   `json:"teams"`
-	Levels []LevelReport  `json:"levels"`
+	Wrong float64 `json:"wrong"`
+	// Excess is the part of all requests that was refused beyond those that
+	// one place with the same rates, bursts and waits must refuse.
+	Excess   float64        `json:"excess"`
+	Refusals []Refusal      `json:"refusals"`
+	Errors   map[string]int `json:"errors"`
+	Teams    []TeamReport   `json:"teams"`
+	Levels   []LevelReport  `json:"levels"`
 	// Early and Steady are the hit rates of the first requests after a herd
 	// restart and of as many before it; both 0 without one.
 	Early  float64 `json:"early"`
@@ -94,9 +101,13 @@
 	errors  map[string]int
 	teams   map[string]*teamTally
 	classes map[string]*hits
-	herdAt  time.Duration
-	early   hits
-	steady  hits
+	// refusals lists the refused model requests, debits what others took,
+	// by request.
+	refusals []Refusal
+	sizes    map[string]debit
+	herdAt   time.Duration
+	early    hits
+	steady   hits
 }
 
 // teamTally is one team's part.
@@ -111,7 +122,7 @@
 func newTally(l Load, doc config.Document) *tally {
 	t := &tally{
 		first: newHistogram(), errors: make(map[string]int),
-		teams: make(map[string]*teamTally), classes: make(map[string]*hits),
+		sizes: make(map[string]debit), teams: make(map[string]*teamTally), classes: make(map[string]*hits),
 	}
 	for _, f := range l.Faults {
 		if f.kind == FaultHerd {
@@ -129,6 +140,9 @@
 func (t *tally) add(a arrival, intended time.Time, reply Reply, err error) {
 	one := t.teams[a.class.team]
 	one.Offered++
+	if a.class.path == "" {
+		t.sizes[reply.Request] = debit{team: a.class.team, tokens: a.size(), ended: reply.Ended.Sub(intended) + a.at}
+	}
 	if a.inside {
 		one.due += a.size()
 	}
@@ -137,7 +151,7 @@
 		one.Failed++
 		t.errors[kindOf(err)]++
 	case !reply.OK():
-		t.refuse(one, reply, a.inside)
+		t.refuse(one, a, intended, reply)
 	default:
 		t.serve(one, a, intended, reply)
 	}
@@ -151,16 +165,42 @@
 	return err.Error()
 }
 
-func (t *tally) refuse(one *teamTally, reply Reply, inside bool) {
+func (t *tally) refuse(one *teamTally, a arrival, intended time.Time, reply Reply) {
 	one.Refused++
 	kind := http.StatusText(reply.Status)
 	if reply.Error != nil {
 		kind = reply.Error.Type
 	}
 	t.errors[kind]++
-	if inside {
+	if a.inside {
 		one.Wrong++
 	}
+	if a.class.path != "" {
+		return
+	}
+	t.refusals = append(t.refusals, Refusal{
+		Team: a.class.team, Kind: kind, At: inMillis(a.at), End: inMillis(reply.Ended.Sub(intended) + a.at),
+		Size: a.size(), Inside: a.inside,
+	})
+}
+
+func inMillis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// debits returns what the requests that ran took from their teams.
+func (r *run) debits() []debit {
+	var out []debit
+	for _, name := range sortedKeys(r.cluster.Engines) {
+		for _, s := range r.cluster.Engines[name].Counts().Starts {
+			d, ok := r.tally.sizes[s.Request]
+			if !ok {
+				continue
+			}
+			d.at = time.UnixMicro(s.Came).Sub(r.began)
+			out = append(out, d)
+			delete(r.tally.sizes, s.Request)
+		}
+	}
+	return out
 }
 
 // herdWindow is how long after a herd restart counts as early.
@@ -198,7 +238,7 @@
 		Hit: t.all.rate(), P50: millis(t.first, 50), P95: millis(t.first, 95), P99: millis(t.first, 99),
 		Worst: 1, Errors: t.errors, Early: t.early.rate(), Steady: t.steady.rate(),
 	}
-	prompt, wrong, inside := 0, 0, 0
+	prompt, wrong, inside, excess := 0, 0, 0, 0
 	for _, e := range r.cluster.Engines {
 		prompt += e.Counts().Prompt
 	}
@@ -210,9 +250,13 @@
 		out.Served += one.Served
 		wrong += one.Wrong
 		inside += one.Wrong + one.Served
+		excess += max(0, one.Refused-one.Unavoidable)
 		out.Worst = min(out.Worst, one.Share)
 	}
 	out.Wrong = float64(wrong) / float64(max(1, inside))
+	out.Refusals = t.refusals
+	replay(r.cluster.Document(), r.debits(), out.Refusals)
+	out.Excess = float64(excess) / float64(max(1, out.Offered))
 	for _, name := range sortedKeys(t.classes) {
 		out.Levels = append(out.Levels, LevelReport{Class: name, Hit: t.classes[name].rate()})
 	}
@@ -232,19 +276,19 @@
 // each run.
 func Print(w io.Writer, reports []*Report) {
 	say := func(format string, args ...any) { _, _ = fmt.Fprintf(w, format+"\n", args...) }
-	say("%-12s %8s %8s %8s %8s %8s %8s %8s %8s %8s", "policy", "offered", "served", "hit %", "p50 ms", "p95 ms", "p99 ms", "waste %", "worst %", "wrong %")
+	say("%-12s %8s %8s %8s %8s %8s %8s %8s %8s %8s %8s", "policy", "offered", "served", "hit %", "p50 ms", "p95 ms", "p99 ms", "waste %", "worst %", "wrong %", "excess %")
 	for _, r := range reports {
-		say("%-12s %8d %8d %8.2f %8.1f %8.1f %8.1f %8.2f %8.1f %8.2f", r.Policy, r.Offered, r.Served,
-			100*r.Hit, r.P50, r.P95, r.P99, 100*r.Waste, 100*r.Worst, 100*r.Wrong)
+		say("%-12s %8d %8d %8.2f %8.1f %8.1f %8.1f %8.2f %8.1f %8.2f %8.2f", r.Policy, r.Offered, r.Served,
+			100*r.Hit, r.P50, r.P95, r.P99, 100*r.Waste, 100*r.Worst, 100*r.Wrong, 100*r.Excess)
 	}
 	for _, r := range reports {
 		say("\n%s, %s, seed %d; refusals and errors: %v", r.Profile, r.Policy, r.Seed, r.Errors)
 		if r.Steady > 0 {
 			say("hit rate before the herd restart %.2f %%, after it %.2f %%", 100*r.Steady, 100*r.Early)
 		}
-		say("%-14s %8s %8s %8s %8s %8s %8s %8s", "team", "offered", "served", "refused", "wrong", "share %", "p50 ms", "p99 ms")
+		say("%-14s %8s %8s %8s %8s %8s %8s %8s %8s", "team", "offered", "served", "refused", "must", "wrong", "share %", "p50 ms", "p99 ms")
 		for _, t := range r.Teams {
-			say("%-14s %8d %8d %8d %8d %8.1f %8.1f %8.1f", t.Team, t.Offered, t.Served, t.Refused, t.Wrong, 100*t.Share, t.P50, t.P99)
+			say("%-14s %8d %8d %8d %8d %8d %8.1f %8.1f %8.1f", t.Team, t.Offered, t.Served, t.Refused, t.Unavoidable, t.Wrong, 100*t.Share, t.P50, t.P99)
 		}
 		for _, l := range r.Levels {
 			say("  hit rate of %-14s %6.2f %%", l.Class, 100*l.Hit)
