Let requests that are short of tokens take turns, in a declared order

Cause, from the trace of the change before: a team beyond its rate has dozens of requests in each router that all borrow what little each zone has, fail, and give it back two report periods later; which one succeeds is chance. The wait between two tries was that of one zone minting everything, and a whole second for a request larger than one zone's part.

Change: in each router a team's short requests try one after another, probing first; the wait is what the reachable zones together need; policy.first says who goes first. Grants carry level and rate, so the protocol is version 2.

On the former code TestShortfallWait fails in two of its seven cases (three zones that mint together; more than one zone can hold).

--- a/cmd/marjoramrock/load.go
+++ b/cmd/marjoramrock/load.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/marjoramrock/marjoramrock/internal/config"
 	"github.com/marjoramrock/marjoramrock/internal/trial"
 	"github.com/urfave/cli/v2"
 )
@@ -27,6 +28,7 @@
 			&cli.IntFlag{Name: "blocks", Value: 120, Usage: "cached blocks of each engine"},
 			&cli.Float64Flag{Name: "press", Value: 1, Usage: "`FACTOR` on arrivals and rates alone"},
 			&cli.Float64Flag{Name: "skew", Value: 1, Usage: "`FACTOR` on how hot the hottest prefixes are"},
+			&cli.StringFlag{Name: "first", Usage: "which of a team's waiting requests goes first, `ORDER`: earliest or latest; the profile's own if not given"},
 			&cli.StringSliceFlag{Name: "fault", Usage: "`KIND@TIME`: engine, shift, vm, herd or platform; may be given again"},
 			&cli.StringFlag{Name: "json", Usage: "also write the reports to `FILE`"},
 		},
@@ -43,6 +45,9 @@
 		Profile: profile, Seed: c.Uint64("seed"), Length: c.Duration("for"),
 		Routers: c.Int("routers"), Speed: c.Float64("speed"), Blocks: c.Int("blocks"), Skew: c.Float64("skew"), Press: c.Float64("press"), Progress: os.Stderr,
 	}
+	if base.First, err = config.ParseFirst(c.String("first")); err != nil {
+		return &usageError{err: err}
+	}
 	for _, text := range c.StringSlice("fault") {
 		f, err := trial.ParseFault(text)
 		if err != nil {
--- a/declare/declare.go
+++ b/declare/declare.go
@@ -224,6 +224,21 @@
 	return d
 }
 
+// LatestFirst lets the latest of a team's requests go first when the team is
+// short of tokens, instead of the earliest: those that are served wait less,
+// and more are refused.
+func (d *Deployment) LatestFirst() *Deployment {
+	d.policy().First = config.FirstLatest
+	return d
+}
+
+// EarliestFirst lets the earliest of a team's requests go first when the team
+// is short of tokens, which refuses the fewest. It is the default.
+func (d *Deployment) EarliestFirst() *Deployment {
+	d.policy().First = config.FirstEarliest
+	return d
+}
+
 func (d *Deployment) policy() *config.Policy {
 	if d.doc.Policy == nil {
 		d.doc.Policy = &config.Policy{}
--- a/examples/profiles/profiles.go
+++ b/examples/profiles/profiles.go
@@ -67,6 +67,7 @@
 func Gumless(address Addresses) *declare.Deployment {
 	zones := []string{"new-england-1", "new-england-2", "new-england-3"}
 	d := declare.New().Comment("Gumless: job ratings, method questions, bookings.")
+	d.LatestFirst()
 	zonesOf(d, zones)
 	d.Model("answer", "v1").Bytes(3).Limit(256)
 	d.Model("booking", "v1").Bytes(3).Limit(256)
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -248,4 +248,7 @@
 	if p.Stale < 0 {
 		c.report("policy.stale", "below zero", "give a time above zero")
 	}
+	if _, err := ParseFirst(string(p.First)); err != nil {
+		c.report("policy.first", fmt.Sprintf("%q is not known", p.First), "give earliest or latest")
+	}
 }
--- a/internal/config/check_test.go
+++ b/internal/config/check_test.go
@@ -43,6 +43,7 @@
 		{give: "once on an open route", old: `"once": true`, new: `"once": true, "open": true`, want: []string{"f:10: routes[1].open"}},
 		{give: "wait beyond the deadline", old: `"deadline": "10s"`, new: `"deadline": "1s", "wait": "2s"`, want: []string{"f:9: routes[0].wait"}},
 		{give: "weights", old: `"name": "b", "weight": 0.5`, new: `"name": "b", "weight": 0.6`, want: []string{"f:3: zones: weights sum to 1.1"}},
+		{give: "unknown order", old: `"zones"`, new: `"policy": {"first": "largest"}, "zones"`, want: []string{`policy.first: "largest" is not known`}},
 		{give: "no JSON", old: `"zones"`, new: `zones`, want: []string{"correct the JSON"}},
 		{
 			give: "several at once", old: `"rate": 10, "burst": 20`, new: `"rate": 0, "burst": -1`,
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -106,6 +106,14 @@
 	return time.Duration(c.policy.Stale)
 }
 
+// First returns which of a team's waiting requests goes first.
+func (c *Config) First() First {
+	if c.policy.First == "" {
+		return FirstEarliest
+	}
+	return c.policy.First
+}
+
 // KeyByDigest returns the key whose secret has the given digest in hex.
 func (c *Config) KeyByDigest(digest string) (Key, bool) {
 	k, ok := c.digests[digest]
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -142,6 +143,33 @@
 	// Stale is how long keyed requests are served with no fresh proof of
 	// the configuration.
 	Stale Duration `json:"stale,omitempty"`
+	// First is which of a team's requests goes first when the team is short
+	// of tokens.
+	First First `json:"first,omitempty"`
+}
+
+// First says which of several waiting requests goes first.
+type First string
+
+// The values of First. The empty value stands for FirstEarliest.
+const (
+	// FirstEarliest refuses the fewest requests.
+	FirstEarliest First = "earliest"
+	// FirstLatest lets those that are served wait least.
+	FirstLatest First = "latest"
+)
+
+// ErrFirst means that a text is no value of First.
+var ErrFirst = errors.New("config: give earliest or latest")
+
+// ParseFirst reads a value of First, possibly the empty one.
+func ParseFirst(text string) (First, error) {
+	switch f := First(text); f {
+	case "", FirstEarliest, FirstLatest:
+		return f, nil
+	default:
+		return "", fmt.Errorf("%w, not %q", ErrFirst, text)
+	}
 }
 
 // Named is an item of a section, unique by its key.
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -8,7 +8,7 @@
 )
 
 // Version is the version of the protocol.
-const Version = 1
+const Version = 2
 
 // MaxMessage bounds an encoded message, in bytes.
 const MaxMessage = 64 << 20
@@ -55,7 +55,8 @@
 	Held uint32 `cbor:"7,keyasint"`
 }
 
-// Borrow asks for a loan. It is answered by a Grant.
+// Borrow asks for a loan; a Want of zero only asks for the level. It is
+// answered by a Grant.
 type Borrow struct {
 	Team string  `cbor:"1,keyasint"`
 	ID   string  `cbor:"2,keyasint"`
@@ -67,9 +68,10 @@
 // Grant answers a Borrow.
 type Grant struct {
 	Tokens float64 `cbor:"1,keyasint"`
-	// Wait is in microseconds.
-	Wait     uint64 `cbor:"2,keyasint"`
-	Possible bool   `cbor:"3,keyasint"`
+	// Rate is what the holder mints, in tokens a second, and Level what it has
+	// left to lend; it is negative while in debt.
+	Rate  float64 `cbor:"2,keyasint"`
+	Level float64 `cbor:"3,keyasint"`
 }
 
 // Report tells what became of a loan.
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -30,7 +30,7 @@
 	closingCode quic.ApplicationErrorCode = 0
 )
 
-const protocolName = "marjoramrock/1"
+const protocolName = "marjoramrock/2"
 
 // ErrUnexpected means that a reply was of another kind than asked for.
 var ErrUnexpected = errors.New("peer: unexpected reply")
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -24,7 +24,7 @@
 		Handler: func(_ context.Context, m Message) (Message, error) {
 			switch m := m.(type) {
 			case *Borrow:
-				return &Grant{Tokens: m.Want, Possible: true}, nil
+				return &Grant{Tokens: m.Want, Rate: 1}, nil
 			case *Hello:
 				return &Hello{VM: "other", Generation: m.Generation}, nil
 			default:
--- a/internal/router/complete.go
+++ b/internal/router/complete.go
@@ -115,26 +115,72 @@
 	wait, cancel := context.WithTimeout(ctx, c.route.EffectiveWait())
 	defer cancel()
 	cost := c.body.charge(c.model, c.prompt)
-	queue := c.r.queues.get(c.r, c.model.Name)
-	for {
-		if err := queue.Enter(wait, c.who.team.Name, cost); err != nil {
-			return refuse(fasthttp.StatusServiceUnavailable, "overloaded", err.Error()).after(time.Second)
+	order := turnsOrder(c.r.keeper.Current())
+	if c.who.open || order == team.Latest || !c.r.turns.Busy(c.who.team.Name) {
+		if err := c.attempt(wait, cost); !errors.Is(err, team.ErrRate) {
+			return err
 		}
-		err := c.pay(wait, cost)
-		if err == nil {
-			return nil
+	}
+	if err := c.r.turns.Enter(wait, c.who.team.Name, order); err != nil {
+		return shortOfTokens(fmt.Errorf("%w: %w", team.ErrRate, err), time.Second)
+	}
+	defer c.r.turns.Leave(c.who.team.Name, order)
+	return c.attemptUntilPaid(wait, cost)
+}
+
+// turnsOrder returns the declared order of a team's waiting requests.
+func turnsOrder(conf *config.Config) team.Order {
+	if conf.First() == config.FirstLatest {
+		return team.Latest
+	}
+	return team.Earliest
+}
+
+// attempt enters if the team's tokens suffice now. While others of the team are
+// short it borrows only what it can use at once, to leave them the rest. It
+// returns a *team.ShortfallError, wrapped, when the tokens do not suffice.
+func (c *completion) attempt(wait context.Context, cost float64) error {
+	if !c.who.open && c.r.turns.Busy(c.who.team.Name) {
+		if err := c.r.collect.Probe(wait, c.who.team.Name, cost); err != nil {
+			return fmt.Errorf("router: probe: %w", err)
 		}
-		queue.Leave()
+	}
+	return c.enter(wait, cost)
+}
+
+// attemptUntilPaid attempts until the tokens suffice or the wait is over.
+func (c *completion) attemptUntilPaid(wait context.Context, cost float64) error {
+	for {
+		err := c.attempt(wait, cost)
 		var short *team.ShortfallError
 		if !errors.As(err, &short) {
 			return err
 		}
 		if !waitFor(wait, short.Wait) {
-			return refuse(fasthttp.StatusTooManyRequests, "rate", short.Error()).after(max(short.Wait, time.Second))
+			return shortOfTokens(err, short.Wait)
 		}
 	}
 }
 
+// shortOfTokens returns the refusal of a request beyond its team's rate.
+func shortOfTokens(err error, wait time.Duration) error {
+	return refuse(fasthttp.StatusTooManyRequests, "rate", err.Error()).after(max(wait, time.Second))
+}
+
+// enter waits for a turn at the model and charges the team. It returns a
+// *team.ShortfallError, wrapped, when the team's tokens do not suffice now.
+func (c *completion) enter(wait context.Context, cost float64) error {
+	queue := c.r.queues.get(c.r, c.model.Name)
+	if err := queue.Enter(wait, c.who.team.Name, cost); err != nil {
+		return refuse(fasthttp.StatusServiceUnavailable, "overloaded", err.Error()).after(time.Second)
+	}
+	err := c.pay(wait, cost)
+	if err != nil {
+		queue.Leave()
+	}
+	return err
+}
+
 // waitFor sleeps for d if that is within ctx, and reports whether it did.
 func waitFor(ctx context.Context, d time.Duration) bool {
 	if end, ok := ctx.Deadline(); ok && time.Until(end) < d {
--- a/internal/router/operate.go
+++ b/internal/router/operate.go
@@ -32,11 +32,14 @@
 	Ledger  []team.SlotState         `json:"ledger"`
 	Engines map[string]engine.Status `json:"engines"`
 	Queues  map[string]QueueState    `json:"queues"`
-	Streams int                      `json:"streams"`
-	VMs     []platform.VM            `json:"vms"`
-	Teams   int                      `json:"teams"`
-	Keys    int                      `json:"keys"`
-	Routes  int                      `json:"routes"`
+	// Short counts the requests that wait behind others for their team's
+	// tokens.
+	Short   int           `json:"short"`
+	Streams int           `json:"streams"`
+	VMs     []platform.VM `json:"vms"`
+	Teams   int           `json:"teams"`
+	Keys    int           `json:"keys"`
+	Routes  int           `json:"routes"`
 }
 
 // Status returns the router's state in short.
@@ -63,6 +66,7 @@
 		Ledger:  r.ledger.State(),
 		Engines: r.engines.All(),
 		Queues:  r.queues.state(),
+		Short:   r.turns.Waiting(),
 		Streams: r.streams.len(),
 		VMs:     r.view.Routers(""),
 		Teams:   c.Teams().Len(),
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -98,7 +98,7 @@
 	}
 	grant, held := r.ledger.Lend(r.clock.Now(), m.Team, limits, team.LoanID(m.ID), m.Want)
 	if held {
-		return &peer.Grant{Tokens: grant.Tokens, Wait: uint64(grant.Wait.Microseconds()), Possible: grant.Possible}, nil
+		return &peer.Grant{Tokens: grant.Tokens, Rate: grant.Rate, Level: grant.Level}, nil
 	}
 	address, err := r.holderOf(m.Team)
 	if err != nil || !m.Forward {
@@ -213,9 +213,7 @@
 	if err != nil {
 		return team.Grant{}, fmt.Errorf("router: lend: %w", err)
 	}
-	return team.Grant{
-		Tokens: reply.Tokens, Wait: time.Duration(reply.Wait) * time.Microsecond, Possible: reply.Possible,
-	}, nil
+	return team.Grant{Tokens: reply.Tokens, Rate: reply.Rate, Level: reply.Level}, nil
 }
 
 // route returns whom to ask for a team's bucket in a zone: the holder in the
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -41,7 +41,6 @@
 	log      log.Interface
 	clock    clock
 	// stop ends the clock.
-	stop     func()
 	faults   *faultSwitch
 	platform platform.Services
 	node     *peer.Node
@@ -60,6 +59,7 @@
 	usage    *team.Usage
 	budget   *team.Budget
 	queues   *queues
+	turns    *team.Turns
 	streams  *streams
 	orderer  *orderer
 	unreach  *unreached
@@ -103,6 +103,7 @@
 	r.claims = receipt.NewClaims(r.platform)
 	r.engines = engine.NewTable(r.clock)
 	r.queues = newQueues()
+	r.turns = team.NewTurns(queueTeamWaiting)
 	r.reports = newReporter(r)
 	r.collect = team.NewCollector(s.VM+"/"+platform.NewToken(), r.clock, lender{r})
 	r.orderer = newOrderer(r)
--- a/internal/team/bucket.go
+++ b/internal/team/bucket.go
@@ -142,19 +142,6 @@
 	return grant
 }
 
-// Wait returns the time until want tokens could be lent, and false when the
-// cap is too small for them.
-func (b *Bucket) Wait(want float64) (time.Duration, bool) {
-	if want > b.limits.Cap {
-		return 0, false
-	}
-	missing := want - b.level
-	if missing <= 0 {
-		return 0, true
-	}
-	return time.Duration(missing / b.limits.Rate * float64(time.Second)), true
-}
-
 // Start records that the borrower has started the request that a loan was for.
 func (b *Bucket) Start(now timer.Instant, id LoanID) {
 	b.refill(now)
--- a/internal/team/collect.go
+++ b/internal/team/collect.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -100,14 +101,12 @@
 		return nil, fmt.Errorf("%w: needs %.0f tokens, burst is %.0f", ErrBurst, want, burst)
 	}
 	charge := &Charge{collector: c, team: name, expires: c.time.Now().Add(LoanLife)}
-	short := &ShortfallError{Wait: LoanLife}
+	var refill supply
 	for _, zone := range c.lender.Zones(name) {
-		missing := want - charge.total
-		id := LoanID(c.name + "/" + strconv.FormatUint(c.serial.Add(1), 36))
-		grant, err := c.lender.Lend(ctx, zone, name, id, missing)
+		id := c.newID()
+		grant, err := c.lender.Lend(ctx, zone, name, id, want-charge.total)
 		if err != nil {
-			short.Unreached++
-			short.Wait = min(short.Wait, unreachedWait)
+			refill.unreached++
 			c.lender.Report(zone, Report{ID: id, Team: name, Kind: ReportReturn})
 			continue
 		}
@@ -118,13 +117,72 @@
 		if charge.total >= want {
 			return charge, nil
 		}
-		if grant.Possible {
-			short.Wait = min(short.Wait, grant.Wait)
-		}
+		refill.add(grant)
 	}
 	charge.Release()
-	short.Wait = max(short.Wait, minimumWait)
-	return nil, short
+	return nil, refill.shortfall(want - charge.total)
+}
+
+// Probe asks what Collect would find, without borrowing. It returns nil when
+// the reachable zones together can lend want tokens now, or a ShortfallError.
+func (c *Collector) Probe(ctx context.Context, name string, want float64) error {
+	var refill supply
+	for _, zone := range c.lender.Zones(name) {
+		grant, err := c.lender.Lend(ctx, zone, name, c.newID(), 0)
+		if err != nil {
+			refill.unreached++
+			continue
+		}
+		refill.add(grant)
+		want -= max(0, grant.Level)
+		if want <= 0 {
+			return nil
+		}
+	}
+	return refill.shortfall(want)
+}
+
+func (c *Collector) newID() LoanID {
+	return LoanID(c.name + "/" + strconv.FormatUint(c.serial.Add(1), 36))
+}
+
+// supply is what several zones together mint for a team.
+type supply struct {
+	grants []Grant
+	rate   float64
+	debt   float64
+	// unreached counts the zones that could not be asked.
+	unreached int
+}
+
+func (s *supply) add(g Grant) {
+	s.grants = append(s.grants, g)
+	s.rate += g.Rate
+	s.debt += g.debt()
+}
+
+func (g Grant) debt() float64 { return max(0, -g.Level) }
+
+// shortfall returns the error of a charge for which tokens are missing.
+func (s *supply) shortfall(missing float64) *ShortfallError {
+	wait := s.wait(missing)
+	if s.unreached > 0 {
+		wait = min(wait, unreachedWait)
+	}
+	return &ShortfallError{Wait: max(wait, minimumWait), Unreached: s.unreached}
+}
+
+// wait returns the time until the zones together could lend missing more
+// tokens, or the quickest of them alone if that is sooner.
+func (s *supply) wait(missing float64) time.Duration {
+	least := (missing + s.debt) / s.rate
+	for _, g := range s.grants {
+		least = min(least, (missing+g.debt())/g.Rate)
+	}
+	if math.IsNaN(least) || least > LoanLife.Seconds() {
+		return LoanLife
+	}
+	return time.Duration(least * float64(time.Second))
 }
 
 // Start commits the charge to a request that is about to run. It fails with
--- a/internal/team/collect_test.go
+++ b/internal/team/collect_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/marjoramrock/marjoramrock/internal/timer"
 	"github.com/stretchr/testify/require"
@@ -26,8 +27,7 @@
 		return Grant{}, errCut
 	}
 	tokens := b.Lend(l.time.Now(), id, want, false)
-	wait, possible := b.Wait(want - tokens)
-	return Grant{Tokens: tokens, Wait: wait, Possible: possible}, nil
+	return Grant{Tokens: tokens, Rate: b.limits.Rate, Level: b.Level()}, nil
 }
 
 func (l *fakeLender) Report(zone string, r Report) {
@@ -93,6 +93,52 @@
 	}
 }
 
+// TestShortfallWait holds the wait to what the zones together mint, 100 tokens
+// a second each, of buckets that hold at most 1,000.
+func TestShortfallWait(t *testing.T) {
+	tests := []struct {
+		give   string
+		levels []float64
+		debt   float64
+		want   float64
+		wait   time.Duration
+	}{
+		{give: "one zone", levels: []float64{0}, want: 60, wait: 600 * time.Millisecond},
+		{give: "three zones mint together", levels: []float64{0, 0, 0}, want: 60, wait: 200 * time.Millisecond},
+		{give: "more than one zone can hold", levels: []float64{990, 990}, want: 2000, wait: 100 * time.Millisecond},
+		{give: "debt is minted first", levels: []float64{0}, debt: 30, want: 30, wait: 600 * time.Millisecond},
+		{give: "one zone in deep debt", levels: []float64{0, 0}, debt: 1000, want: 30, wait: 300 * time.Millisecond},
+		{give: "a cut zone is tried again soon", levels: []float64{0, -1}, want: 60, wait: unreachedWait},
+		{give: "never longer than a loan", levels: []float64{0}, want: 900, wait: LoanLife},
+	}
+	for _, tt := range tests {
+		t.Run(tt.give, func(t *testing.T) {
+			clock := &timer.Manual{}
+			lender := newLender(clock, tt.levels...)
+			lender.buckets["a"].level -= tt.debt
+			collector := NewCollector("vm", clock, lender)
+			_, collected := collector.Collect(context.Background(), "team", 3000, tt.want)
+			for _, err := range []error{collected, collector.Probe(context.Background(), "team", tt.want)} {
+				var short *ShortfallError
+				require.ErrorAs(t, err, &short)
+				require.InDelta(t, tt.wait.Seconds(), short.Wait.Seconds(), 1e-6)
+			}
+		})
+	}
+}
+
+func TestProbeBorrowsNothing(t *testing.T) {
+	clock := &timer.Manual{}
+	lender := newLender(clock, 500, 500)
+	collector := NewCollector("vm", clock, lender)
+	require.NoError(t, collector.Probe(context.Background(), "team", 900))
+	require.ErrorIs(t, collector.Probe(context.Background(), "team", 1100), ErrRate)
+	for _, b := range lender.buckets {
+		require.Equal(t, 500.0, b.Level())
+		require.Zero(t, b.Open())
+	}
+}
+
 func TestChargeLapses(t *testing.T) {
 	clock := &timer.Manual{}
 	lender := newLender(clock, 1000)
--- a/internal/team/ledger.go
+++ b/internal/team/ledger.go
@@ -58,9 +58,10 @@
 type Grant struct {
 	// Tokens is the amount lent, possibly zero.
 	Tokens float64
-	// Wait is the time until the rest could be lent here, if Possible.
-	Wait     time.Duration
-	Possible bool
+	// Rate is what is minted here, in tokens a second, and Level what is left
+	// to lend; it is negative while in debt.
+	Rate  float64
+	Level float64
 }
 
 // Take makes this VM the holder of a slot, with what the former one left.
@@ -136,12 +137,13 @@
 	return NewBucket(limits, limits.Rate*s.estate.Minted.Seconds(), s.from)
 }
 
-// Lend lends to a borrower. It reports false when this VM is not the holder.
+// Lend lends to a borrower; one that wants nothing only learns the level. It
+// reports false when this VM is not the holder.
 func (l *Ledger) Lend(now timer.Instant, name string, limits Limits, id LoanID, want float64) (Grant, bool) {
 	var g Grant
 	held := l.with(now, name, limits, func(b *Bucket) {
 		g.Tokens = b.Lend(now, id, want, false)
-		g.Wait, g.Possible = b.Wait(want - g.Tokens)
+		g.Rate, g.Level = limits.Rate, b.Level()
 	})
 	return g, held
 }
--- /dev/null
+++ b/internal/team/turns_test.go
@@ -0,0 +1,80 @@
+package team
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// enterMore sends n requests of a team to wait, one after another, and returns
+// what each is told.
+func enterMore(ctx context.Context, t *testing.T, turns *Turns, o Order, n int) []chan error {
+	t.Helper()
+	var told []chan error
+	for range n {
+		c := make(chan error, 1)
+		told = append(told, c)
+		before := turns.Waiting()
+		go func() { c <- turns.Enter(ctx, "a", o) }()
+		require.Eventually(t, func() bool { return turns.Waiting() > before }, 10*time.Second, time.Millisecond)
+	}
+	return told
+}
+
+func TestTurnsGoInOrder(t *testing.T) {
+	tests := []struct {
+		give Order
+		want []int
+	}{
+		{give: Earliest, want: []int{0, 1, 2}},
+		{give: Latest, want: []int{2, 1, 0}},
+	}
+	for _, tt := range tests {
+		turns := NewTurns(4)
+		ctx := context.Background()
+		require.False(t, turns.Busy("a"))
+		require.NoError(t, turns.Enter(ctx, "a", tt.give))
+		require.True(t, turns.Busy("a"))
+		require.NoError(t, turns.Enter(ctx, "b", tt.give), "another team does not wait")
+		turns.Leave("b", tt.give)
+		told := enterMore(ctx, t, turns, tt.give, len(tt.want))
+		for n, i := range tt.want {
+			turns.Leave("a", tt.give)
+			require.NoError(t, <-told[i])
+			require.Equal(t, len(tt.want)-1-n, turns.Waiting(), "one at a time")
+		}
+		turns.Leave("a", tt.give)
+		require.False(t, turns.Busy("a"), "nothing is kept of a team that has nothing waiting")
+	}
+}
+
+func TestTurnsAreBounded(t *testing.T) {
+	tests := []struct {
+		give Order
+		full int
+	}{
+		{give: Earliest, full: 2},
+		{give: Latest, full: 0},
+	}
+	for _, tt := range tests {
+		turns := NewTurns(2)
+		ctx, cancel := context.WithCancel(context.Background())
+		require.NoError(t, turns.Enter(ctx, "a", tt.give))
+		told := enterMore(ctx, t, turns, tt.give, 2)
+		third := make(chan error, 1)
+		go func() { third <- turns.Enter(ctx, "a", tt.give) }()
+		told = append(told, third)
+		require.ErrorIs(t, <-told[tt.full], ErrFull, "what would go last is sent away")
+		cancel()
+		for i, c := range told {
+			if i != tt.full {
+				require.ErrorIs(t, <-c, ErrDeadline)
+			}
+		}
+		require.Zero(t, turns.Waiting())
+		turns.Leave("a", tt.give)
+		require.False(t, turns.Busy("a"))
+	}
+}
--- a/internal/trial/load.go
+++ b/internal/trial/load.go
@@ -15,6 +15,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/marjoramrock/marjoramrock/declare"
 	"github.com/marjoramrock/marjoramrock/examples/profiles"
+	"github.com/marjoramrock/marjoramrock/internal/config"
 	"github.com/marjoramrock/marjoramrock/internal/prefix"
 	"github.com/marjoramrock/marjoramrock/internal/router"
 	"github.com/marjoramrock/marjoramrock/internal/standin"
@@ -35,6 +36,8 @@
 	Press float64
 	// Skew multiplies how hot the hottest prefixes are.
 	Skew float64
+	// First overrides which of a team's waiting requests goes first.
+	First config.First
 	// Blocks is the size of each engine's cache.
 	Blocks   int
 	Faults   []Fault
@@ -89,7 +92,7 @@
 	}
 	return Shape{
 		Deployment: func(a profiles.Addresses) *declare.Deployment {
-			return faster(l.Profile.deployment(a), l.Speed*l.Press)
+			return l.order(faster(l.Profile.deployment(a), l.Speed*l.Press))
 		},
 		Routers:   l.Routers,
 		Placement: placement,
@@ -102,6 +105,18 @@
 	}
 }
 
+// order declares what First says.
+func (l Load) order(d *declare.Deployment) *declare.Deployment {
+	switch l.First {
+	case config.FirstEarliest:
+		return d.EarliestFirst()
+	case config.FirstLatest:
+		return d.LatestFirst()
+	default:
+		return d
+	}
+}
+
 // faster multiplies every team's rate and burst.
 func faster(d *declare.Deployment, speed float64) *declare.Deployment {
 	teams := d.Document().Teams
