Leave an engine that answers neither a request nor probes

Cause: an engine that is frozen, or behind a cut link whose connections stay open, says nothing. A request that waited for its first byte waited for its deadline, 30 s by default, and was then refused without another engine being tried; a stream in progress noticed after 10 s. Cuts had only been tested between routers and towards the platform.

Ruled out: a limit on the time to the first byte (a long queue looks the same); TCP keepalive (finds no frozen process, and probes every idle connection); an earlier stall limit (the same as the first).

Stand-in engines can hang; load has a fault hang.

Calls to silent services still wait for their deadline.

--- a/cmd/marjoramrock/load.go
+++ b/cmd/marjoramrock/load.go
@@ -29,7 +29,7 @@
 			&cli.Float64Flag{Name: "press", Value: 1, Usage: "`FACTOR` on arrivals and rates alone"},
 			&cli.Float64Flag{Name: "skew", Value: 1, Usage: "`FACTOR` on how hot the hottest prefixes are"},
 			&cli.StringFlag{Name: "first", Usage: "which of a team's waiting requests goes first, `ORDER`: earliest or latest; the profile's own if not given"},
-			&cli.StringSliceFlag{Name: "fault", Usage: "`KIND@TIME`: engine, shift, vm, herd or platform; may be given again"},
+			&cli.StringSliceFlag{Name: "fault", Usage: "`KIND@TIME`: engine, shift, hang, vm, herd or platform; may be given again"},
 			&cli.StringFlag{Name: "json", Usage: "also write the reports to `FILE`"},
 		},
 		Action: runLoad,
--- a/e2e/answers_test.go
+++ b/e2e/answers_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/marjoramrock/marjoramrock/declare"
+	"github.com/marjoramrock/marjoramrock/internal/config"
 	"github.com/marjoramrock/marjoramrock/internal/standin"
 	"github.com/marjoramrock/marjoramrock/internal/trial"
 	"github.com/stretchr/testify/require"
@@ -116,6 +118,41 @@
 	}
 }
 
+// TestHungEngineIsLeft lets an engine fall silent, with its connections open, as
+// behind a cut link: in the middle of streams, and before new requests.
+func TestHungEngineIsLeft(t *testing.T) {
+	f := newFleet(t, shape{
+		routers: 2, engines: 2, zones: []string{"zone-a"}, engine: standin.EngineOptions{Decode: 5 * time.Millisecond},
+		tweak: func(d *declare.Deployment) {
+			d.Document().Routes[0].Deadline = config.Duration(12 * time.Second)
+		},
+	})
+	parts := func(i int) []string { return []string{strings.Repeat(fmt.Sprintf("section %d ", i), 1000), "note"} }
+	replies := make(chan trial.Reply, 12)
+	for i := range cap(replies) {
+		go func() {
+			reply, _ := f.ask(f.vms[i%2], teamLarge, trial.Ask{Parts: parts(i), Tokens: 400, Whole: i%4 == 3})
+			if reply.OK() && reply.Text != standin.Expected(parts(i), "v1", 400) {
+				reply.Done = false
+			}
+			replies <- reply
+		}()
+	}
+	hung := f.engines["engine-1-1"]
+	require.Eventually(t, func() bool { return hung.Counts().Running > 0 }, 10*time.Second, 5*time.Millisecond)
+	hung.SetFaults(standin.EngineFaults{Hang: true})
+	defer hung.SetFaults(standin.EngineFaults{})
+	for range cap(replies) {
+		reply := <-replies
+		require.True(t, reply.OK(), "%+v", reply.Error)
+	}
+	parallel(6, func(i int) {
+		reply, err := f.ask(f.vms[i%2], teamLarge, trial.Ask{Parts: parts(100 + i), Tokens: 2})
+		require.NoError(t, err)
+		require.True(t, reply.OK(), "%+v", reply.Error)
+	})
+}
+
 func TestLeavingCallerCancelsUpstream(t *testing.T) {
 	f := newFleet(t, shape{routers: 1, engines: 1, engine: standin.EngineOptions{Decode: 10 * time.Millisecond}})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -53,6 +53,7 @@
 	OrderFailed     = add(603, log.WarnLevel, "order to engine failed")
 	AnswerEmpty     = add(604, log.WarnLevel, "engine answered with nothing")
 	AnswerStale     = add(605, log.WarnLevel, "answer from other weights discarded")
+	EngineLost      = add(606, log.WarnLevel, "engine answers neither a request nor probes")
 	PeerBad         = add(700, log.WarnLevel, "peer message refused")
 	PeerUnreached   = add(701, log.DebugLevel, "peer not reached")
 	ClaimUnknown    = add(800, log.WarnLevel, "outcome of a claimed call is unknown")
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/marjoramrock/marjoramrock/internal/config"
 	"github.com/valyala/fasthttp"
 )
 
@@ -88,6 +89,37 @@
 	}
 }
 
+// call makes a request, which it releases, and returns the answer, with an open
+// body for a stream. It returns errLost when lost is closed first; the call then
+// ends in the background by its deadline.
+func (c *clients) call(address string, req *fasthttp.Request, stream bool, deadline time.Time, lost <-chan struct{}) (*fasthttp.Response, error) {
+	resp := fasthttp.AcquireResponse()
+	resp.StreamBody = stream
+	host := c.host(address)
+	done := make(chan struct{})
+	var err error
+	go func() {
+		defer close(done)
+		err = host.DoDeadline(req, resp, deadline)
+	}()
+	select {
+	case <-done:
+		fasthttp.ReleaseRequest(req)
+		if err != nil {
+			_ = resp.CloseBodyStream()
+			return nil, fmt.Errorf("router: backend %s: %w", address, err)
+		}
+		return resp, nil
+	case <-lost:
+		go func() {
+			<-done
+			fasthttp.ReleaseRequest(req)
+			_ = resp.CloseBodyStream()
+		}()
+		return nil, errLost
+	}
+}
+
 // once returns a client with one fresh connection, so that a call is not sent
 // on a connection that the server has closed.
 func (c *clients) once(address string) (*fasthttp.HostClient, error) {
@@ -125,3 +157,27 @@
 		}
 	}
 }
+
+// Paths of engines beside those of requests.
+const (
+	loadPath   = "/v1/load"
+	ordersPath = "/v1/orders"
+)
+
+// exchange makes a short call to an engine and returns the body of its answer.
+func (c *clients) exchange(e config.Engine, method, path string, body []byte, timeout time.Duration) ([]byte, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + e.Address + path)
+	c.authorize(req, e.Name)
+	req.SetBodyRaw(body)
+	if err := c.host(e.Address).DoTimeout(req, resp, timeout); err != nil {
+		return nil, fmt.Errorf("router: engine %s: %w", e.Name, err)
+	}
+	if resp.StatusCode() >= fasthttp.StatusMultipleChoices {
+		return nil, fmt.Errorf("router: engine %s: status %d", e.Name, resp.StatusCode())
+	}
+	return append([]byte(nil), resp.Body()...), nil
+}
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -41,6 +41,7 @@
 	events chan answer.Event
 	quit   chan struct{}
 	done   chan struct{}
+	watch  *watch
 	// first is the event that was read to see that there is an answer.
 	first *answer.Event
 	end   func()
@@ -165,20 +166,24 @@
 
 // try opens a stream on one engine, whole or resumed from an event.
 func (c *completion) try(ctx context.Context, e config.Engine, seq *answer.Sequence, resume int) (*source, error) {
-	resp := fasthttp.AcquireResponse()
-	resp.StreamBody = true
 	c.r.engines.Begin(e.Name)
-	src := &source{engine: e, resp: resp, end: func() { c.r.engines.End(e.Name) }}
-	err := c.send(ctx, e, resp, seq, resume)
+	w := c.r.watch(e)
+	src := &source{engine: e, watch: w, end: func() {
+		w.close()
+		c.r.engines.End(e.Name)
+	}}
+	var err error
+	src.resp, err = c.send(ctx, src, seq, resume)
 	if err == nil {
-		src.report, err = c.accept(e, resp)
+		if src.report, err = c.accept(e, src.resp); err != nil {
+			_ = src.resp.CloseBodyStream()
+		}
 	}
 	if err != nil {
-		_ = resp.CloseBodyStream()
 		src.end()
 		return nil, c.blame(e, err)
 	}
-	c.pump(src, resp.BodyStream())
+	c.pump(src, src.resp.BodyStream())
 	if err := c.await(ctx, src, seq); err != nil {
 		src.close()
 		return nil, c.blame(e, err)
@@ -199,7 +204,8 @@
 }
 
 // send writes the request to an engine and reads the head of the answer.
-func (c *completion) send(ctx context.Context, e config.Engine, resp *fasthttp.Response, seq *answer.Sequence, resume int) error {
+func (c *completion) send(ctx context.Context, src *source, seq *answer.Sequence, resume int) (*fasthttp.Response, error) {
+	e := src.engine
 	text, tokens := seq.Text()
 	u := upstream{salt: c.salt, priority: c.priority, sent: text, count: tokens}
 	if resume != fromStart {
@@ -207,10 +213,9 @@
 	}
 	raw, err := c.body.encode(u)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("http://" + e.Address + c.path)
 	req.Header.SetContentType("application/json")
@@ -222,14 +227,15 @@
 	c.r.clients.authorize(req, e.Name)
 	req.SetBodyRaw(raw)
 	deadline, _ := ctx.Deadline()
-	err = c.r.clients.host(e.Address).DoDeadline(req, resp, deadline)
+	resp, err := c.r.clients.call(e.Address, req, c.body.stream, deadline, src.watch.lost)
 	if err == nil || !unsent(err) {
 		c.dispatched = true
 	}
 	if err != nil {
-		return fmt.Errorf("call: %w", err)
+		return nil, fmt.Errorf("call: %w", err)
 	}
-	return nil
+	src.watch.hear(c.r.clock.Now())
+	return resp, nil
 }
 
 // accept checks the head of an answer before any of it reaches the caller.
@@ -292,6 +298,8 @@
 				src.first = &e
 				return nil
 			}
+		case <-src.watch.lost:
+			return errLost
 		case <-ctx.Done():
 			return fmt.Errorf("first event: %w", ctx.Err())
 		case <-c.stream.revoked:
--- a/internal/router/orderer.go
+++ b/internal/router/orderer.go
@@ -135,7 +135,7 @@
 // version asks an engine which weights it runs.
 func (o *orderer) version(e config.Engine) (string, error) {
 	var reply loadReply
-	raw, err := o.exchange(e, fasthttp.MethodGet, "/v1/load", nil)
+	raw, err := o.r.clients.exchange(e, fasthttp.MethodGet, loadPath, nil, orderTimeout)
 	if err != nil {
 		return "", err
 	}
@@ -154,7 +154,7 @@
 	}
 	raw, err := json.Marshal(order)
 	if err == nil {
-		_, err = o.exchange(e, fasthttp.MethodPost, "/v1/orders", raw)
+		_, err = o.r.clients.exchange(e, fasthttp.MethodPost, ordersPath, raw, orderTimeout)
 	}
 	if err != nil {
 		g.loads.Refused(e.Name)
@@ -163,20 +163,3 @@
 	}
 	event.OrderSent.Log(o.r.log, nil, log.Fields{"engine": e.Name, "version": order.Version, "fence": order.Fence})
 }
-
-func (o *orderer) exchange(e config.Engine, method, path string, body []byte) ([]byte, error) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod(method)
-	req.SetRequestURI("http://" + e.Address + path)
-	o.r.clients.authorize(req, e.Name)
-	req.SetBodyRaw(body)
-	if err := o.r.clients.host(e.Address).DoTimeout(req, resp, orderTimeout); err != nil {
-		return nil, fmt.Errorf("router: engine %s: %w", e.Name, err)
-	}
-	if resp.StatusCode() >= fasthttp.StatusMultipleChoices {
-		return nil, fmt.Errorf("router: engine %s: status %d", e.Name, resp.StatusCode())
-	}
-	return append([]byte(nil), resp.Body()...), nil
-}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -43,7 +43,7 @@
 	l.seq = answer.NewSequence(l.c.id)
 	err := l.pass(ctx)
 	for errors.Is(err, errBroken) {
-		if err = l.recover(ctx); err == nil && l.src != nil {
+		if err = l.recover(ctx, err); err == nil && l.src != nil {
 			err = l.pass(ctx)
 		}
 	}
@@ -67,12 +67,15 @@
 	for {
 		select {
 		case e := <-l.src.events:
+			l.src.watch.hear(l.c.r.clock.Now())
 			if done, err := l.take(e); done || err != nil {
 				return err
 			}
 			stall.Reset(stallTimeout)
 		case <-stall.C:
 			return fmt.Errorf("%w: nothing for %s", errBroken, stallTimeout)
+		case <-l.src.watch.lost:
+			return fmt.Errorf("%w: %w", errBroken, errLost)
 		case <-l.c.stream.revoked:
 			return errRevoked
 		case <-ctx.Done():
@@ -149,7 +152,7 @@
 
 // recover takes a broken stream up again: on the same incarnation from where
 // it broke, or on another engine of the same weights from the text sent.
-func (l *relay) recover(ctx context.Context) error {
+func (l *relay) recover(ctx context.Context, cause error) error {
 	old := l.src
 	old.close()
 	l.src = nil
@@ -157,6 +160,10 @@
 	if l.tries > recoveries || !l.c.r.budget.Retry() {
 		return fmt.Errorf("stream: %w", errBudget)
 	}
+	if errors.Is(cause, errLost) {
+		l.c.r.engines.Failed(old.engine.Name)
+		return l.goOn(ctx, old)
+	}
 	src, err := l.c.try(ctx, old.engine, l.seq, l.seq.Next())
 	if err == nil && src.report.Incarnation == old.report.Incarnation {
 		l.src = src
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -20,6 +20,7 @@
 	"github.com/marjoramrock/marjoramrock/internal/team"
 	"github.com/marjoramrock/marjoramrock/internal/timer"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/singleflight"
 )
 
 // Part of fresh traffic that may be retried, and how many retries are saved.
@@ -54,6 +55,7 @@
 	reports  *reporter
 	engines  *engine.Table
 	clients  *clients
+	probes   singleflight.Group
 	claims   *receipt.Claims
 	policy   atomic.Pointer[placement]
 	usage    *team.Usage
--- a/internal/router/whole.go
+++ b/internal/router/whole.go
@@ -29,16 +29,17 @@
 
 // fetch asks one engine for the whole answer.
 func (c *completion) fetch(bounded context.Context, e config.Engine) (answer.Chunk, []byte, error) {
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	src := &source{engine: e}
+	src := &source{engine: e, watch: c.r.watch(e)}
+	defer src.watch.close()
 	c.r.engines.Begin(e.Name)
 	defer c.r.engines.End(e.Name)
 	var chunk answer.Chunk
-	err := c.send(bounded, e, resp, answer.NewSequence(c.id), fromStart)
-	if err == nil {
-		src.report, err = c.accept(e, resp)
+	resp, err := c.send(bounded, src, answer.NewSequence(c.id), fromStart)
+	if err != nil {
+		return chunk, nil, c.blame(e, err)
 	}
+	defer fasthttp.ReleaseResponse(resp)
+	src.report, err = c.accept(e, resp)
 	if err == nil {
 		err = decodeWhole(resp.Body(), c.id, &chunk)
 	}
--- a/internal/standin/complete.go
+++ b/internal/standin/complete.go
@@ -307,6 +307,7 @@
 			panicCut(w)
 			return
 		}
+		e.hang()
 		time.Sleep(e.options.Decode)
 		if e.gone(j) {
 			panicCut(w)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -53,6 +53,8 @@
 	Forget bool `json:"forget"`
 	// Stall holds every answer back, in milliseconds.
 	Stall int `json:"stall"`
+	// Hang answers nothing at all, as a frozen or unreachable engine.
+	Hang bool `json:"hang"`
 }
 
 // EngineCounts is what an Engine has done.
@@ -252,7 +254,26 @@
 	return len(p.Chain())
 }
 
+// hangPeriod is how often a hanging engine looks whether it still does.
+const hangPeriod = 20 * time.Millisecond
+
+// hang waits while the engine hangs.
+func (e *Engine) hang() {
+	for {
+		e.mu.Lock()
+		hangs := e.faults.Hang
+		e.mu.Unlock()
+		if !hangs {
+			return
+		}
+		time.Sleep(hangPeriod)
+	}
+}
+
 func (e *Engine) handle(ctx *fasthttp.RequestCtx) {
+	if !strings.HasPrefix(string(ctx.Path()), "/control/") {
+		e.hang()
+	}
 	switch string(ctx.Path()) {
 	case "/v1/chat/completions", "/v1/completions":
 		e.complete(ctx)
--- a/internal/trial/fault.go
+++ b/internal/trial/fault.go
@@ -25,10 +25,15 @@
 	FaultVM FaultKind = "vm"
 	// FaultHerd replaces every router by one that knows nothing.
 	FaultHerd FaultKind = "herd"
+	// FaultHang silences one engine for hangTime, its connections open.
+	FaultHang FaultKind = "hang"
 	// FaultPlatform stops the platform for the rest of the run.
 	FaultPlatform FaultKind = "platform"
 )
 
+// hangTime is how long a hung engine is silent.
+const hangTime = 5 * time.Second
+
 // Fault is planned trouble.
 type Fault struct {
 	kind FaultKind
@@ -36,13 +41,13 @@
 }
 
 // ErrFault means that a fault does not parse.
-var ErrFault = errors.New("trial: a fault is KIND@TIME with engine, shift, vm, herd or platform")
+var ErrFault = errors.New("trial: a fault is KIND@TIME with engine, shift, hang, vm, herd or platform")
 
 // ParseFault reads KIND@TIME.
 func ParseFault(text string) (Fault, error) {
 	kind, when, _ := strings.Cut(text, "@")
 	at, err := time.ParseDuration(when)
-	known := []FaultKind{FaultEngine, FaultShift, FaultVM, FaultHerd, FaultPlatform}
+	known := []FaultKind{FaultEngine, FaultShift, FaultHang, FaultVM, FaultHerd, FaultPlatform}
 	if err != nil || !slices.Contains(known, FaultKind(kind)) {
 		return Fault{}, fmt.Errorf("%w: %q", ErrFault, text)
 	}
@@ -56,6 +61,10 @@
 	case FaultEngine:
 		names := sortedKeys(c.Engines)
 		c.Engines[names[0]].Restart()
+	case FaultHang:
+		hung := c.Engines[sortedKeys(c.Engines)[0]]
+		hung.SetFaults(standin.EngineFaults{Hang: true})
+		time.AfterFunc(hangTime, func() { hung.SetFaults(standin.EngineFaults{}) })
 	case FaultPlatform:
 		c.Platform.SetFaults(standin.PlatformFaults{Down: true})
 	case FaultVM:
