Take out priorities by a team's use

Cause: engines were told a priority by how much of its rate a team had used; whether that helps had never been measured.

Change: every request has the same priority; what a caller asks for is overwritten as before, now with a test. The record of use by team goes.

Conclusion: taken out; the queues in the routers share the engines.

--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -24,7 +24,7 @@
 				require.NoError(b, err)
 				parsed.bound(config.Model{Limit: 256})
 				_ = parsed.parts()
-				_, err = parsed.encode(upstream{salt: "salt", priority: 3})
+				_, err = parsed.encode(upstream{salt: "salt"})
 				require.NoError(b, err)
 			}
 		})
--- a/internal/router/body.go
+++ b/internal/router/body.go
@@ -29,6 +29,10 @@
 	usage    bool
 }
 
+// samePriority is what engines are told for every request, so that no caller
+// goes before other teams.
+const samePriority = 0
+
 type streamOptions struct {
 	IncludeUsage bool `json:"include_usage"`
 }
@@ -118,8 +122,7 @@
 
 // upstream is what differs between the forms of one request that engines see.
 type upstream struct {
-	salt     string
-	priority int
+	salt string
 	// sent is the generated text that the answer goes on from, of count
 	// tokens.
 	sent  string
@@ -139,7 +142,7 @@
 		}
 	}
 	set("cache_salt", u.salt)
-	set("priority", u.priority)
+	set("priority", samePriority)
 	set("max_tokens", b.max-u.count)
 	if b.stream {
 		set("stream_options", streamOptions{IncludeUsage: true})
--- a/internal/router/body_test.go
+++ b/internal/router/body_test.go
@@ -40,7 +40,7 @@
 }
 
 func TestEncodeKeepsWhatItDoesNotKnow(t *testing.T) {
-	b, err := parseBody([]byte(`{"model":"m","messages":[{"role":"user","content":"x","name":"n"}],"seed":7,"cache_salt":"mine"}`), true)
+	b, err := parseBody([]byte(`{"model":"m","messages":[{"role":"user","content":"x","name":"n"}],"seed":7,"cache_salt":"mine","priority":-9}`), true)
 	require.NoError(t, err)
 	b.bound(config.Model{Limit: 10})
 	raw, err := b.encode(upstream{salt: "ours", sent: "so far", count: 4})
@@ -49,12 +49,14 @@
 		Seed     int              `json:"seed"`
 		Salt     string           `json:"cache_salt"`
 		Max      int              `json:"max_tokens"`
+		Priority int              `json:"priority"`
 		Continue bool             `json:"continue_final_message"`
 		Messages []map[string]any `json:"messages"`
 	}
 	require.NoError(t, json.Unmarshal(raw, &got))
 	require.Equal(t, 7, got.Seed)
 	require.Equal(t, "ours", got.Salt, "a caller cannot choose whose cache it shares")
+	require.Zero(t, got.Priority, "a caller cannot go before others")
 	require.Equal(t, 6, got.Max)
 	require.True(t, got.Continue)
 	require.Len(t, got.Messages, 2)
--- a/internal/router/complete.go
+++ b/internal/router/complete.go
@@ -26,10 +26,9 @@
 	prompt prefix.Prompt
 	salt   string
 	// charge is nil on open routes.
-	charge   *team.Charge
-	priority int
-	stream   *openStream
-	began    time.Time
+	charge *team.Charge
+	stream *openStream
+	began  time.Time
 	// dispatched is whether any byte may have reached an engine.
 	dispatched bool
 	// resumed is the form in which the current source was asked.
@@ -219,7 +218,6 @@
 		return fmt.Errorf("router: charge: %w", &team.ShortfallError{Wait: 0})
 	}
 	c.charge = charge
-	c.priority = c.r.usage.Add(c.r.clock.Now(), c.who.team.Name, cost, c.who.team.Rate)
 	return nil
 }
 
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -207,7 +207,7 @@
 func (c *completion) send(ctx context.Context, src *source, seq *answer.Sequence, resume int) (*fasthttp.Response, error) {
 	e := src.engine
 	text, tokens := seq.Text()
-	u := upstream{salt: c.salt, priority: c.priority, sent: text, count: tokens}
+	u := upstream{salt: c.salt, sent: text, count: tokens}
 	if resume != fromStart {
 		u = c.resumed
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -58,7 +58,6 @@
 	probes   singleflight.Group
 	claims   *receipt.Claims
 	policy   atomic.Pointer[placement]
-	usage    *team.Usage
 	budget   *team.Budget
 	queues   *queues
 	turns    *team.Turns
@@ -110,7 +109,6 @@
 	r.collect = team.NewCollector(s.VM+"/"+platform.NewToken(), r.clock, lender{r})
 	r.orderer = newOrderer(r)
 	r.follower = newFollower(r)
-	r.usage = team.NewUsage()
 	policy, err := newPolicy(s.Placement)
 	if err != nil {
 		return nil, err
--- a/internal/team/bench_test.go
+++ b/internal/team/bench_test.go
@@ -66,13 +66,3 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
-
-func BenchmarkUsage(b *testing.B) {
-	u := NewUsage()
-	var now timer.Instant
-	b.ReportAllocs()
-	for b.Loop() {
-		now += 1000
-		u.Add(now, "team", 1000, 1e5)
-	}
-}
