--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -28,7 +28,6 @@
 	"github.com/marjoramrock/marjoramrock/internal/platform"
 	"github.com/marjoramrock/marjoramrock/internal/router"
 	"github.com/marjoramrock/marjoramrock/internal/standin"
-	"github.com/marjoramrock/marjoramrock/internal/team"
 	"github.com/marjoramrock/marjoramrock/internal/trial"
 	"github.com/stretchr/testify/require"
 )
@@ -338,20 +337,15 @@
 func (f *fleet) settled() {
 	f.t.Helper()
 	require.Eventually(f.t, func() bool {
-		held := map[string]int{}
+		var all []router.Status
 		for _, v := range f.vms {
 			s, err := f.status(v)
-			if err != nil || !s.Ready {
+			if err != nil {
 				return false
 			}
-			held[v.zone] += s.Slots
+			all = append(all, s)
 		}
-		for _, n := range held {
-			if n < team.SlotCount {
-				return false
-			}
-		}
-		return true
+		return trial.Settled(all)
 	}, 30*time.Second, 20*time.Millisecond, "the fleet does not settle")
 }
 
--- a/internal/config/bench_test.go
+++ b/internal/config/bench_test.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"runtime"
 	"testing"
+
+	"github.com/marjoramrock/marjoramrock/internal/heap"
 )
 
 var teamCounts = []int{1000, 10000, 37000}
@@ -76,7 +78,7 @@
 		}
 		b.Run(fmt.Sprintf("teams=%d", n), func(b *testing.B) {
 			var c *Config
-			before := heap()
+			before := heap.InUse()
 			for b.Loop() {
 				var s Snapshot
 				if err := json.Unmarshal(raw, &s); err != nil {
@@ -85,15 +87,8 @@
 				c = FromSnapshot(s)
 			}
 			b.ReportMetric(float64(len(raw)), "B/snapshot")
-			b.ReportMetric(float64(heap())-float64(before), "B/heap")
+			b.ReportMetric(float64(heap.InUse())-float64(before), "B/heap")
 			runtime.KeepAlive(c)
 		})
 	}
 }
-
-func heap() uint64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
--- a/internal/prefix/place_test.go
+++ b/internal/prefix/place_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
-	"runtime"
 	"strings"
 	"testing"
 
+	"github.com/marjoramrock/marjoramrock/internal/heap"
 	"github.com/stretchr/testify/require"
 )
 
@@ -131,23 +131,16 @@
 	for _, engines := range []int{12, 57, 425} {
 		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
 			for b.Loop() {
-				before := heap()
+				before := heap.InUse()
 				d := NewDirectory()
 				for e := range engines {
 					for i := range 1200 {
 						d.Add(nest("salt", i, 1), fmt.Sprint(e), "one")
 					}
 				}
-				b.ReportMetric(float64(heap()-before)/float64(engines), "B/engine")
+				b.ReportMetric(float64(heap.InUse()-before)/float64(engines), "B/engine")
 				b.ReportMetric(float64(d.Len())/float64(engines), "blocks/engine")
 			}
 		})
 	}
 }
-
-func heap() uint64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
--- a/internal/team/bench_test.go
+++ b/internal/team/bench_test.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"testing"
 
+	"github.com/marjoramrock/marjoramrock/internal/heap"
 	"github.com/marjoramrock/marjoramrock/internal/timer"
 )
 
@@ -48,21 +49,14 @@
 	for _, n := range teamCounts {
 		b.Run(fmt.Sprintf("teams=%d", n), func(b *testing.B) {
 			for b.Loop() {
-				before := heap()
+				before := heap.InUse()
 				l := holdAll()
 				for i := range n {
 					l.Lend(0, fmt.Sprintf("team-%d", i), Limits{Rate: 1, Cap: 1}, "", 0)
 				}
-				b.ReportMetric(float64(heap()-before)/float64(n), "B/team")
+				b.ReportMetric(float64(heap.InUse()-before)/float64(n), "B/team")
 				runtime.KeepAlive(l)
 			}
 		})
 	}
 }
-
-func heap() uint64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
--- a/internal/trial/cluster.go
+++ b/internal/trial/cluster.go
@@ -181,9 +181,18 @@
 }
 
 func (c *Cluster) settled() bool {
-	held := make(map[string]int)
+	var all []router.Status
 	for _, r := range c.Routers {
-		s := r.Status()
+		all = append(all, r.Status())
+	}
+	return Settled(all)
+}
+
+// Settled reports whether routers that say this are all ready, and hold every
+// slot of their zones.
+func Settled(all []router.Status) bool {
+	held := make(map[string]int)
+	for _, s := range all {
 		if !s.Ready {
 			return false
 		}
