Measure the bytes of an exchange between nodes

Change: the benchmark of an exchange counts the loopback's bytes, by the pause between two; the reading of that counter moves out of the process tests to internal/measure.

--- a/e2e/control_test.go
+++ b/e2e/control_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/marjoramrock/marjoramrock/declare"
+	"github.com/marjoramrock/marjoramrock/internal/measure"
 	"github.com/marjoramrock/marjoramrock/internal/operator"
 	"github.com/stretchr/testify/require"
 )
@@ -118,15 +119,7 @@
 
 // loopbackBytes returns what the loopback interface has received.
 func loopbackBytes(b *testing.B) float64 {
-	raw, err := os.ReadFile("/proc/net/dev")
+	n, err := measure.LoopbackBytes()
 	require.NoError(b, err)
-	for _, line := range strings.Split(string(raw), "\n") {
-		name, counters, ok := strings.Cut(line, ":")
-		if ok && strings.TrimSpace(name) == "lo" {
-			n, err := strconv.ParseFloat(strings.Fields(counters)[0], 64)
-			require.NoError(b, err)
-			return n
-		}
-	}
-	return 0
+	return n
 }
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/marjoramrock/marjoramrock/internal/measure"
 	"github.com/stretchr/testify/require"
 )
 
@@ -145,12 +146,28 @@
 
 // BenchmarkAsk is one exchange between two nodes of one process: the processor
 // time of both sides.
+// BenchmarkAsk is one loan between two nodes: the time, and the bytes of both
+// directions with acknowledgements, by the pause between two loans.
 func BenchmarkAsk(b *testing.B) {
-	secure := newTLS(b)
-	from, to := newNode(b, secure, open, ignore), newNode(b, secure, open, ignore)
-	b.ReportAllocs()
-	for b.Loop() {
-		_, err := Ask[*Grant](context.Background(), from, to.Address(), &Borrow{Team: "team-1", ID: "vm-1/abc/1", Want: 9000})
-		require.NoError(b, err)
+	for _, pause := range []time.Duration{0, 10 * time.Millisecond, 100 * time.Millisecond} {
+		b.Run(pause.String(), func(b *testing.B) {
+			secure := newTLS(b)
+			from, to := newNode(b, secure, open, ignore), newNode(b, secure, open, ignore)
+			ask := func() {
+				_, err := Ask[*Grant](context.Background(), from, to.Address(), &Borrow{Team: "team-1", ID: "vm-1/abc/1", Want: 9000})
+				require.NoError(b, err)
+				time.Sleep(pause)
+			}
+			ask()
+			before, err := measure.LoopbackBytes()
+			require.NoError(b, err)
+			b.ReportAllocs()
+			for b.Loop() {
+				ask()
+			}
+			after, err := measure.LoopbackBytes()
+			require.NoError(b, err)
+			b.ReportMetric((after-before)/float64(b.N), "B/exchange")
+		})
 	}
 }
--- a/internal/prefix/place_test.go
+++ b/internal/prefix/place_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"github.com/marjoramrock/marjoramrock/internal/heap"
+	"github.com/marjoramrock/marjoramrock/internal/measure"
 	"github.com/stretchr/testify/require"
 )
 
@@ -131,14 +131,14 @@
 	for _, engines := range []int{12, 57, 425} {
 		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
 			for b.Loop() {
-				before := heap.InUse()
+				before := measure.HeapInUse()
 				d := NewDirectory()
 				for e := range engines {
 					for i := range 1200 {
 						d.Add(nest("salt", i, 1), fmt.Sprint(e), "one")
 					}
 				}
-				b.ReportMetric(float64(heap.InUse()-before)/float64(engines), "B/engine")
+				b.ReportMetric(float64(measure.HeapInUse()-before)/float64(engines), "B/engine")
 				b.ReportMetric(float64(d.Len())/float64(engines), "blocks/engine")
 			}
 		})
--- a/internal/team/bench_test.go
+++ b/internal/team/bench_test.go
@@ -5,7 +5,7 @@
 	"runtime"
 	"testing"
 
-	"github.com/marjoramrock/marjoramrock/internal/heap"
+	"github.com/marjoramrock/marjoramrock/internal/measure"
 	"github.com/marjoramrock/marjoramrock/internal/timer"
 )
 
@@ -49,12 +49,12 @@
 	for _, n := range teamCounts {
 		b.Run(fmt.Sprintf("teams=%d", n), func(b *testing.B) {
 			for b.Loop() {
-				before := heap.InUse()
+				before := measure.HeapInUse()
 				l := holdAll()
 				for i := range n {
 					l.Lend(0, fmt.Sprintf("team-%d", i), Limits{Rate: 1, Cap: 1}, "", 0)
 				}
-				b.ReportMetric(float64(heap.InUse()-before)/float64(n), "B/team")
+				b.ReportMetric(float64(measure.HeapInUse()-before)/float64(n), "B/team")
 				runtime.KeepAlive(l)
 			}
 		})
