Say "too large" also while the team is short

Since short requests take turns, one that asks for more than its team's burst waited with the others and was then refused as beyond the rate (429), as if waiting could help.

Change: the burst is looked at before anything waits.

Before: TestTooLargeIsSaidWhileTheTeamIsShort fails, 429 instead of 413.

Ruled out: checking in the probe as well; the first look covers both ways.

--- a/e2e/rate_test.go
+++ b/e2e/rate_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -77,6 +79,38 @@
 	}
 }
 
+// TestTooLargeIsSaidWhileTheTeamIsShort asks for more than the burst while other
+// requests of the team wait for tokens: waiting would not help.
+func TestTooLargeIsSaidWhileTheTeamIsShort(t *testing.T) {
+	f := newFleet(t, shape{routers: 1, engines: 1, zones: []string{"zone-a"}})
+	var refused atomic.Int64
+	var callers sync.WaitGroup
+	done := make(chan struct{})
+	for range 6 {
+		callers.Go(func() {
+			for open := true; open; {
+				reply, _ := f.ask(f.vms[0], teamSmall, trial.Ask{Parts: []string{strings.Repeat("x", 9000)}, Tokens: 100})
+				if reply.Status == http.StatusTooManyRequests {
+					refused.Add(1)
+				}
+				select {
+				case <-done:
+					open = false
+				default:
+				}
+			}
+		})
+	}
+	defer callers.Wait()
+	defer close(done)
+	for refused.Load() == 0 {
+		reply, err := f.ask(f.vms[0], teamSmall, trial.Ask{Parts: []string{strings.Repeat("x", 30000)}, Tokens: 100})
+		require.NoError(t, err)
+		require.Equal(t, http.StatusRequestEntityTooLarge, reply.Status)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // exhaust uses a team's tokens up from all VMs at once.
 func (f *fleet) exhaust(name string, d time.Duration) {
 	end := time.Now().Add(d)
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -17,6 +17,9 @@
 	wait, cancel := context.WithTimeout(ctx, c.route.EffectiveWait())
 	defer cancel()
 	cost := c.body.charge(c.model, c.prompt)
+	if err := team.CheckBurst(c.who.team.Burst, cost); err != nil && !c.who.open {
+		return refuse(fasthttp.StatusRequestEntityTooLarge, "burst", err.Error())
+	}
 	order := turnsOrder(c.r.keeper.Current())
 	if c.who.open || order == team.Latest || !c.r.turns.Busy(c.who.team.Name) {
 		if err := c.attempt(wait, cost); !errors.Is(err, team.ErrRate) {
@@ -111,9 +114,6 @@
 		return nil
 	}
 	charge, err := c.r.collect.Collect(ctx, c.who.team.Name, c.who.team.Burst, cost)
-	if errors.Is(err, team.ErrBurst) {
-		return refuse(fasthttp.StatusRequestEntityTooLarge, "burst", err.Error())
-	}
 	if err != nil {
 		return fmt.Errorf("router: charge: %w", err)
 	}
--- a/internal/team/collect.go
+++ b/internal/team/collect.go
@@ -94,11 +94,20 @@
 // Total returns the tokens charged.
 func (c *Charge) Total() float64 { return c.total }
 
+// CheckBurst returns ErrBurst, wrapped, when no wait can bring want tokens
+// together.
+func CheckBurst(burst, want float64) error {
+	if want > burst {
+		return fmt.Errorf("%w: needs %.0f tokens, burst is %.0f", ErrBurst, want, burst)
+	}
+	return nil
+}
+
 // Collect gathers want tokens, all or nothing, from the own zone first. It
 // returns ErrBurst or a ShortfallError.
 func (c *Collector) Collect(ctx context.Context, name string, burst, want float64) (*Charge, error) {
-	if want > burst {
-		return nil, fmt.Errorf("%w: needs %.0f tokens, burst is %.0f", ErrBurst, want, burst)
+	if err := CheckBurst(burst, want); err != nil {
+		return nil, err
 	}
 	charge := &Charge{collector: c, team: name, expires: c.time.Now().Add(LoanLife)}
 	var refill supply
