Simplify admission and the wait for tokens after a second reading

Cause: the whole change was read once more. Open routes were told apart in three places of admission; the sums of what zones mint stood beside the list they come from; two comments described what is no longer there.

Change: an open route enters at once; the sums are worked out where they are used; comments of the clock, of the loan benchmark and of the load tally say what is there. Behaviour and tests' assertions are as they were.

Ruled out: taking the look at the burst out of Collect, which stands on its own and whose test holds it to that.

--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -144,8 +144,6 @@
 	require.NoError(t, err, "the connection goes on")
 }
 
-// BenchmarkAsk is one exchange between two nodes of one process: the processor
-// time of both sides.
 // BenchmarkAsk is one loan between two nodes: the time, and the bytes of both
 // directions with acknowledgements, by the pause between two loans.
 func BenchmarkAsk(b *testing.B) {
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -17,11 +17,14 @@
 	wait, cancel := context.WithTimeout(ctx, c.route.EffectiveWait())
 	defer cancel()
 	cost := c.body.charge(c.model, c.prompt)
-	if err := team.CheckBurst(c.who.team.Burst, cost); err != nil && !c.who.open {
+	if c.who.open {
+		return c.enter(wait, cost)
+	}
+	if err := team.CheckBurst(c.who.team.Burst, cost); err != nil {
 		return refuse(fasthttp.StatusRequestEntityTooLarge, "burst", err.Error())
 	}
 	order := turnsOrder(c.r.keeper.Current())
-	if c.who.open || order == team.Latest || !c.r.turns.Busy(c.who.team.Name) {
+	if order == team.Latest || !c.r.turns.Busy(c.who.team.Name) {
 		if err := c.attempt(wait, cost); !errors.Is(err, team.ErrRate) {
 			return err
 		}
@@ -45,7 +48,7 @@
 // short it borrows only what it can use at once, to leave them the rest. It
 // returns a *team.ShortfallError, wrapped, when the tokens do not suffice.
 func (c *completion) attempt(wait context.Context, cost float64) error {
-	if !c.who.open && c.r.turns.Busy(c.who.team.Name) {
+	if c.r.turns.Busy(c.who.team.Name) {
 		if err := c.r.collect.Probe(wait, c.who.team.Name, cost); err != nil {
 			return fmt.Errorf("router: probe: %w", err)
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -41,7 +41,6 @@
 	settings Settings
 	log      log.Interface
 	clock    clock
-	// stop ends the clock.
 	faults   *faultSwitch
 	platform platform.Services
 	node     *peer.Node
--- a/internal/team/collect.go
+++ b/internal/team/collect.go
@@ -126,7 +126,7 @@
 		if charge.total >= want {
 			return charge, nil
 		}
-		refill.add(grant)
+		refill.grants = append(refill.grants, grant)
 	}
 	charge.Release()
 	return nil, refill.shortfall(want - charge.total)
@@ -142,7 +142,7 @@
 			refill.unreached++
 			continue
 		}
-		refill.add(grant)
+		refill.grants = append(refill.grants, grant)
 		want -= max(0, grant.Level)
 		if want <= 0 {
 			return nil
@@ -158,18 +158,10 @@
 // supply is what several zones together mint for a team.
 type supply struct {
 	grants []Grant
-	rate   float64
-	debt   float64
 	// unreached counts the zones that could not be asked.
 	unreached int
 }
 
-func (s *supply) add(g Grant) {
-	s.grants = append(s.grants, g)
-	s.rate += g.Rate
-	s.debt += g.debt()
-}
-
 func (g Grant) debt() float64 { return max(0, -g.Level) }
 
 // shortfall returns the error of a charge for which tokens are missing.
@@ -184,10 +176,14 @@
 // wait returns the time until the zones together could lend missing more
 // tokens, or the quickest of them alone if that is sooner.
 func (s *supply) wait(missing float64) time.Duration {
-	least := (missing + s.debt) / s.rate
+	rate, debt := 0.0, 0.0
+	least := math.Inf(1)
 	for _, g := range s.grants {
+		rate += g.Rate
+		debt += g.debt()
 		least = min(least, (missing+g.debt())/g.Rate)
 	}
+	least = min(least, (missing+debt)/rate)
 	if math.IsNaN(least) || least > LoanLife.Seconds() {
 		return LoanLife
 	}
--- a/internal/trial/report.go
+++ b/internal/trial/report.go
@@ -96,18 +96,18 @@
 
 // tally gathers the outcomes of a run.
 type tally struct {
-	all     hits
-	first   *hdrhistogram.Histogram
-	errors  map[string]int
-	teams   map[string]*teamTally
-	classes map[string]*hits
-	// refusals lists the refused model requests, debits what others took,
-	// by request.
+	all      hits
+	first    *hdrhistogram.Histogram
+	errors   map[string]int
+	teams    map[string]*teamTally
+	classes  map[string]*hits
 	refusals []Refusal
-	sizes    map[string]debit
-	herdAt   time.Duration
-	early    hits
-	steady   hits
+	// sizes holds what each model request takes from its team if it runs, by
+	// the request's id.
+	sizes  map[string]debit
+	herdAt time.Duration
+	early  hits
+	steady hits
 }
 
 // teamTally is one team's part.
