Order engines that are empty, and age weights from the first newer version

Engines now empty before their order, oldest weights first; reloads are announced with the version awaited; prompt tokens not yet read are told to the other VMs. Ruled out: slow loads themselves (0.6 s each in the log).

--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -49,15 +49,24 @@
 	// failures counts failures in a row; the server rests until restUntil.
 	failures  int
 	restUntil time.Duration
-	// reloading is until when an announced order keeps it out of choice.
+	// reloading is until when an announced order keeps it out of choice, and
+	// awaited what it will run then.
 	reloading time.Duration
+	awaited   int64
 	// missing is since when the list lacks it while that may mean nothing.
 	missing time.Duration
 }
 
 type peerLoad struct {
-	calls int
-	at    time.Duration
+	Load
+	at time.Duration
+}
+
+// Load is one VM's calls on a server, and the prompt tokens that the server has
+// yet to read for them.
+type Load struct {
+	Calls   int
+	Pending int
 }
 
 // Table holds the records of all listed servers by ID. It is safe for
@@ -83,9 +92,7 @@
 	r.server = s
 	r.missing = 0
 	for m, v := range s.Models {
-		if v > r.versions[m] {
-			r.learn(m, v)
-		}
+		r.learn(m, v)
 	}
 	return false
 }
@@ -96,6 +103,8 @@
 	}
 	if r.versions[model] < version {
 		r.versions[model] = version
+	}
+	if version >= r.awaited {
 		r.reloading = 0
 	}
 }
@@ -173,22 +182,13 @@
 	}
 }
 
-// Reload keeps a server out of choice while it loads weights, until Learn
-// hears of a newer version or reloadLife has passed.
-func (t *Table) Reload(id string, now time.Duration) {
+// Reload keeps an incarnation out of choice while it loads weights, until it is
+// known to run the version or reloadLife has passed.
+func (t *Table) Reload(id string, born int64, model string, version int64, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.servers[id]; r != nil {
-		r.reloading = now + reloadLife
-	}
-}
-
-// Reloaded ends what Reload began.
-func (t *Table) Reloaded(id string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if r := t.servers[id]; r != nil {
-		r.reloading = 0
+	if r := t.servers[id]; r != nil && r.server.Born == born && r.versions[model] < version {
+		r.reloading, r.awaited = now+reloadLife, version
 	}
 }
 
@@ -249,32 +249,42 @@
 	}
 }
 
-// Loads returns the calls of this VM on each server that has any.
-func (t *Table) Loads() map[string]int {
+// Loads returns what this VM has on each server that has any of it.
+func (t *Table) Loads() map[string]Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make(map[string]int)
+	out := make(map[string]Load)
 	for id, r := range t.servers {
 		if r.inFlight > 0 {
-			out[id] = r.inFlight
+			out[id] = Load{Calls: r.inFlight, Pending: r.pending}
 		}
 	}
 	return out
 }
 
 // PeerLoads replaces what another VM told of its calls on servers.
-func (t *Table) PeerLoads(vm string, loads map[string]int, now time.Duration) {
+func (t *Table) PeerLoads(vm string, loads map[string]Load, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, r := range t.servers {
-		if n := loads[id]; n > 0 {
-			r.peers[vm] = peerLoad{calls: n, at: now}
+		if l, ok := loads[id]; ok {
+			r.peers[vm] = peerLoad{Load: l, at: now}
 		} else {
 			delete(r.peers, vm)
 		}
 	}
 }
 
+// Load returns the calls of all VMs on a server.
+func (t *Table) Load(id string, now time.Duration) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.servers[id]; r != nil {
+		return r.status(now).Load
+	}
+	return 0
+}
+
 // Status is what is known of one server.
 type Status struct {
 	Server    Server           `json:"server"`
@@ -301,14 +311,15 @@
 }
 
 func (r *record) status(now time.Duration) Status {
-	load := r.inFlight
+	load, pending := r.inFlight, r.pending
 	for _, p := range r.peers {
 		if now-p.at < peerLife {
-			load += p.calls
+			load += p.Calls
+			pending += p.Pending
 		}
 	}
 	return Status{
-		Server: r.server, Versions: maps.Clone(r.versions), InFlight: r.inFlight, Load: load, Pending: r.pending,
+		Server: r.server, Versions: maps.Clone(r.versions), InFlight: r.inFlight, Load: load, Pending: pending,
 		Resting: now < r.restUntil, Reloading: now < r.reloading, Failures: r.failures,
 	}
 }
--- a/internal/catalog/holder.go
+++ b/internal/catalog/holder.go
@@ -17,9 +17,13 @@
 	// was asked for, by a clock that counts suspension.
 	proved   time.Duration
 	hasProof bool
-	targets  map[string]Named
+	// targets holds the versions named for each model, oldest first.
+	targets map[string][]Named
 }
 
+// namesKept bounds the versions of a model whose naming is remembered.
+const namesKept = 16
+
 // Named is the version that a model should run.
 type Named struct {
 	Version int64
@@ -28,7 +32,7 @@
 }
 
 // NewHolder returns a holder with no catalog.
-func NewHolder() *Holder { return &Holder{targets: make(map[string]Named)} }
+func NewHolder() *Holder { return &Holder{targets: make(map[string][]Named)} }
 
 // Current returns the newest catalog, or nil.
 func (h *Holder) Current() *Catalog { return h.current.Load() }
@@ -48,10 +52,14 @@
 func (h *Holder) Name(model string, version int64, now time.Duration) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.targets[model].Version >= version {
+	list := h.targets[model]
+	if len(list) > 0 && list[len(list)-1].Version >= version {
 		return false
 	}
-	h.targets[model] = Named{Version: version, Learnt: now}
+	if len(list) >= namesKept {
+		list = list[1:]
+	}
+	h.targets[model] = append(list, Named{Version: version, Learnt: now})
 	return true
 }
 
@@ -59,8 +67,24 @@
 func (h *Holder) Named(model string) (Named, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	n, ok := h.targets[model]
-	return n, ok
+	list := h.targets[model]
+	if len(list) == 0 {
+		return Named{}, false
+	}
+	return list[len(list)-1], true
+}
+
+// Outdated returns when the first version above one was named, as far back as
+// is known; false where there is none.
+func (h *Holder) Outdated(model string, version int64) (time.Duration, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, n := range h.targets[model] {
+		if n.Version > version {
+			return n.Learnt, true
+		}
+	}
+	return 0, false
 }
 
 // Targets returns a copy of the versions that models should run.
@@ -68,8 +92,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	out := make(map[string]Named, len(h.targets))
-	for m, n := range h.targets {
-		out[m] = n
+	for m, list := range h.targets {
+		out[m] = list[len(list)-1]
 	}
 	return out
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -24,10 +24,14 @@
 	plainCost = 20.0
 	// zoneCost stands for the bytes of a call between zones, which are priced.
 	zoneCost = 12.0
-	// oldCost stands for the credit lost by beginning on weights that were
-	// replaced; it grows with their age up to lateCost.
-	oldCost  = 30.0
-	lateCost = 300.0
+	// oldCost prefers engines with the newest weights; lateCost stands for the
+	// credit lost by beginning on weights that were replaced a while ago.
+	oldCost  = 10.0
+	lateCost = 150.0
+	// tardyPart is the part of a call's goal that the expected delay may take;
+	// each millisecond beyond costs tardyRate more.
+	tardyPart = 0.6
+	tardyRate = 3.0
 	// restCost keeps servers that failed for calls that have no other.
 	restCost = 2000.0
 	// reloadCost is the wait for an engine that loads weights.
@@ -108,8 +112,8 @@
 	if s.Reloading {
 		cost += reloadCost
 	}
-	if named, ok := g.catalog.Named(model); ok && c.version < named.Version {
-		age := now - named.Learnt
+	if since, ok := g.catalog.Outdated(model, c.version); ok {
+		age := now - since
 		switch {
 		case age > time.Duration(g.settings.Bounds.Version)-versionMargin:
 			return c, 0, false
@@ -120,8 +124,8 @@
 		}
 	}
 	c.salt = saltOf(model, c.version, f.team)
-	transfer := g.source(&c, f, s, all)
-	cost += transfer + float64(c.missing+s.Pending)/readRate + callCost*float64(s.Load)
+	delay := g.source(&c, f, s, all) + float64(c.missing+s.Pending)/readRate + callCost*float64(s.Load)
+	cost += delay + tardyRate*max(0, delay-tardyPart*float64(f.route.Goal.Milliseconds()))
 	if over := s.Load + 1 - s.Server.Slots; s.Server.Slots > 0 && over > 0 {
 		cost += queueCost * float64(over)
 	}
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -45,11 +45,16 @@
 	m := &gossip.Message{Parts: g.news.parts, Versions: g.news.versions}
 	g.news.parts, g.news.versions = nil, nil
 	g.news.mu.Unlock()
-	m.Usage, m.Loads = g.quota.Totals(), g.table.Loads()
 	g.broadcast(m)
 }
 
+// broadcast sends a message with the VM's present charges and loads.
 func (g *Gateway) broadcast(m *gossip.Message) {
+	m.Usage = g.quota.Totals()
+	m.Loads = make(map[string]gossip.Load)
+	for id, l := range g.table.Loads() {
+		m.Loads[id] = gossip.Load{Calls: l.Calls, Pending: l.Pending}
+	}
 	if err := g.node.Tell(m); err != nil {
 		event.PeerUnreached.Log(g.log, err, nil)
 	}
@@ -57,7 +62,7 @@
 
 // leave tells the other VMs that this one ends.
 func (g *Gateway) leave() {
-	g.broadcast(&gossip.Message{Usage: g.quota.Totals(), Leaving: true})
+	g.broadcast(&gossip.Message{Leaving: true})
 }
 
 // hear takes in a message of another VM.
@@ -67,9 +72,13 @@
 		event.PeerJoined.Log(g.log, nil, log.Fields{"peer": m.VM, "zone": m.Zone, "epoch": m.Epoch})
 	}
 	g.quota.Hear(m.VM, m.Epoch, m.Usage, now)
-	g.table.PeerLoads(m.VM, m.Loads, now)
-	for _, id := range m.Reloading {
-		g.table.Reload(id, now)
+	loads := make(map[string]backend.Load, len(m.Loads))
+	for id, l := range m.Loads {
+		loads[id] = backend.Load{Calls: l.Calls, Pending: l.Pending}
+	}
+	g.table.PeerLoads(m.VM, loads, now)
+	for _, v := range m.Reloading {
+		g.table.Reload(v.Engine, v.Born, v.Model, v.Version, now)
 	}
 	for _, v := range m.Versions {
 		g.table.Learn(v.Engine, v.Born, v.Model, v.Version)
@@ -106,12 +115,11 @@
 type announcer struct{ g *Gateway }
 
 // Reloading implements weights.Announcer.
-func (a announcer) Reloading(ids []string) {
-	now := a.g.now()
-	for _, id := range ids {
-		a.g.table.Reload(id, now)
-	}
-	a.g.broadcast(&gossip.Message{Usage: a.g.quota.Totals(), Loads: a.g.table.Loads(), Reloading: ids})
+func (a announcer) Reloading(s backend.Server, model string, version int64) {
+	a.g.table.Reload(s.ID, s.Born, model, version, a.g.now())
+	a.g.broadcast(&gossip.Message{
+		Reloading: []gossip.Version{{Engine: s.ID, Born: s.Born, Model: model, Version: version}},
+	})
 }
 
 // Reloaded implements weights.Announcer.
@@ -119,7 +127,6 @@
 	a.g.table.Learn(s.ID, s.Born, model, version)
 	event.EngineReloaded.Log(a.g.log, nil, log.Fields{"engine": s.ID, "model": model, "version": version})
 	a.g.broadcast(&gossip.Message{
-		Usage: a.g.quota.Totals(), Loads: a.g.table.Loads(),
 		Versions: []gossip.Version{{Engine: s.ID, Born: s.Born, Model: model, Version: version}},
 	})
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -19,9 +19,9 @@
 	// Usage is what the sender charged to each team since its start, in tokens.
 	Usage map[string]float64 `cbor:"6,keyasint,omitempty"`
 	// Loads is the sender's calls in progress on each backend server.
-	Loads map[string]int `cbor:"7,keyasint,omitempty"`
-	// Reloading are engines that are about to load weights.
-	Reloading []string  `cbor:"8,keyasint,omitempty"`
+	Loads map[string]Load `cbor:"7,keyasint,omitempty"`
+	// Reloading are engines that are about to load weights, with those weights.
+	Reloading []Version `cbor:"8,keyasint,omitempty"`
 	Versions  []Version `cbor:"9,keyasint,omitempty"`
 	Parts     []Part    `cbor:"10,keyasint,omitempty"`
 	// Leaving is set in the last message of a process.
@@ -30,6 +30,13 @@
 	Hello bool `cbor:"12,keyasint,omitempty"`
 }
 
+// Load is the calls on a server, and the prompt tokens not yet read for them.
+type Load struct {
+	_       struct{} `cbor:",toarray"`
+	Calls   int
+	Pending int
+}
+
 // Version is the version of a model that an incarnation of an engine runs.
 type Version struct {
 	_       struct{} `cbor:",toarray"`
--- a/internal/weights/orderer.go
+++ b/internal/weights/orderer.go
@@ -34,6 +34,11 @@
 	// notice is how long before an order the other VMs are told: one message
 	// between zones, and a wake-up.
 	notice = 40 * time.Millisecond
+	// emptying bounds the wait for an engine's running calls before its order;
+	// the engine itself waits for those that remain.
+	emptying = 1200 * time.Millisecond
+	// glance is the pause between two looks at an engine that empties.
+	glance = 30 * time.Millisecond
 	// look is the pause between two looks at an engine that loads.
 	look = 150 * time.Millisecond
 	// repeat is after how long an order whose answer was lost is given again if
@@ -79,8 +84,8 @@
 
 // Announcer tells the other VMs of orders.
 type Announcer interface {
-	// Reloading tells that engines are about to load.
-	Reloading(ids []string)
+	// Reloading tells that an incarnation is about to load a version.
+	Reloading(s backend.Server, model string, version int64)
 	// Reloaded tells which version an incarnation now runs.
 	Reloaded(s backend.Server, model string, version int64)
 }
@@ -104,13 +109,16 @@
 	mu sync.Mutex // guards the fields below
 	// loading holds the engines that are being worked on, by ID.
 	loading map[string]bool
+	// ordered counts the engines of each service that were ordered to load and
+	// are not known to have done so.
+	ordered map[string]int
 	rested  map[string]time.Duration
 	running sync.WaitGroup
 }
 
 // New returns an orderer; Step makes it work.
 func New(o Options) *Orderer {
-	return &Orderer{options: o, loading: make(map[string]bool), rested: make(map[string]time.Duration)}
+	return &Orderer{options: o, loading: make(map[string]bool), ordered: make(map[string]int), rested: make(map[string]time.Duration)}
 }
 
 // task is an engine that runs an older version than was named.
@@ -137,7 +145,7 @@
 	for _, t := range o.pick(tasks, sizes) {
 		o.running.Go(func() {
 			defer o.done(t.server.Server.ID)
-			o.load(ctx, t)
+			o.load(ctx, t, atOnce(sizes[t.server.Server.Service]))
 		})
 	}
 }
@@ -165,6 +173,13 @@
 	return out, sizes
 }
 
+// atOnce returns how many of a service's engines may load together.
+func atOnce(size int) int { return max(least, size/share) }
+
+// inWork returns how many engines are kept free of new calls together: those
+// that load, and those that empty so as to load next.
+func inWork(size int) int { return atOnce(size) + atOnce(size)/2 + 1 }
+
 // pick takes the tasks to start on now: the oldest versions first, spread over
 // zones, the idlest engine first.
 func (o *Orderer) pick(tasks []task, sizes map[string]int) []task {
@@ -183,15 +198,15 @@
 	for {
 		free := slices.DeleteFunc(slices.Clone(tasks), func(t task) bool {
 			s := t.server.Server
-			return o.loading[s.ID] || now < o.rested[s.ID] || inService[s.Service] >= max(least, sizes[s.Service]/share)
+			return o.loading[s.ID] || now < o.rested[s.ID] || inService[s.Service] >= inWork(sizes[s.Service])
 		})
 		if len(free) == 0 {
 			return picked
 		}
 		t := slices.MinFunc(free, func(a, b task) int {
 			return cmp.Or(
-				cmp.Compare(inZone[a.server.Server.Zone], inZone[b.server.Server.Zone]),
 				cmp.Compare(a.server.Versions[a.model], b.server.Versions[b.model]),
+				cmp.Compare(inZone[a.server.Server.Zone], inZone[b.server.Server.Zone]),
 				cmp.Compare(a.server.Load, b.server.Load),
 				cmp.Compare(a.server.Server.ID, b.server.Server.ID))
 		})
@@ -223,13 +238,14 @@
 
 // load works on one engine until it runs the newest version of a model, or
 // until this VM may not or cannot.
-func (o *Orderer) load(ctx context.Context, t task) {
+func (o *Orderer) load(ctx context.Context, t task, atOnce int) {
 	s := t.server.Server
-	o.options.Announce.Reloading([]string{s.ID})
-	if !sleep(ctx, notice) {
+	o.options.Announce.Reloading(s, t.model, t.version)
+	if !sleep(ctx, notice) || !o.emptied(ctx, s, atOnce) {
 		return
 	}
-	began := o.options.Now()
+	defer o.loaded(s.Service)
+	began, announced := o.options.Now(), t.version
 	var ordered time.Duration
 	var expect int64 = -1
 	for o.options.Now()-began < patience {
@@ -249,6 +265,10 @@
 			if !held {
 				return
 			}
+			if announced < target.Version {
+				o.options.Announce.Reloading(s, t.model, target.Version)
+				announced = target.Version
+			}
 			expect, ordered = rep.Orders, o.options.Now()
 			if err := o.order(ctx, s, Order{Model: t.model, Version: target.Version, Holder: o.options.Holder, Fence: fence, Expect: expect}); err != nil {
 				if errors.Is(err, ErrOther) || errors.Is(err, ErrRefused) {
@@ -265,6 +285,40 @@
 	o.failed(s, "load", context.DeadlineExceeded)
 }
 
+// emptied waits until an engine has no calls, or long enough, and until it may
+// load beside others. It reports false if the duty ended meanwhile.
+func (o *Orderer) emptied(ctx context.Context, s backend.Server, atOnce int) bool {
+	for began := o.options.Now(); ; {
+		if _, held := o.options.Duty.Held(); !held {
+			return false
+		}
+		empty := o.options.Table.Load(s.ID, o.options.Now()) == 0 || o.options.Now()-began > emptying
+		if empty && o.turn(s.Service, atOnce) {
+			return true
+		}
+		if !sleep(ctx, glance) {
+			return false
+		}
+	}
+}
+
+// turn takes one of the places to load, if one is free.
+func (o *Orderer) turn(service string, atOnce int) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.ordered[service] >= atOnce {
+		return false
+	}
+	o.ordered[service]++
+	return true
+}
+
+func (o *Orderer) loaded(service string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ordered[service]--
+}
+
 func (o *Orderer) failed(s backend.Server, step string, err error) {
 	event.OrderFailed.Log(o.options.Log, err, log.Fields{"engine": s.ID, "step": step})
 	o.rest(s.ID)
