Give out part of the excess that quotas allow; log what an attempt was chosen by

Cause of refusals inside quotas: an account that holds no more than one burst refuses clumps which the rule, a sum over eight seconds with a tenth and 72,000 tokens on top, allows. Half of that excess is now given out; the rest covers the lag between VMs.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -57,8 +57,11 @@
 	version int64
 	salt    string
 	fetch   string
-	// missing are the prompt tokens that the engine is expected to read.
+	// missing are the prompt tokens that the engine is expected to read; pending
+	// and load are what it had to do for other calls.
 	missing int
+	pending int
+	load    int
 }
 
 // saltOf names the cache that calls of a team share for a version of a model.
@@ -89,7 +92,7 @@
 
 // weigh returns what an attempt at a server is expected to cost.
 func (g *Gateway) weigh(f *flight, s backend.Status, all []backend.Status, now time.Duration) (choice, float64, bool) {
-	c := choice{server: s.Server}
+	c := choice{server: s.Server, pending: s.Pending, load: s.Load}
 	cost := rand.Float64() * spread
 	if s.Server.Zone != g.settings.Zone {
 		cost += zoneCost
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -57,13 +57,17 @@
 	g.meters.count("calls_" + outcome)
 	took := g.now() - f.began
 	fields := log.Fields{
-		"request": f.call.ID, "outcome": f.outcome, "status": f.status, "server": f.server,
+		"request": f.call.ID, "outcome": f.outcome, "status": f.status, "server": f.last.server.ID,
 		"sent": f.sent, "runs": f.runs, "ms": took.Milliseconds(),
 	}
 	if f.route != nil {
 		fields["route"] = f.route.Name
 		g.meters.took("call_us", took)
 	}
+	if f.call.Prompt.Model != "" && f.sent > 0 {
+		fields["version"], fields["missing"], fields["pending"] = f.last.version, f.last.missing, f.last.pending
+		fields["load"], fields["fetch"] = f.last.load, f.last.fetch
+	}
 	if f.team != nil {
 		fields["team"] = f.team.Name
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -52,7 +52,8 @@
 	// charged are the tokens that the team was charged.
 	charged float64
 	outcome string
-	server  string
+	// last is the choice of the last attempt.
+	last choice
 	status  int
 	first   time.Duration
 }
@@ -142,7 +143,7 @@
 	if f.call.Sized {
 		tokens = float64(f.call.Prompt.Input + f.call.Prompt.Output)
 	}
-	ok, wait := g.quota.Take(f.team.Name, limitsOf(f.team), tokens, g.now())
+	ok, wait := g.quota.Take(f.team.Name, g.limitsOf(f.team), tokens, g.now())
 	if !ok {
 		return &Refusal{Reason: OverRate, After: max(wait, comeBack)}
 	}
@@ -224,7 +225,7 @@
 		g.retries.Call(f.service, g.now())
 	}
 	f.sent++
-	f.server = c.server.ID
+	f.last = c
 	g.read(f, c, a.Save != "")
 	ans, err := g.servers.Send(ctx, a)
 	switch {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -50,6 +50,11 @@
 	Repeats float64         `json:"repeats"`
 	Spare   float64         `json:"spare"`
 	Window  config.Duration `json:"window"`
+	// A team's rate counts as exceeded when it used, within Span, a part of
+	// Over more than its rate and burst allow, and Slack tokens beside.
+	Span  config.Duration `json:"span"`
+	Over  float64         `json:"over"`
+	Slack float64         `json:"slack"`
 }
 
 // LoadSettings reads and checks a settings file; it reports all problems at once.
@@ -90,11 +95,15 @@
 	}{
 		{"bounds.revoke", s.Bounds.Revoke}, {"bounds.leave", s.Bounds.Leave}, {"bounds.grace", s.Bounds.Grace},
 		{"bounds.lease", s.Bounds.Lease}, {"bounds.version", s.Bounds.Version}, {"bounds.window", s.Bounds.Window},
+		{"bounds.span", s.Bounds.Span},
 	} {
 		if time.Duration(f.value) <= 0 {
 			report(f.name, "not above zero; write a time such as \"5s\"")
 		}
 	}
+	if s.Bounds.Over < 0 || s.Bounds.Slack < 0 {
+		report("bounds.over", "below zero; write a part of the rate such as 0.1")
+	}
 	if s.Bounds.Repeats < 0 || s.Bounds.Spare < 0 {
 		report("bounds.repeats", "below zero; write a part of the calls such as 0.2")
 	}
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/marjoramrock/marjoramrock/internal/backend"
@@ -23,7 +24,15 @@
 	versions []gossip.Version
 }
 
-func limitsOf(t *catalog.Team) quota.Limits { return quota.Limits{Rate: t.Rate, Burst: t.Burst} }
+// sparePart is the part of what a team may exceed its rate by that is given
+// out; the rest covers calls of which the VMs have not told each other yet.
+const sparePart = 0.5
+
+func (g *Gateway) limitsOf(t *catalog.Team) quota.Limits {
+	b := g.settings.Bounds
+	over := b.Over*(t.Rate*time.Duration(b.Span).Seconds()+t.Burst) + b.Slack
+	return quota.Limits{Rate: t.Rate, Burst: t.Burst, Spare: sparePart * over}
+}
 
 func (g *Gateway) tellPart(h parts.Holder, salt string, p parts.Part) {
 	g.news.mu.Lock()
--- a/internal/quota/fleet.go
+++ b/internal/quota/fleet.go
@@ -17,8 +17,13 @@
 type Limits struct {
 	Rate  float64
 	Burst float64
+	// Spare is what a team may use beyond both before its rate counts as
+	// exceeded, as far as the estimate may use it up.
+	Spare float64
 }
 
+func (l Limits) most() float64 { return l.Burst + l.Spare }
+
 // account is the estimate for one team.
 type account struct {
 	limits Limits
@@ -43,34 +48,34 @@
 
 // Fleet estimates what teams have left. It is safe for concurrent use.
 type Fleet struct {
-	// part of a burst that an account starts with.
-	start float64
+	// full accounts start with all that they may hold, others with half of
+	// their spare.
+	full bool
 
 	mu       sync.Mutex // guards the fields below
 	accounts map[string]*account
 	peers    map[string]*peer
 }
 
-// NewFleet returns a Fleet. Full accounts start with the whole burst, others
-// empty: a VM that joins does not know what was used before.
+// NewFleet returns a Fleet. Full accounts start with the whole burst; else a VM
+// that joins does not know what was used before.
 func NewFleet(full bool) *Fleet {
-	f := &Fleet{accounts: make(map[string]*account), peers: make(map[string]*peer)}
-	if full {
-		f.start = 1
-	}
-	return f
+	return &Fleet{full: full, accounts: make(map[string]*account), peers: make(map[string]*peer)}
 }
 
 func (f *Fleet) account(team string, l Limits, now time.Duration) *account {
 	a := f.accounts[team]
 	if a == nil {
-		a = &account{limits: l, level: l.Burst * f.start, at: now}
+		a = &account{limits: l, level: l.Spare / 2, at: now}
+		if f.full {
+			a.level = l.most()
+		}
 		f.accounts[team] = a
 	}
 	if a.limits != l {
 		a.refill(now)
 		a.limits = l
-		a.level = min(a.level, l.Burst)
+		a.level = min(a.level, l.most())
 	}
 	a.refill(now)
 	return a
@@ -78,7 +83,7 @@
 
 func (a *account) refill(now time.Duration) {
 	if now > a.at {
-		a.level = min(a.limits.Burst, a.level+a.limits.Rate*(now-a.at).Seconds())
+		a.level = min(a.limits.most(), a.level+a.limits.Rate*(now-a.at).Seconds())
 		a.at = now
 	}
 }
@@ -93,8 +98,8 @@
 	defer f.mu.Unlock()
 	f.accrue(now)
 	a := f.account(team, l, now)
-	// A call above the burst can only start from a full account.
-	need := min(tokens, l.Burst)
+	// A call above what an account can hold starts from a full one.
+	need := min(tokens, l.most())
 	if a.level < need {
 		return false, time.Duration((need - a.level) / l.Rate * float64(time.Second))
 	}
@@ -108,7 +113,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if a := f.accounts[team]; a != nil {
-		a.level = min(a.limits.Burst, a.level+tokens)
+		a.level = min(a.limits.most(), a.level+tokens)
 		a.own -= tokens
 	}
 }
@@ -133,10 +138,10 @@
 	f.accrue(now)
 	p := f.peers[vm]
 	if p == nil || p.epoch != epoch {
-		first := p == nil && !f.knows(now)
+		first := p == nil && !f.full
 		p = &peer{epoch: epoch, totals: make(map[string]float64), assumed: make(map[string]float64)}
 		f.peers[vm] = p
-		if first || f.start == 0 {
+		if first {
 			// What it charged before this VM knew of it is not in the level.
 			for team, n := range totals {
 				p.totals[team] = n
@@ -149,23 +154,13 @@
 		p.totals[team] = n
 		if a := f.accounts[team]; a != nil {
 			a.refill(now)
-			a.level = min(a.limits.Burst, a.level-(used-p.assumed[team]))
+			a.level = min(a.limits.most(), a.level-(used-p.assumed[team]))
 		}
 		delete(p.assumed, team)
 	}
 	clear(p.assumed)
 }
 
-// knows reports whether any other VM was heard lately.
-func (f *Fleet) knows(now time.Duration) bool {
-	for _, p := range f.peers {
-		if now-p.heard < silence {
-			return true
-		}
-	}
-	return false
-}
-
 // Leave forgets a VM that has ended.
 func (f *Fleet) Leave(vm string) {
 	f.mu.Lock()
