--- a/internal/weights/orderer.go
+++ b/internal/weights/orderer.go
@@ -236,8 +236,9 @@
 	o.rested[id] = now + rest
 }
 
-// load works on one engine until it runs the newest version of a model, or
-// until this VM may not or cannot.
+// load works on one engine until it runs a newer version of a model, or until
+// this VM may not or cannot. A version that is named meanwhile waits for its
+// turn, since engines with older weights go first.
 func (o *Orderer) load(ctx context.Context, t task, atOnce int) {
 	s := t.server.Server
 	o.options.Announce.Reloading(s, t.model, t.version)
@@ -255,7 +256,7 @@
 			return
 		}
 		target, _ := o.options.Catalog.Named(t.model)
-		if rep.Models[t.model] >= target.Version {
+		if rep.Models[t.model] > t.server.Versions[t.model] {
 			o.options.Announce.Reloaded(s, t.model, rep.Models[t.model])
 			return
 		}
