--- a/internal/catalog/holder.go
+++ b/internal/catalog/holder.go
@@ -1,6 +1,8 @@
 package catalog
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,6 +65,31 @@
 	return true
 }
 
+// Remember takes in when a version was named, as another process learnt it.
+func (h *Holder) Remember(model string, version int64, learnt time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	list := h.targets[model]
+	i, found := slices.BinarySearchFunc(list, version, func(n Named, v int64) int { return cmp.Compare(n.Version, v) })
+	if found {
+		list[i].Learnt = min(list[i].Learnt, learnt)
+		return
+	}
+	list = slices.Insert(list, i, Named{Version: version, Learnt: learnt})
+	h.targets[model] = list[max(0, len(list)-namesKept):]
+}
+
+// Names returns a copy of the versions named for each model, oldest first.
+func (h *Holder) Names() map[string][]Named {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make(map[string][]Named, len(h.targets))
+	for m, list := range h.targets {
+		out[m] = slices.Clone(list)
+	}
+	return out
+}
+
 // Named returns the version that a model should run; false where none was named.
 func (h *Holder) Named(model string) (Named, bool) {
 	h.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,6 +91,7 @@
 	node    *gossip.Node
 	duty    *lease.Lease
 	orderer *weights.Orderer
+	history *weights.History
 	news    news
 
 	draining atomic.Bool
@@ -128,8 +129,9 @@
 	g.duty = lease.New(a.Store(), "orders", holder, lease.Times{
 		Life: leaseLife, Margin: leaseMargin, Pause: time.Duration(s.Bounds.Lease) + leasePause,
 	}, timer.Boot)
+	g.history = weights.NewHistory(a.Store(), g.catalog, timer.Boot)
 	g.orderer = weights.New(weights.Options{
-		Holder: holder, Catalog: g.catalog, Table: g.table, Engines: a, Duty: g.duty, Announce: announcer{g},
+		Holder: holder, Catalog: g.catalog, Table: g.table, Engines: a, Duty: g.duty, History: g.history, Announce: announcer{g},
 		Now: timer.Boot, Log: g.log,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -157,11 +159,7 @@
 	g.working.Go(func() { g.join(ctx) })
 	g.subs = append(g.subs,
 		g.clock.Every(tellPeriod, g.tell),
-		g.clock.Every(orderPeriod, func() {
-			if !g.draining.Load() {
-				g.orderer.Step(ctx)
-			}
-		}),
+		g.clock.Every(orderPeriod, func() { g.orderer.Step(ctx) }),
 		g.clock.Every(tidyPeriod, g.tidy),
 	)
 }
@@ -238,6 +236,10 @@
 func (g *Gateway) meet(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTime)
 	defer cancel()
+	if err := g.history.Load(ctx); err != nil {
+		event.HistoryUnsaved.Log(g.log, err, log.Fields{"step": "load"})
+		return err
+	}
 	if err := g.adapter.Store().Join(ctx, g.settings.VM, g.settings.Peer); err != nil {
 		event.ListUnread.Log(g.log, err, log.Fields{"step": "join"})
 		return err
@@ -268,7 +270,8 @@
 // Meters returns the metrics as text lines.
 func (g *Gateway) Meters(w http.ResponseWriter, _ *http.Request) { g.meters.write(w) }
 
-// Drain stops new work: the gateway is no longer ready and gives no orders.
+// Drain announces the end: the gateway is no longer ready. It goes on to serve
+// and to order until Close.
 func (g *Gateway) Drain() {
 	g.draining.Store(true)
 	event.Draining.Log(g.log, nil, log.Fields{"calls": g.inFlight.Load()})
--- a/internal/weights/orderer.go
+++ b/internal/weights/orderer.go
@@ -97,6 +97,7 @@
 	Table    *backend.Table
 	Engines  Engines
 	Duty     Duty
+	History  *History
 	Announce Announcer
 	Now      func() time.Duration
 	Log      log.Interface
@@ -142,6 +143,9 @@
 	if !held {
 		return
 	}
+	if err := o.options.History.Save(ctx); err != nil {
+		event.HistoryUnsaved.Log(o.options.Log, err, nil)
+	}
 	for _, t := range o.pick(tasks, sizes) {
 		o.running.Go(func() {
 			defer o.done(t.server.Server.ID)
