--- /dev/null
+++ b/internal/backend/table_test.go
@@ -0,0 +1,115 @@
+package backend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func engineAt(version int64) Server {
+	return Server{ID: "e", Born: 1, Service: "s", Address: "1:1", Models: map[string]int64{"m": version}}
+}
+
+func only(t *testing.T, table *Table, now time.Duration) Status {
+	t.Helper()
+	list := table.Of("s", now)
+	require.Len(t, list, 1)
+	return list[0]
+}
+
+func TestNewIncarnationVoidsWhatWasKnown(t *testing.T) {
+	table := NewTable()
+	require.True(t, table.Put(engineAt(1)))
+	table.Begin("e", 100)
+	table.Failed("e", 0)
+	require.False(t, table.Put(engineAt(1)))
+	again := engineAt(1)
+	again.Born = 2
+	require.True(t, table.Put(again))
+	s := only(t, table, 0)
+	require.Zero(t, s.InFlight)
+	require.False(t, s.Resting)
+	// The end of a call that the former incarnation had counts for nothing.
+	table.End("e")
+	require.Zero(t, only(t, table, 0).InFlight)
+}
+
+func TestReloadLastsUntilTheAwaitedVersion(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(*Table)
+		at   time.Duration
+		want bool
+	}{
+		{"announced", func(*Table) {}, 0, true},
+		{"the list shows an older version", func(table *Table) { table.Put(engineAt(2)) }, 0, true},
+		{"the awaited version is learnt", func(table *Table) { table.Learn("e", 1, "m", 3) }, 0, false},
+		{"a former incarnation says so", func(table *Table) { table.Learn("e", 0, "m", 3) }, 0, true},
+		{"nothing was heard for long", func(*Table) {}, reloadLife, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			table := NewTable()
+			table.Put(engineAt(1))
+			table.Reload("e", 1, "m", 3, 0)
+			tt.do(table)
+			require.Equal(t, tt.want, only(t, table, tt.at).Reloading)
+		})
+	}
+}
+
+func TestReloadOfAVersionThatRunsIsNothing(t *testing.T) {
+	table := NewTable()
+	table.Put(engineAt(3))
+	table.Reload("e", 1, "m", 3, 0)
+	require.False(t, only(t, table, 0).Reloading)
+}
+
+func TestCorrectAlsoLowersAVersion(t *testing.T) {
+	table := NewTable()
+	table.Put(engineAt(3))
+	table.Correct("e", 1, "m", 2)
+	require.Equal(t, int64(2), table.Version("e", "m"))
+}
+
+func TestRestGrowsWithFailuresInARow(t *testing.T) {
+	table := NewTable()
+	table.Put(engineAt(1))
+	table.Failed("e", 0)
+	require.True(t, only(t, table, minimumRest-1).Resting)
+	require.False(t, only(t, table, minimumRest).Resting)
+	table.Failed("e", 0)
+	require.True(t, only(t, table, minimumRest).Resting)
+	for range 20 {
+		table.Failed("e", 0)
+	}
+	require.False(t, only(t, table, maximumRest).Resting)
+	table.Succeeded("e")
+	require.False(t, only(t, table, 0).Resting)
+}
+
+func TestPeerLoadsAreBelievedForAWhile(t *testing.T) {
+	table := NewTable()
+	table.Put(engineAt(1))
+	table.Begin("e", 10)
+	table.PeerLoads("vm2", map[string]Load{"e": {Calls: 3, Pending: 50}}, 0)
+	s := only(t, table, 0)
+	require.Equal(t, 4, s.Load)
+	require.Equal(t, 60, s.Pending)
+	require.Equal(t, 1, only(t, table, peerLife).Load)
+	table.PeerLoads("vm2", nil, 0)
+	require.Equal(t, 1, only(t, table, 0).Load)
+}
+
+func TestMissingServersExpire(t *testing.T) {
+	table := NewTable()
+	table.Put(engineAt(1))
+	table.Miss("e", time.Second)
+	require.Empty(t, table.Expire(2*time.Second, 2*time.Second))
+	table.Put(engineAt(1))
+	require.Empty(t, table.Expire(9*time.Second, 2*time.Second), "it came back")
+	table.Miss("e", time.Second)
+	require.Equal(t, []string{"e"}, table.Expire(3*time.Second, 2*time.Second))
+	require.Empty(t, table.Of("s", 0))
+}
--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,129 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestMatchTakesTheLongestPrefix(t *testing.T) {
+	c := New(1, []*Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/x/"},
+	}, nil, nil)
+	tests := []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"A.Example", "/x/y/1", "long"},
+		{"a.example", "/x/y", "short"},
+		{"b.example", "/x/y/1", "other"},
+		{"a.example", "/z/", ""},
+		{"c.example", "/x/", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.host+tt.path, func(t *testing.T) {
+			r := c.Match(tt.host, tt.path)
+			if tt.want == "" {
+				require.Nil(t, r)
+				return
+			}
+			require.NotNil(t, r)
+			require.Equal(t, tt.want, r.Name)
+		})
+	}
+}
+
+func TestTeamOfKey(t *testing.T) {
+	c := New(1, nil, nil, []*Team{{Name: "a", Keys: []string{"k1", "k2"}}, {Name: "b", Keys: []string{"k3"}}})
+	require.Equal(t, "a", c.TeamOf("k2").Name)
+	require.Equal(t, "b", c.TeamOf("k3").Name)
+	require.Nil(t, c.TeamOf("k4"))
+	require.Nil(t, c.TeamOf(""))
+	require.True(t, c.Keyed())
+}
+
+func TestShelfOfTheZoneGoesFirst(t *testing.T) {
+	c := New(1, nil, []*Service{
+		{Name: "s1", Shelf: &Shelf{Address: "1", Zone: "a"}},
+		{Name: "s2", Shelf: &Shelf{Address: "2", Zone: "b"}},
+		{Name: "s3"},
+	}, nil)
+	require.Equal(t, "2", c.Shelf("b").Address)
+	require.Equal(t, "1", c.Shelf("a").Address)
+	require.Equal(t, "1", c.Shelf("c").Address)
+}
+
+func TestRepeatable(t *testing.T) {
+	tests := []struct {
+		name  string
+		route Route
+		want  bool
+	}{
+		{"idempotent", Route{Kind: Idempotent}, true},
+		{"once", Route{Kind: Once}, false},
+		{"stream", Route{Kind: Stream}, false},
+		{"stream that may be resumed", Route{Kind: Stream, Resumable: true}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { require.Equal(t, tt.want, tt.route.Repeatable()) })
+	}
+}
+
+func TestHolderMovesForwardOnly(t *testing.T) {
+	h := NewHolder()
+	require.Nil(t, h.Current())
+	require.True(t, h.Put(New(3, nil, nil, nil)))
+	require.False(t, h.Put(New(2, nil, nil, nil)))
+	require.False(t, h.Put(New(3, nil, nil, nil)))
+	require.Equal(t, int64(3), h.Current().Version())
+
+	require.True(t, h.Name("m", 2, 10))
+	require.False(t, h.Name("m", 1, 20))
+	n, ok := h.Named("m")
+	require.True(t, ok)
+	require.Equal(t, Named{Version: 2, Learnt: 10}, n)
+}
+
+func TestProofIsAgedFromTheNewestQuestion(t *testing.T) {
+	h := NewHolder()
+	_, ok := h.Age(5 * time.Second)
+	require.False(t, ok)
+	h.Prove(3 * time.Second)
+	h.Prove(2 * time.Second)
+	age, ok := h.Age(5 * time.Second)
+	require.True(t, ok)
+	require.Equal(t, 2*time.Second, age)
+}
+
+// An engine's weights are outdated since the first version above them was
+// named, not since the newest one.
+func TestOutdatedCountsFromTheFirstNewerVersion(t *testing.T) {
+	h := NewHolder()
+	h.Name("m", 1, 0)
+	h.Name("m", 2, 2*time.Second)
+	h.Name("m", 3, 5*time.Second)
+	since, ok := h.Outdated("m", 1)
+	require.True(t, ok)
+	require.Equal(t, 2*time.Second, since)
+	since, ok = h.Outdated("m", 2)
+	require.True(t, ok)
+	require.Equal(t, 5*time.Second, since)
+	_, ok = h.Outdated("m", 3)
+	require.False(t, ok)
+}
+
+// A process that starts late learns from the record when versions were named.
+func TestRememberMovesNamingsBack(t *testing.T) {
+	h := NewHolder()
+	h.Name("m", 3, 100*time.Second)
+	h.Remember("m", 3, 95*time.Second)
+	h.Remember("m", 2, 92*time.Second)
+	h.Remember("m", 3, 97*time.Second)
+	since, ok := h.Outdated("m", 1)
+	require.True(t, ok)
+	require.Equal(t, 92*time.Second, since)
+	since, _ = h.Outdated("m", 2)
+	require.Equal(t, 95*time.Second, since)
+	require.Equal(t, []Named{{2, 92 * time.Second}, {3, 95 * time.Second}}, h.Names()["m"])
+}
--- /dev/null
+++ b/internal/feed/follower_test.go
@@ -0,0 +1,121 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+)
+
+// script answers the calls of a follower one after another.
+type script struct {
+	t     *testing.T
+	steps []answer
+}
+
+type answer struct {
+	all  bool
+	page Page
+	err  error
+}
+
+func (s *script) next(all bool) (Page, error) {
+	require.NotEmpty(s.t, s.steps)
+	a := s.steps[0]
+	s.steps = s.steps[1:]
+	require.Equal(s.t, a.all, all)
+	return a.page, a.err
+}
+
+func (s *script) All(context.Context) (Page, error) { return s.next(true) }
+
+func (s *script) After(context.Context, int64, time.Duration) (Page, error) { return s.next(false) }
+
+type seen struct {
+	put     []string
+	missing []string
+	proofs  int
+}
+
+func follow(t *testing.T, now *time.Duration, steps ...answer) *seen {
+	t.Helper()
+	out := &seen{}
+	src := &script{t: t, steps: steps}
+	f := New(Options{
+		Source: src, Now: func() time.Duration { return *now }, Log: &log.Logger{Handler: discard.New()},
+		Put: func(r Row) {
+			text := r.Key + "=" + string(r.Value)
+			if r.Removed {
+				text = r.Key + " removed"
+			}
+			out.put = append(out.put, text)
+		},
+		Missing: func(key string) { out.missing = append(out.missing, key) },
+		Proved:  func(time.Duration) { out.proofs++ },
+	})
+	for len(src.steps) > 0 {
+		err := f.step(context.Background())
+		switch {
+		case errors.Is(err, ErrHistory):
+			f.whole = false
+		case err != nil:
+			f.failed(err)
+		}
+	}
+	return out
+}
+
+func row(key string, version int64, value string) Row {
+	return Row{Key: key, Version: version, Value: []byte(value)}
+}
+
+func TestFollowerReadsAllThenChanges(t *testing.T) {
+	now := time.Duration(0)
+	out := follow(t, &now,
+		answer{all: true, page: Page{Rows: []Row{row("a", 1, "1"), row("b", 2, "2")}, Version: 5}},
+		answer{page: Page{Rows: []Row{row("a", 6, "3"), {Key: "b", Version: 7, Removed: true}}, Version: 7}},
+		answer{page: Page{Version: 7}},
+	)
+	require.Equal(t, []string{"a=1", "b=2", "a=3", "b removed"}, out.put)
+	require.Equal(t, 3, out.proofs)
+}
+
+func TestRowsOnlyMoveForward(t *testing.T) {
+	now := time.Duration(0)
+	out := follow(t, &now,
+		answer{all: true, page: Page{Rows: []Row{row("a", 4, "new")}, Version: 5}},
+		answer{page: Page{Rows: []Row{row("a", 3, "old")}, Version: 6}},
+		answer{page: Page{Rows: []Row{row("a", 9, "stale page")}, Version: 4}},
+	)
+	require.Equal(t, []string{"a=new"}, out.put)
+	require.Equal(t, 2, out.proofs, "an older answer proves nothing")
+}
+
+func TestDroppedHistoryIsReadAgainAndCompared(t *testing.T) {
+	now := time.Duration(0)
+	out := follow(t, &now,
+		answer{all: true, page: Page{Rows: []Row{row("a", 1, "1"), row("b", 2, "2")}, Version: 5}},
+		answer{err: ErrHistory},
+		answer{all: true, page: Page{Rows: []Row{row("b", 2, "2"), row("c", 8, "3")}, Version: 9}},
+	)
+	require.Equal(t, []string{"a=1", "b=2", "c=3"}, out.put)
+	require.Equal(t, []string{"a"}, out.missing)
+}
+
+// Entries that lapsed while the store was away may come back.
+func TestRowsRemovedAroundAnOutageAreMissing(t *testing.T) {
+	now := time.Duration(0)
+	start := answer{all: true, page: Page{Rows: []Row{row("a", 1, "1")}, Version: 5}}
+	removed := answer{page: Page{Rows: []Row{{Key: "a", Version: 6, Removed: true}}, Version: 6}}
+	out := follow(t, &now, start, answer{err: errors.New("down")}, removed)
+	require.Equal(t, []string{"a"}, out.missing)
+	require.Equal(t, []string{"a=1"}, out.put)
+
+	out = follow(t, &now, start, removed)
+	require.Equal(t, []string{"a=1", "a removed"}, out.put)
+	require.Empty(t, out.missing)
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -45,8 +45,8 @@
 	// credit), less the lag of the news.
 	lateAfter = 1200 * time.Millisecond
 	// versionMargin is taken off the bound after which no call may begin on
-	// older weights, for the way to the engine.
-	versionMargin = 700 * time.Millisecond
+	// older weights, for the way to the engine and a wait there that nobody saw.
+	versionMargin = 1500 * time.Millisecond
 	// fetchLeast is the smallest gain of a transfer, in tokens.
 	fetchLeast = 64
 )
@@ -118,7 +118,7 @@
 	if since, ok := g.catalog.Outdated(model, c.version); ok {
 		age := now - since
 		switch {
-		case age > time.Duration(g.settings.Bounds.Version)-versionMargin:
+		case age+queued(s) > time.Duration(g.settings.Bounds.Version)-versionMargin:
 			return c, 0, false
 		case age > lateAfter:
 			cost += lateCost
@@ -135,6 +135,12 @@
 	return c, cost, true
 }
 
+// queued is how long a call may wait at an engine before it begins.
+func queued(s backend.Status) time.Duration {
+	over := max(0, s.Load+1-s.Server.Slots)
+	return time.Duration((float64(s.Pending)/readRate + queueCost*float64(over)) * float64(time.Millisecond))
+}
+
 // source finds who has more of a prompt's shared parts than an engine, sets
 // what is left to read, and returns the time of the transfer.
 func (g *Gateway) source(c *choice, f *flight, s backend.Status, all []backend.Status) float64 {
--- /dev/null
+++ b/internal/gateway/harness_test.go
@@ -0,0 +1,228 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/marjoramrock/marjoramrock/internal/backend"
+	"github.com/marjoramrock/marjoramrock/internal/catalog"
+	"github.com/marjoramrock/marjoramrock/internal/config"
+	"github.com/marjoramrock/marjoramrock/internal/feed"
+	"github.com/marjoramrock/marjoramrock/internal/lease"
+	"github.com/marjoramrock/marjoramrock/internal/parts"
+	"github.com/marjoramrock/marjoramrock/internal/timer"
+	"github.com/marjoramrock/marjoramrock/internal/weights"
+	"github.com/stretchr/testify/require"
+)
+
+// quietFeed never tells anything; tests fill the tables themselves.
+type quietFeed struct{}
+
+func (quietFeed) All(ctx context.Context) (feed.Page, error) {
+	<-ctx.Done()
+	return feed.Page{}, ctx.Err()
+}
+
+func (quietFeed) After(ctx context.Context, _ int64, _ time.Duration) (feed.Page, error) {
+	return quietFeed{}.All(ctx)
+}
+
+// memory is a store that keeps records.
+type memory struct {
+	mu   sync.Mutex
+	rows map[string]lease.Record
+}
+
+func (m *memory) Read(_ context.Context, name string) (lease.Record, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.rows[name], nil
+}
+
+func (m *memory) Swap(_ context.Context, name string, value []byte, version int64) (lease.Record, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.rows[name].Version != version {
+		return lease.Record{}, lease.ErrConflict
+	}
+	rec := lease.Record{Value: value, Version: version + 1}
+	m.rows[name] = rec
+	return rec, nil
+}
+
+func (m *memory) Join(context.Context, string, string) error     { return nil }
+func (m *memory) Leave(context.Context, string) error            { return nil }
+func (m *memory) VMs(context.Context) (map[string]string, error) { return nil, nil }
+func (a *fake) Order(context.Context, backend.Server, weights.Order) error {
+	return errors.New("no orders here")
+}
+func (a *fake) Store() Store              { return a.store }
+func (a *fake) Declarations() feed.Source { return quietFeed{} }
+func (a *fake) List() feed.Source         { return quietFeed{} }
+
+// fake is an adapter whose servers answer by a script of the test.
+type fake struct {
+	store *memory
+
+	mu       sync.Mutex
+	attempts []*Attempt
+	answer   func(ctx context.Context, n int, a *Attempt) (*Answer, error)
+}
+
+func (a *fake) Report(context.Context, backend.Server) (weights.Report, error) {
+	return weights.Report{}, errors.New("no reports here")
+}
+
+func (a *fake) DecodeDeclaration(string, []byte) (Declaration, error) {
+	return Declaration{}, errors.New("not a declaration")
+}
+
+func (a *fake) DecodeServer(string, []byte) (backend.Server, error) {
+	return backend.Server{}, errors.New("not a server")
+}
+
+func (a *fake) Send(ctx context.Context, t *Attempt) (*Answer, error) {
+	a.mu.Lock()
+	a.attempts = append(a.attempts, t)
+	n := len(a.attempts)
+	a.mu.Unlock()
+	return a.answer(ctx, n, t)
+}
+
+func (a *fake) sent() []*Attempt {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]*Attempt(nil), a.attempts...)
+}
+
+// caller records what it is answered.
+type caller struct {
+	refusal *Refusal
+	status  int
+	body    bytes.Buffer
+	broken  bool
+	// leaves makes writes fail.
+	leaves bool
+}
+
+func (c *caller) Refuse(r Refusal) error { c.refusal = &r; return nil }
+
+func (c *caller) Begin(status int, _ http.Header, _ int64) error { c.status = status; return nil }
+
+func (c *caller) Write(p []byte) error {
+	if c.leaves {
+		return errors.New("left")
+	}
+	c.body.Write(p)
+	return nil
+}
+
+func (c *caller) Break() { c.broken = true }
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	return c.LocalAddr().String()
+}
+
+var bounds = Bounds{
+	Revoke: config.Duration(5 * time.Second), Leave: config.Duration(2 * time.Second), Grace: config.Duration(8 * time.Second),
+	Lease: config.Duration(3 * time.Second), Version: config.Duration(8 * time.Second), Repeats: 0.2, Spare: 50,
+	Window: config.Duration(10 * time.Second), Span: config.Duration(8 * time.Second),
+}
+
+// open returns a gateway before two engines and two plain servers.
+func open(t *testing.T, answer func(ctx context.Context, n int, a *Attempt) (*Answer, error)) (*Gateway, *fake) {
+	t.Helper()
+	a := &fake{store: &memory{rows: make(map[string]lease.Record)}, answer: answer}
+	g, err := New(Settings{
+		VM: "vm1", Zone: "z1", Peer: freeAddress(t), First: true, Bounds: bounds,
+	}, a, &log.Logger{Handler: discard.New()})
+	require.NoError(t, err)
+	t.Cleanup(g.Close)
+	routes := []*catalog.Route{
+		{Name: "once", Host: "h", Prefix: "/once/", Kind: catalog.Once, Timeout: time.Second, Goal: 100 * time.Millisecond, Attempts: 1,
+			Targets: []catalog.Target{{Service: "plain", Weight: 1}}},
+		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: catalog.Idempotent, Timeout: time.Second, Goal: 100 * time.Millisecond, Attempts: 2,
+			Targets: []catalog.Target{{Service: "plain", Weight: 1}}},
+		{Name: "open", Host: "h", Prefix: "/open/", Kind: catalog.Idempotent, Timeout: time.Second, Goal: 100 * time.Millisecond, Attempts: 2,
+			Open: true, Targets: []catalog.Target{{Service: "plain", Weight: 1}}},
+		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: catalog.Stream, Timeout: 2 * time.Second, Goal: 100 * time.Millisecond, Attempts: 1,
+			Targets: []catalog.Target{{Service: "model", Weight: 1}}},
+		{Name: "resumable", Host: "h", Prefix: "/resumable/", Kind: catalog.Stream, Timeout: 4 * time.Second, Goal: 100 * time.Millisecond,
+			Gap: 100 * time.Millisecond, Attempts: 2, Resumable: true, Targets: []catalog.Target{{Service: "model", Weight: 1}}},
+	}
+	services := []*catalog.Service{
+		{Name: "plain"},
+		{Name: "model", Engine: &catalog.Engine{Slots: 8, Capacity: 10000, TokenBytes: 1000, LinkMbps: 1000}},
+		{Name: "shelf", Shelf: &catalog.Shelf{Address: "9.9.9.9:9", Zone: "z1", Tokens: 100000}},
+	}
+	teams := []*catalog.Team{
+		{Name: "team", Keys: []string{"key"}, Rate: 1000, Burst: 1000, Plain: 10},
+		{Name: "walled", Keys: []string{"wall"}, Isolated: true},
+	}
+	g.catalog.Put(catalog.New(1, routes, services, teams))
+	g.catalog.Name("m", 1, g.now())
+	g.catalog.Prove(g.now())
+	for _, id := range []string{"p1", "p2"} {
+		g.table.Put(backend.Server{ID: id, Service: "plain", Address: id, Zone: "z1", Slots: 6})
+	}
+	for _, id := range []string{"e1", "e2"} {
+		g.table.Put(backend.Server{ID: id, Service: "model", Address: id, Zone: "z1", Slots: 8, Models: map[string]int64{"m": 1}})
+	}
+	return g, a
+}
+
+// ask makes a call and returns what the caller was answered.
+func ask(t *testing.T, g *Gateway, path, key string) *caller {
+	t.Helper()
+	c := &caller{}
+	g.Serve(context.Background(), newCall(path, key), c)
+	return c
+}
+
+func newCall(path, key string) *Call {
+	c := &Call{ID: "id", Method: http.MethodPost, Path: path, Target: path, Host: "h", Header: http.Header{}, Key: key}
+	if strings.HasPrefix(path, "/stream/") || strings.HasPrefix(path, "/resumable/") {
+		c.Prompt = parts.Prompt{Model: "m", Input: 300, Output: 10, Parts: []parts.Part{{ID: "a", Tokens: 200}, {ID: "own", Tokens: 100}}}
+		c.Sized = true
+	}
+	return c
+}
+
+func text(status int, body string) *Answer {
+	return &Answer{Status: status, Header: http.Header{}, Length: int64(len(body)), Body: io.NopCloser(strings.NewReader(body))}
+}
+
+// cut is an answer that breaks off after some text.
+func cut(body string) *Answer {
+	return &Answer{
+		Status: http.StatusOK, Header: http.Header{}, Length: -1,
+		Body: io.NopCloser(io.MultiReader(strings.NewReader(body), failing{})),
+	}
+}
+
+type failing struct{}
+
+func (failing) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+func notRun(status int) *Answer {
+	a := text(status, "")
+	a.NotRun = true
+	return a
+}
+
+// now is the clock of gateways.
+func now() time.Duration { return timer.Boot() }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -53,9 +53,9 @@
 	charged float64
 	outcome string
 	// last is the choice of the last attempt.
-	last choice
-	status  int
-	first   time.Duration
+	last   choice
+	status int
+	first  time.Duration
 }
 
 // Serve answers a call. It returns when the answer is complete or the caller
--- /dev/null
+++ b/internal/gateway/serve_test.go
@@ -0,0 +1,229 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/marjoramrock/marjoramrock/internal/backend"
+	"github.com/marjoramrock/marjoramrock/internal/catalog"
+	"github.com/marjoramrock/marjoramrock/internal/upstream"
+	"github.com/stretchr/testify/require"
+)
+
+var errBroken = errors.New("connection reset")
+
+func answerWith(answers ...any) func(context.Context, int, *Attempt) (*Answer, error) {
+	return func(_ context.Context, n int, _ *Attempt) (*Answer, error) {
+		switch v := answers[min(n, len(answers))-1].(type) {
+		case error:
+			return nil, v
+		case func() *Answer:
+			return v(), nil
+		case *Answer:
+			return v, nil
+		}
+		panic("unknown step")
+	}
+}
+
+// What may be repeated follows from the kind of route, and a refusal that says
+// "not run" is true.
+func TestRepeatsByKind(t *testing.T) {
+	tests := []struct {
+		name    string
+		path    string
+		answers []any
+		status  int
+		refusal Reason
+		sent    int
+	}{
+		{"once, answered", "/once/", []any{text(200, "ok")}, 200, "", 1},
+		{"once, perhaps run", "/once/", []any{errBroken}, 0, Failed, 1},
+		{"once, cut answer", "/once/", []any{cut("par")}, 0, Failed, 1},
+		{"once, not sent", "/once/", []any{upstream.ErrUnsent, text(200, "ok")}, 200, "", 2},
+		{"once, not run", "/once/", []any{notRun(503), text(200, "ok")}, 200, "", 2},
+		{"once, failed", "/once/", []any{text(500, "no")}, 500, "", 1},
+		{"once, not run by all", "/once/", []any{func() *Answer { return notRun(503) }}, 0, Unavailable, sends},
+		{"safe, perhaps run", "/safe/", []any{errBroken, text(200, "ok")}, 200, "", 2},
+		{"safe, cut answer", "/safe/", []any{cut("par"), text(200, "ok")}, 200, "", 2},
+		{"safe, failed", "/safe/", []any{text(500, "no"), text(200, "ok")}, 200, "", 2},
+		{"safe, failed twice", "/safe/", []any{text(500, "no"), text(500, "no")}, 500, "", 2},
+		{"safe, broken twice", "/safe/", []any{errBroken, errBroken, text(200, "ok")}, 0, Failed, 2},
+		{"stream, perhaps run", "/stream/", []any{errBroken}, 0, Failed, 1},
+		{"stream, not run", "/stream/", []any{notRun(503), text(200, "id: 1\ndata: x\n\n")}, 200, "", 2},
+		{"resumable, perhaps run", "/resumable/", []any{errBroken, text(200, "id: 1\ndata: x\n\n")}, 200, "", 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g, a := open(t, answerWith(tt.answers...))
+			c := ask(t, g, tt.path, "key")
+			require.Len(t, a.sent(), tt.sent)
+			require.Equal(t, tt.status, c.status)
+			if tt.refusal == "" {
+				require.Nil(t, c.refusal)
+				return
+			}
+			require.NotNil(t, c.refusal)
+			require.Equal(t, tt.refusal, c.refusal.Reason)
+		})
+	}
+}
+
+func TestAdmission(t *testing.T) {
+	tests := []struct {
+		name, path, key string
+		prepare         func(*Gateway)
+		want            Reason
+	}{
+		{"known key", "/safe/", "key", nil, ""},
+		{"unknown key", "/safe/", "other", nil, Unkeyed},
+		{"no key", "/safe/", "", nil, Unkeyed},
+		{"no key on an open route", "/open/", "", nil, ""},
+		{"no route", "/none/", "key", nil, Unknown},
+		{"stale proof", "/safe/", "key", func(g *Gateway) { makeStale(g) }, Unavailable},
+		{"stale proof on an open route", "/open/", "", func(g *Gateway) { makeStale(g) }, ""},
+		{"no catalog", "/safe/", "key", func(g *Gateway) { g.catalog = catalog.NewHolder() }, Unavailable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g, _ := open(t, answerWith(func() *Answer { return text(200, "ok") }))
+			if tt.prepare != nil {
+				tt.prepare(g)
+			}
+			c := ask(t, g, tt.path, tt.key)
+			if tt.want == "" {
+				require.Equal(t, 200, c.status)
+				return
+			}
+			require.NotNil(t, c.refusal)
+			require.Equal(t, tt.want, c.refusal.Reason)
+		})
+	}
+}
+
+// makeStale replaces the proof of the catalog by one that is too old.
+func makeStale(g *Gateway) {
+	old := catalog.NewHolder()
+	old.Put(g.catalog.Current())
+	old.Prove(g.now() - g.stale() - time.Millisecond)
+	g.catalog = old
+}
+
+func TestTheTeamNotTheKeyIsPassedOn(t *testing.T) {
+	g, a := open(t, answerWith(text(200, "ok")))
+	ask(t, g, "/safe/", "key")
+	require.Equal(t, "team", a.sent()[0].Team)
+}
+
+func TestChargesAreGivenBackWhereNothingRan(t *testing.T) {
+	g, _ := open(t, answerWith(func() *Answer { return notRun(503) }))
+	for range 3 {
+		require.Equal(t, Unavailable, ask(t, g, "/stream/", "key").refusal.Reason)
+	}
+	require.Empty(t, g.quota.Totals())
+}
+
+func TestCallsBeyondTheRateAreRefused(t *testing.T) {
+	g, a := open(t, answerWith(func() *Answer { return text(200, "id: 1\n\n") }))
+	refused := 0
+	for range 5 {
+		if c := ask(t, g, "/stream/", "key"); c.refusal != nil {
+			require.Equal(t, OverRate, c.refusal.Reason)
+			require.Positive(t, c.refusal.After)
+			refused++
+		}
+	}
+	// 310 tokens each, from a burst of 1,000.
+	require.Equal(t, 2, refused)
+	require.Len(t, a.sent(), 3)
+}
+
+func TestAnotherServerAtTheAddressIsLeft(t *testing.T) {
+	g, a := open(t, func(_ context.Context, n int, _ *Attempt) (*Answer, error) {
+		if n == 1 {
+			ans := text(421, "")
+			ans.Other = true
+			return ans, nil
+		}
+		return text(200, "ok"), nil
+	})
+	require.Equal(t, 200, ask(t, g, "/once/", "key").status)
+	require.NotEqual(t, a.sent()[0].Server.ID, a.sent()[1].Server.ID)
+}
+
+func TestDrainingServersGetNothing(t *testing.T) {
+	g, a := open(t, answerWith(func() *Answer { return text(200, "ok") }))
+	g.table.Put(backend.Server{ID: "p1", Service: "plain", Address: "p1", Zone: "z1", Slots: 6, Draining: true})
+	for range 10 {
+		ask(t, g, "/safe/", "key")
+	}
+	for _, s := range a.sent() {
+		require.Equal(t, "p2", s.Server.ID)
+	}
+}
+
+func TestFinalAnswerAtTheTimeout(t *testing.T) {
+	tests := []struct {
+		path string
+		wait time.Duration
+		want time.Duration
+	}{
+		{"/once/", 0, time.Second},
+		{"/once/", 200 * time.Millisecond, 200 * time.Millisecond},
+		{"/stream/", 300 * time.Millisecond, 300 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.path, tt.wait), func(t *testing.T) {
+			g, _ := open(t, func(ctx context.Context, _ int, _ *Attempt) (*Answer, error) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			})
+			call := newCall(tt.path, "key")
+			call.Wait = tt.wait
+			c := &caller{}
+			began := now()
+			g.Serve(context.Background(), call, c)
+			require.InDelta(t, tt.want.Seconds(), (now() - began).Seconds(), 0.2)
+			require.NotNil(t, c.refusal)
+			require.Equal(t, TimedOut, c.refusal.Reason)
+		})
+	}
+}
+
+// A silent server takes only a part of the time of a call that may be repeated.
+func TestSilentServerIsLeftInTime(t *testing.T) {
+	g, a := open(t, func(ctx context.Context, n int, _ *Attempt) (*Answer, error) {
+		if n == 1 {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return text(200, "ok"), nil
+	})
+	began := now()
+	require.Equal(t, 200, ask(t, g, "/safe/", "key").status)
+	require.Less(t, now()-began, 500*time.Millisecond)
+	require.Len(t, a.sent(), 2)
+}
+
+func TestNothingIsSentOnceTheCallerHasLeft(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g, a := open(t, func(context.Context, int, *Attempt) (*Answer, error) {
+		cancel()
+		return nil, errBroken
+	})
+	g.Serve(ctx, newCall("/safe/", "key"), &caller{})
+	require.Len(t, a.sent(), 1)
+}
+
+func TestRepeatsKeepToTheBudget(t *testing.T) {
+	g, a := open(t, answerWith(func() *Answer { return notRun(http.StatusServiceUnavailable) }))
+	for range 200 {
+		ask(t, g, "/once/", "key")
+	}
+	repeats := len(a.sent()) - 200
+	require.LessOrEqual(t, float64(repeats), (0.2*200+50)*repeatPart+1)
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -64,6 +64,10 @@
 	version int64
 	// again is when another try makes sense.
 	again time.Duration
+	// oddVersion is that of a record that could not be read, first seen at
+	// oddSince in the store's time.
+	oddVersion int64
+	oddSince   time.Duration
 }
 
 // New returns a lease that is not held. Now must count suspension.
@@ -112,9 +116,7 @@
 	var g grant
 	if rec.Version != 0 {
 		if err := json.Unmarshal(rec.Value, &g); err != nil {
-			// A record that nobody can read binds nobody; its writer's fence is
-			// unknown, so the store's version stands in for it.
-			g = grant{Fence: rec.Version, Until: (rec.Now + l.times.Life).Milliseconds()}
+			g = l.unreadable(rec)
 		}
 	}
 	mine := g.Holder == l.holder
@@ -148,6 +150,18 @@
 	return nil
 }
 
+// unreadable stands in for a record that nobody can read: its writer's lease
+// cannot be longer than any other since it was first seen, and its fence is
+// below the store's version.
+func (l *Lease) unreadable(rec Record) grant {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.oddVersion != rec.Version {
+		l.oddVersion, l.oddSince = rec.Version, rec.Now
+	}
+	return grant{Fence: rec.Version, Until: (l.oddSince + l.times.Life).Milliseconds()}
+}
+
 // Release ends the lease so that a successor waits for the pause only.
 func (l *Lease) Release(ctx context.Context) error {
 	l.calling.Lock()
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,124 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var limits = Limits{Rate: 100, Burst: 100}
+
+func TestTakeChargesAndRefills(t *testing.T) {
+	f := NewFleet(true)
+	ok, _ := f.Take("t", limits, 100, 0)
+	require.True(t, ok)
+	ok, wait := f.Take("t", limits, 50, 0)
+	require.False(t, ok)
+	require.Equal(t, 500*time.Millisecond, wait)
+	ok, _ = f.Take("t", limits, 50, wait)
+	require.True(t, ok)
+}
+
+func TestNoRateIsNoLimit(t *testing.T) {
+	f := NewFleet(false)
+	ok, _ := f.Take("t", Limits{}, 1e9, 0)
+	require.True(t, ok)
+}
+
+func TestRefundGivesBack(t *testing.T) {
+	f := NewFleet(true)
+	f.Take("t", limits, 100, 0)
+	f.Refund("t", 100)
+	ok, _ := f.Take("t", limits, 100, 0)
+	require.True(t, ok)
+	require.Equal(t, map[string]float64{"t": 100}, f.Totals())
+}
+
+func TestACallAboveTheBurstNeedsAFullAccount(t *testing.T) {
+	f := NewFleet(true)
+	ok, _ := f.Take("t", limits, 300, 0)
+	require.True(t, ok)
+	ok, wait := f.Take("t", limits, 1, 0)
+	require.False(t, ok)
+	require.InDelta(t, 2.01, wait.Seconds(), 1e-6)
+}
+
+func TestAVMThatStartsDoesNotGiveOutABurst(t *testing.T) {
+	f := NewFleet(false)
+	ok, _ := f.Take("t", Limits{Rate: 100, Burst: 100, Spare: 40}, 21, 0)
+	require.False(t, ok)
+	ok, _ = f.Take("t", Limits{Rate: 100, Burst: 100, Spare: 40}, 20, 0)
+	require.True(t, ok)
+}
+
+func TestWhatOthersChargedCounts(t *testing.T) {
+	f := NewFleet(true)
+	f.Take("t", limits, 10, 0)
+	f.Hear("vm2", 1, map[string]float64{"t": 60}, 0)
+	ok, _ := f.Take("t", limits, 40, 0)
+	require.False(t, ok)
+	ok, _ = f.Take("t", limits, 30, 0)
+	require.True(t, ok)
+	// The same totals again charge nothing.
+	f.Hear("vm2", 1, map[string]float64{"t": 60}, time.Second)
+	ok, _ = f.Take("t", limits, 100, time.Second)
+	require.True(t, ok)
+}
+
+// Two VMs that are cut off from each other stay within the rate together.
+func TestASilentVMIsChargedItsPart(t *testing.T) {
+	a, b := NewFleet(true), NewFleet(true)
+	a.Take("t", limits, 1, 0)
+	b.Take("t", limits, 1, 0)
+	a.Hear("b", 1, map[string]float64{"t": 1}, 0)
+	b.Hear("a", 1, map[string]float64{"t": 1}, 0)
+	used := 0.0
+	for now := time.Duration(0); now <= 10*time.Second; now += 10 * time.Millisecond {
+		for _, f := range []*Fleet{a, b} {
+			if ok, _ := f.Take("t", limits, 1, now); ok {
+				used++
+			}
+		}
+	}
+	// Both may use the burst that they saw, and the rate until they notice.
+	require.LessOrEqual(t, used, 100*10.0+2*100+2*100)
+	require.Greater(t, used, 100*9.0)
+}
+
+func TestAssumedChargesAreSetOffWhenTheVMIsHeardAgain(t *testing.T) {
+	f := NewFleet(true)
+	f.Take("t", limits, 100, 0)
+	f.Hear("vm2", 1, map[string]float64{"t": 0}, 0)
+	now := 5 * time.Second
+	f.Take("t", limits, 0, now)
+	f.Hear("vm2", 1, map[string]float64{"t": 0}, now)
+	ok, _ := f.Take("t", limits, 100, now)
+	require.True(t, ok, "vm2 charged nothing")
+}
+
+func TestLostAndLeavingVMsAreNotCharged(t *testing.T) {
+	f := NewFleet(true)
+	f.Take("t", limits, 100, 0)
+	f.Hear("vm2", 1, map[string]float64{"t": 0}, 0)
+	f.Leave("vm2")
+	ok, _ := f.Take("t", limits, 100, time.Second)
+	require.True(t, ok)
+}
+
+func TestRetriesKeepToTheWindow(t *testing.T) {
+	r := NewRetries(0.2, 10*time.Second, func() float64 { return 2 })
+	for range 10 {
+		r.Call("s", 0)
+	}
+	taken := 0
+	for range 10 {
+		if r.Take("s", 0) {
+			taken++
+		}
+	}
+	require.Equal(t, 4, taken)
+	require.False(t, r.Take("s", 9*time.Second), "still the same window")
+	require.True(t, r.Take("s", 11*time.Second), "the slack of a new window")
+	require.True(t, r.Take("other", 0))
+}
--- /dev/null
+++ b/internal/upstream/pool_test.go
@@ -0,0 +1,253 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// backend serves each connection by a function and counts connections.
+type backend struct {
+	address string
+	opened  atomic.Int64
+}
+
+func serve(t *testing.T, f func(c net.Conn, r *bufio.Reader)) *backend {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	b := &backend{address: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			b.opened.Add(1)
+			go func() {
+				defer func() { _ = c.Close() }()
+				f(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return b
+}
+
+// answers reads requests and answers each with the texts in turn.
+func answers(texts ...string) func(net.Conn, *bufio.Reader) {
+	return func(c net.Conn, r *bufio.Reader) {
+		for _, text := range texts {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, req.Body); err != nil {
+				return
+			}
+			if _, err := io.WriteString(c, text); err != nil {
+				return
+			}
+		}
+		// The connection stays open until the client closes it.
+		_, _ = r.ReadByte()
+	}
+}
+
+func pool(t *testing.T) *Pool {
+	t.Helper()
+	p := NewPool(Options{DialTimeout: time.Second, Idle: time.Minute, Kept: 4, Silence: time.Second})
+	t.Cleanup(p.Close)
+	return p
+}
+
+func call(t *testing.T, p *Pool, address string, r *Request) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	resp, err := p.Do(ctx, address, r)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	return string(raw), err
+}
+
+func get(id string) *Request {
+	return &Request{
+		Method: http.MethodGet, Target: "/a?b=c", Host: "h.example", Header: http.Header{"Id": {id}},
+		Ours: func(h http.Header) bool { return h.Get("Id") == id },
+	}
+}
+
+const ok1 = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
+
+func TestConnectionsAreKeptOnlyAfterWholeAnswers(t *testing.T) {
+	tests := []struct {
+		name   string
+		first  string
+		opened int64
+	}{
+		{"length", ok1, 1},
+		{"chunks", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 1},
+		{"close announced", "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", 2},
+		{"bytes beyond the answer", ok1 + "HTTP/1.1 200", 2},
+		{"no idle time left", "HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok", 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := serve(t, answers(tt.first, ok1))
+			p := pool(t)
+			for range 2 {
+				text, err := call(t, p, b.address, get("1"))
+				require.NoError(t, err)
+				require.Equal(t, "ok", text)
+				time.Sleep(20 * time.Millisecond)
+			}
+			require.Equal(t, tt.opened, b.opened.Load())
+		})
+	}
+}
+
+func TestAnswersToOtherCallsAreSkipped(t *testing.T) {
+	late := "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 4\r\n\r\nlate"
+	b := serve(t, answers(late+ok1, ok1))
+	p := pool(t)
+	text, err := call(t, p, b.address, get("1"))
+	require.NoError(t, err)
+	require.Equal(t, "ok", text)
+	_, err = call(t, p, b.address, get("1"))
+	require.NoError(t, err)
+	require.Equal(t, int64(2), b.opened.Load(), "the connection that carried them is not used again")
+}
+
+func TestUnsentAndPerhapsRun(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	closed := l.Addr().String()
+	require.NoError(t, l.Close())
+	_, err = call(t, pool(t), closed, get("1"))
+	require.ErrorIs(t, err, ErrUnsent)
+
+	b := serve(t, func(c net.Conn, r *bufio.Reader) { _, _ = http.ReadRequest(r) })
+	_, err = call(t, pool(t), b.address, get("1"))
+	require.Error(t, err)
+	require.NotErrorIs(t, err, ErrUnsent)
+}
+
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	b := serve(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = io.WriteString(c, ok1)
+		}
+	})
+	p := pool(t)
+	for range 3 {
+		_, err := call(t, p, b.address, get("1"))
+		require.NoError(t, err)
+		time.Sleep(30 * time.Millisecond)
+	}
+	require.Equal(t, int64(3), b.opened.Load())
+}
+
+func TestUnframedAnswerEndsWithItsConnection(t *testing.T) {
+	b := serve(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole")
+		}
+	})
+	text, err := call(t, pool(t), b.address, get("1"))
+	require.NoError(t, err)
+	require.Equal(t, "whole", text)
+
+	reset := serve(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart")
+			time.Sleep(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+	})
+	_, err = call(t, pool(t), reset.address, get("1"))
+	require.Error(t, err, "a reset is no end")
+}
+
+func TestCutAnswerIsAnError(t *testing.T) {
+	b := serve(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\npart")
+		}
+	})
+	_, err := call(t, pool(t), b.address, get("1"))
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+// A server may answer before it has read a long body, and read on later: the
+// connection must not carry another call.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	b := serve(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = io.WriteString(c, ok1)
+			time.Sleep(time.Second)
+		}
+	})
+	p := pool(t)
+	for range 2 {
+		r := get("1")
+		r.Method, r.Body = http.MethodPost, []byte(strings.Repeat("x", 8<<20))
+		text, err := call(t, p, b.address, r)
+		require.NoError(t, err)
+		require.Equal(t, "ok", text)
+	}
+	require.Equal(t, int64(2), b.opened.Load())
+}
+
+func TestCancelClosesTheConnection(t *testing.T) {
+	left := make(chan struct{})
+	b := serve(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = r.ReadByte()
+			close(left)
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(30*time.Millisecond, cancel)
+	_, err := pool(t).Do(ctx, b.address, get("1"))
+	require.ErrorIs(t, err, context.Canceled)
+	select {
+	case <-left:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the server does not see the caller leave")
+	}
+}
+
+func TestFreshCallsLeaveOldConnectionsAlone(t *testing.T) {
+	b := serve(t, answers(ok1, ok1))
+	p := pool(t)
+	_, err := call(t, p, b.address, get("1"))
+	require.NoError(t, err)
+	time.Sleep(60 * time.Millisecond)
+	r := get("1")
+	r.Fresh = 20 * time.Millisecond
+	_, err = call(t, p, b.address, r)
+	require.NoError(t, err)
+	require.Equal(t, int64(2), b.opened.Load())
+}
+
+func TestSweepClosesIdleConnections(t *testing.T) {
+	b := serve(t, answers(ok1, ok1))
+	p := NewPool(Options{DialTimeout: time.Second, Idle: 10 * time.Millisecond, Kept: 4, Silence: time.Second})
+	_, err := call(t, p, b.address, get("1"))
+	require.NoError(t, err)
+	time.Sleep(20 * time.Millisecond)
+	p.Sweep()
+	require.Empty(t, p.idle)
+}
