Fetch parts from the shelf whenever nothing better is known; avoid zones that seem cut off

Cause of parts read again: a VM that believed its engine to hold a part asked nobody for it, though engines of these sizes evict within seconds.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -32,6 +32,9 @@
 	// each millisecond beyond costs tardyRate more.
 	tardyPart = 0.6
 	tardyRate = 3.0
+	// cutCost keeps servers in zones that seem to be cut off for calls that have
+	// no other.
+	cutCost = 1000.0
 	// restCost keeps servers that failed for calls that have no other.
 	restCost = 2000.0
 	// reloadCost is the wait for an engine that loads weights.
@@ -47,6 +50,9 @@
 	// versionMargin is taken off the bound after which no call may begin on
 	// older weights, for the way to the engine and a wait there that nobody saw.
 	versionMargin = 1500 * time.Millisecond
+	// cutAfter is how long no VM of a zone was heard before the zone seems to be
+	// cut off; it spans several messages.
+	cutAfter = 800 * time.Millisecond
 	// fetchLeast is the smallest gain of a transfer, in tokens.
 	fetchLeast = 64
 )
@@ -78,6 +84,7 @@
 	var best choice
 	least, found := 0.0, false
 	statuses := g.table.Of(service, now)
+	f.silent = g.node.Silent(cutAfter)
 	for _, s := range statuses {
 		if s.Server.Draining || f.tried[s.Server.ID] {
 			continue
@@ -96,6 +103,9 @@
 	cost := rand.Float64() * spread
 	if s.Server.Zone != g.settings.Zone {
 		cost += zoneCost
+		if f.silent[s.Server.Zone] {
+			cost += cutCost
+		}
 	}
 	if s.Resting {
 		cost += restCost
@@ -148,7 +158,12 @@
 	shared := prompt.Shared()
 	own := g.parts.Held(holderOf(s.Server), c.salt, shared)
 	most, address, far := own+fetchLeast, "", false
+	// A source that cannot be reached costs more than reading.
+	reached := func(zone string) bool { return zone == s.Server.Zone || !f.silent[zone] }
 	consider := func(h parts.Holder, addr, zone string) {
+		if !reached(zone) {
+			return
+		}
 		held := g.parts.Held(h, c.salt, shared)
 		away := zone != s.Server.Zone
 		if held > most || (held == most && address != "" && far && !away) {
@@ -165,6 +180,11 @@
 	}
 	if address == "" {
 		c.missing = max(0, prompt.Input-own)
+		if f.shelf != nil && len(shared) > 0 && reached(f.shelf.Zone) {
+			// The engine may have dropped what it held, and this VM may not have
+			// heard of what the shelf holds. Nothing moves that the engine has.
+			c.fetch = f.shelf.Address
+		}
 		return 0
 	}
 	c.fetch = address
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -45,6 +45,8 @@
 	// began is when the call came in; ends is when its time is over.
 	began time.Duration
 	ends  time.Duration
+	// silent are the zones that seem to be cut off.
+	silent map[string]bool
 	// tried are the servers not to be chosen again.
 	tried map[string]bool
 	sent  int
@@ -219,7 +221,7 @@
 	if !f.route.Repeatable() {
 		a.Fresh = onceFresh
 	}
-	if f.shelf != nil && c.salt != "" && g.unsaved(f, c.salt) {
+	if f.shelf != nil && c.salt != "" && !f.silent[f.shelf.Zone] && g.unsaved(f, c.salt) {
 		a.Save = f.shelf.Address
 	}
 	if f.sent == 0 {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -77,7 +77,7 @@
 	ask(t, g, "/stream/", "key")
 	first := a.sent()[0]
 	require.Equal(t, "9.9.9.9:9", first.Save)
-	require.Empty(t, first.Fetch)
+	require.Equal(t, "9.9.9.9:9", first.Fetch, "the shelf may hold more than this VM has heard of")
 	// The engine that has the part is busy: another one fetches it.
 	for range 40 {
 		g.table.Begin(first.Server.ID, 0)
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -98,6 +98,24 @@
 	require.Zero(t, n.Members())
 }
 
+func TestZonesWithoutWordAreSilent(t *testing.T) {
+	n, _ := start(t, "a", freeAddress(t), 1)
+	now := time.Duration(0)
+	n.options.Now = func() time.Duration { return now }
+	say := func(vm, zone string, number uint64) {
+		n.hear(&Message{VM: vm, Zone: zone, Address: "127.0.0.1:1", Epoch: 1, Number: number})
+	}
+	say("b", "z", 1)
+	say("c", "y", 1)
+	say("d", "y", 1)
+	require.Empty(t, n.Silent(time.Second))
+	now = 2 * time.Second
+	say("d", "y", 2)
+	require.Empty(t, n.Silent(time.Second), "its own zone is never silent")
+	n.options.Zone = "x"
+	require.Equal(t, map[string]bool{"z": true}, n.Silent(time.Second))
+}
+
 func TestGarbageIsCountedAndIgnored(t *testing.T) {
 	n, h := start(t, "a", freeAddress(t), 1)
 	c, err := net.Dial("udp4", n.options.Address)
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -23,6 +23,7 @@
 // member is another VM.
 type member struct {
 	address netip.AddrPort
+	zone    string
 	epoch   uint64
 	number  uint64
 	// heard is when its last message came; known when its address was learnt.
@@ -123,7 +124,7 @@
 	} else if m.Number <= o.number {
 		return false, false
 	}
-	o.address, o.number, o.heard = addr, m.Number, now
+	o.address, o.zone, o.number, o.heard = addr, m.Zone, m.Number, now
 	if m.Leaving {
 		delete(n.members, m.VM)
 	}
@@ -172,6 +173,27 @@
 	return len(n.members)
 }
 
+// Silent returns the zones of which VMs are known and none was heard for a
+// while: they are cut off, or their VMs are all down.
+func (n *Node) Silent(since time.Duration) map[string]bool {
+	now := n.options.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := make(map[string]bool)
+	for _, o := range n.members {
+		if o.zone != "" && now-o.heard > since {
+			out[o.zone] = true
+		}
+	}
+	for _, o := range n.members {
+		if now-o.heard <= since {
+			delete(out, o.zone)
+		}
+	}
+	delete(out, n.options.Zone)
+	return out
+}
+
 // targets returns whom to tell this time.
 func (n *Node) targets() []netip.AddrPort {
 	now := n.options.Now()
