Let the random part of an engine's cost grow with the VMs

Cause: all VMs choose by the same figures, which lag by 200 ms, and 59 of them take the same few engines that have just loaded.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -39,8 +39,11 @@
 	restCost = 2000.0
 	// reloadCost is the wait for an engine that loads weights.
 	reloadCost = 1500.0
-	// spread is the largest random addition, so that equals share the calls.
-	spread = 1.5
+	// spread is the largest random addition for each VM: the VMs choose by the
+	// same figures, which lag, and would all take the same server.
+	spread = 0.6
+	// mostSpread bounds it.
+	mostSpread = 40.0
 )
 
 const (
@@ -85,6 +88,7 @@
 	least, found := 0.0, false
 	statuses := g.table.Of(service, now)
 	f.silent = g.node.Silent(cutAfter)
+	f.spread = min(mostSpread, spread*float64(g.node.Members()+1))
 	for _, s := range statuses {
 		if s.Server.Draining || f.tried[s.Server.ID] {
 			continue
@@ -100,7 +104,7 @@
 // weigh returns what an attempt at a server is expected to cost.
 func (g *Gateway) weigh(f *flight, s backend.Status, all []backend.Status, now time.Duration) (choice, float64, bool) {
 	c := choice{server: s.Server, pending: s.Pending, load: s.Load}
-	cost := rand.Float64() * spread
+	cost := rand.Float64() * f.spread
 	if s.Server.Zone != g.settings.Zone {
 		cost += zoneCost
 		if f.silent[s.Server.Zone] {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -47,6 +47,8 @@
 	ends  time.Duration
 	// silent are the zones that seem to be cut off.
 	silent map[string]bool
+	// spread is the largest random addition to the cost of a server.
+	spread float64
 	// tried are the servers not to be chosen again.
 	tried map[string]bool
 	sent  int
