--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -311,6 +311,9 @@
 	return ok && age < g.stale()
 }
 
+// Servers returns how many backend servers are known.
+func (g *Gateway) Servers() int { return len(g.table.Of("", g.now())) }
+
 // Draining reports whether the gateway is about to end.
 func (g *Gateway) Draining() bool { return g.draining.Load() }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -29,7 +29,6 @@
 	First bool `json:"first"`
 	// Memory is the process's limit in megabytes.
 	Memory int    `json:"memory"`
-	Log    string `json:"log"`
 	Bounds Bounds `json:"bounds"`
 }
 
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -138,7 +138,7 @@
 	_, err = call(t, pool(t), closed, get("1"))
 	require.ErrorIs(t, err, ErrUnsent)
 
-	b := serve(t, func(c net.Conn, r *bufio.Reader) { _, _ = http.ReadRequest(r) })
+	b := serve(t, func(_ net.Conn, r *bufio.Reader) { _, _ = http.ReadRequest(r) })
 	_, err = call(t, pool(t), b.address, get("1"))
 	require.Error(t, err)
 	require.NotErrorIs(t, err, ErrUnsent)
@@ -212,7 +212,7 @@
 
 func TestCancelClosesTheConnection(t *testing.T) {
 	left := make(chan struct{})
-	b := serve(t, func(c net.Conn, r *bufio.Reader) {
+	b := serve(t, func(_ net.Conn, r *bufio.Reader) {
 		if _, err := http.ReadRequest(r); err == nil {
 			_, _ = r.ReadByte()
 			close(left)
