--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -34,11 +34,12 @@
 	tardyRate = 3.0
 	// cutCost keeps servers in zones that seem to be cut off for calls that have
 	// no other.
-	cutCost = 1000.0
+	cutCost = 5000.0
 	// restCost keeps servers that failed for calls that have no other.
-	restCost = 2000.0
-	// reloadCost is the wait for an engine that loads weights.
-	reloadCost = 1500.0
+	restCost = 10000.0
+	// reloadCost keeps engines that load weights for calls that have no other:
+	// they refuse until they have loaded.
+	reloadCost = 100000.0
 	// spread is the largest random addition for each VM: the VMs choose by the
 	// same figures, which lag, and would all take the same server.
 	spread = 0.6
--- a/internal/weights/orderer.go
+++ b/internal/weights/orderer.go
@@ -209,6 +209,8 @@
 		}
 		t := slices.MinFunc(free, func(a, b task) int {
 			return cmp.Or(
+				// Engines that fail calls would hold a place in vain.
+				compareBool(a.server.Resting, b.server.Resting),
 				cmp.Compare(a.server.Versions[a.model], b.server.Versions[b.model]),
 				cmp.Compare(inZone[a.server.Server.Zone], inZone[b.server.Server.Zone]),
 				cmp.Compare(a.server.Load, b.server.Load),
@@ -222,6 +224,16 @@
 	}
 }
 
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 func (o *Orderer) done(id string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -245,6 +257,10 @@
 // turn, since engines with older weights go first.
 func (o *Orderer) load(ctx context.Context, t task, atOnce int) {
 	s := t.server.Server
+	if _, err := o.report(ctx, s); err != nil {
+		o.failed(s, "report", err)
+		return
+	}
 	o.options.Announce.Reloading(s, t.model, t.version)
 	if !sleep(ctx, notice) || !o.emptied(ctx, s, atOnce) {
 		return
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -26,6 +26,8 @@
 	// hold keeps engines busy after an order.
 	hold     bool
 	together int
+	// deaf engines answer nothing.
+	deaf map[string]bool
 }
 
 func (e *engines) Order(_ context.Context, s backend.Server, o Order) error {
@@ -62,6 +64,9 @@
 func (e *engines) Report(_ context.Context, s backend.Server) (Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.deaf[s.ID] {
+		return Report{}, errors.New("no answer")
+	}
 	return *e.state[s.ID], nil
 }
 
@@ -235,6 +240,19 @@
 	require.Equal(t, "c1", s.pick(tasks, sizes)[0].server.Server.ID)
 }
 
+// An engine that does not answer holds no place of those that empty and load.
+func TestUnreachableEnginesHoldNobodyUp(t *testing.T) {
+	s := newSetup("a1", "a2", "a3", "b1", "b2", "b3")
+	s.engines.deaf = map[string]bool{"a1": true, "a2": true, "a3": true}
+	s.versions.Name("m", 2, 0)
+	began := time.Now()
+	s.settle(t, func() bool {
+		return s.table.Version("b1", "m") == 2 && s.table.Version("b2", "m") == 2 && s.table.Version("b3", "m") == 2
+	})
+	require.Less(t, time.Since(began), 2*time.Second)
+	require.NotContains(t, s.told.told, "reloading a1")
+}
+
 func TestHistorySurvivesTheProcess(t *testing.T) {
 	store := &record{}
 	store.rec.Now = 100 * time.Second
