--- a/internal/weights/orderer.go
+++ b/internal/weights/orderer.go
@@ -42,12 +42,15 @@
 	// look is the pause between two looks at an engine that loads.
 	look = 150 * time.Millisecond
 	// repeat is after how long an order whose answer was lost is given again if
-	// the engine does not show it.
-	repeat = 700 * time.Millisecond
+	// the engine does not show it: reports lag by some hundred ms.
+	repeat = 300 * time.Millisecond
 	// patience bounds the work on one engine before it takes its turn again.
 	patience = 7 * time.Second
 	// callTimeout bounds one call of an engine.
-	callTimeout = 600 * time.Millisecond
+	callTimeout = 300 * time.Millisecond
+	// kept is the part of a service's engines that go on taking calls while
+	// others empty and load, as far as that many are sound.
+	kept = 0.5
 	// rest is how long an engine that failed an order is left alone.
 	rest = time.Second
 )
@@ -132,7 +135,7 @@
 // Step looks for engines to order and starts on some. It is to be called
 // several times a second.
 func (o *Orderer) Step(ctx context.Context) {
-	tasks, sizes := o.tasks()
+	tasks, census := o.tasks()
 	if len(tasks) == 0 {
 		return
 	}
@@ -146,10 +149,10 @@
 	if err := o.options.History.Save(ctx); err != nil {
 		event.HistoryUnsaved.Log(o.options.Log, err, nil)
 	}
-	for _, t := range o.pick(tasks, sizes) {
+	for _, t := range o.pick(tasks, census) {
 		o.running.Go(func() {
 			defer o.done(t.server.Server.ID)
-			o.load(ctx, t, atOnce(sizes[t.server.Server.Service]))
+			o.load(ctx, t, atOnce(census[t.server.Server.Service].listed))
 		})
 	}
 }
@@ -157,17 +160,26 @@
 // Wait returns when no order is being worked on.
 func (o *Orderer) Wait() { o.running.Wait() }
 
-// tasks returns what is to be done, and the number of engines of each service.
-func (o *Orderer) tasks() ([]task, map[string]int) {
+// census counts the engines of a service: those that are listed, and those of
+// them that take calls.
+type census struct{ listed, sound int }
+
+// tasks returns what is to be done, and the engines of each service.
+func (o *Orderer) tasks() ([]task, map[string]census) {
 	targets := o.options.Catalog.Targets()
-	sizes := make(map[string]int)
+	sizes := make(map[string]census)
 	var out []task
 	now := o.options.Now()
 	for _, s := range o.options.Table.Of("", now) {
 		if s.Server.Draining || len(s.Server.Models) == 0 {
 			continue
 		}
-		sizes[s.Server.Service]++
+		c := sizes[s.Server.Service]
+		c.listed++
+		if !s.Resting && !s.Reloading {
+			c.sound++
+		}
+		sizes[s.Server.Service] = c
 		for model := range s.Server.Models {
 			if t, ok := targets[model]; ok && s.Versions[model] < t.Version {
 				out = append(out, task{server: s, model: model, version: t.Version})
@@ -184,9 +196,18 @@
 // that load, and those that empty so as to load next.
 func inWork(size int) int { return atOnce(size) + atOnce(size)/2 + 1 }
 
+// spares reports whether one engine more may be kept free of calls while
+// several already are. One at a time always may: weights have to come in force.
+func (c census) spares(inWorkNow int) bool {
+	if inWorkNow == 0 {
+		return true
+	}
+	return inWorkNow < inWork(c.listed) && float64(c.sound-1) >= kept*float64(c.listed)
+}
+
 // pick takes the tasks to start on now: the oldest versions first, spread over
 // zones, the idlest engine first.
-func (o *Orderer) pick(tasks []task, sizes map[string]int) []task {
+func (o *Orderer) pick(tasks []task, sizes map[string]census) []task {
 	now := o.options.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -202,7 +223,7 @@
 	for {
 		free := slices.DeleteFunc(slices.Clone(tasks), func(t task) bool {
 			s := t.server.Server
-			return o.loading[s.ID] || now < o.rested[s.ID] || inService[s.Service] >= inWork(sizes[s.Service])
+			return o.loading[s.ID] || now < o.rested[s.ID] || !sizes[s.Service].spares(inService[s.Service])
 		})
 		if len(free) == 0 {
 			return picked
@@ -220,6 +241,9 @@
 		o.loading[s.ID] = true
 		inZone[s.Zone]++
 		inService[s.Service]++
+		c := sizes[s.Service]
+		c.sound--
+		sizes[s.Service] = c
 		picked = append(picked, t)
 	}
 }
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -253,6 +253,30 @@
 	require.NotContains(t, s.told.told, "reloading a1")
 }
 
+// With engines failing, fewer are taken out of service to load.
+func TestEnoughEnginesGoOnTakingCalls(t *testing.T) {
+	tests := []struct {
+		name    string
+		failing []string
+		want    int
+	}{
+		{"all sound", nil, 3},
+		{"two fail", []string{"a1", "a2"}, 1},
+		{"four fail", []string{"a1", "a2", "b1", "b2"}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSetup("a1", "a2", "b1", "b2", "c1", "c2", "c3")
+			for _, id := range tt.failing {
+				s.table.Failed(id, time.Hour)
+			}
+			s.versions.Name("m", 2, 0)
+			tasks, sizes := s.tasks()
+			require.Len(t, s.pick(tasks, sizes), tt.want)
+		})
+	}
+}
+
 func TestHistorySurvivesTheProcess(t *testing.T) {
 	store := &record{}
 	store.rec.Now = 100 * time.Second
