Keep a distance between calls for the list of servers

Cause of the price of store calls at 59 VMs: each load changes an entry, and the reading VM of each zone was answered for every one.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -30,6 +30,9 @@
 	Relay func() Source
 	// Wait is how long a call without changes is held.
 	Wait time.Duration
+	// Rest is the least time between the answer to a call and the next call of
+	// the store, so that changes in quick succession share an answer.
+	Rest time.Duration
 	// Now must count suspension.
 	Now func() time.Duration
 	// Put takes in a row that is newer than what was known; Missing tells that
@@ -76,6 +79,7 @@
 		switch {
 		case err == nil:
 			f.pause = leastPause
+			f.rest(ctx)
 		case errors.Is(err, ErrHistory):
 			event.HistoryLost.Log(f.options.Log, nil, log.Fields{"table": f.options.Name, "version": f.copy.version()})
 			f.whole = false
@@ -87,11 +91,22 @@
 }
 
 func (f *Follower) sleep(ctx context.Context) {
+	wait(ctx, f.pause)
+	f.pause = min(2*f.pause, mostPause)
+}
+
+// rest waits before the store is asked again; another VM may be asked at once.
+func (f *Follower) rest(ctx context.Context) {
+	if f.options.Rest > 0 && f.copy.isDirect() {
+		wait(ctx, f.options.Rest)
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(f.pause):
+	case <-time.After(d):
 	}
-	f.pause = min(2*f.pause, mostPause)
 }
 
 func (f *Follower) regained() {
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -188,6 +188,29 @@
 	require.Empty(t, store.steps)
 }
 
+// Changes in quick succession share an answer of the store.
+func TestCallsOfTheStoreKeepADistance(t *testing.T) {
+	began := time.Now()
+	now := func() time.Duration { return time.Since(began) }
+	s := newShelf(now)
+	s.advance(1, 0, true)
+	store := &handing{shelf: s}
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	go func() {
+		for v := int64(2); ctx.Err() == nil; v++ {
+			s.put(row("a", v, ""))
+			s.advance(v, now(), true)
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	New(Options{
+		Source: store, Wait: time.Second, Rest: 50 * time.Millisecond, Now: now, Put: func(Row) {}, Missing: func(string) {},
+		Proved: func(time.Duration) {}, Log: &log.Logger{Handler: discard.New()},
+	}).Run(ctx)
+	require.LessOrEqual(t, store.asked, 6)
+}
+
 func TestOnlyWhatWasReadFromTheStoreLatelyIsHandedOn(t *testing.T) {
 	now := 10 * time.Second
 	s := newShelf(func() time.Duration { return now })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,9 @@
 	// changes; the proof of the catalog grows as old as the former.
 	declaredWait = 600 * time.Millisecond
 	listWait     = 2 * time.Second
+	// listRest is added to the age of the list; it is a tenth of the least time
+	// in which a leaving server must get nothing new.
+	listRest = 200 * time.Millisecond
 	// declaredTable and listTable name the tables between VMs.
 	declaredTable = "declarations"
 	listTable     = "servers"
@@ -187,7 +190,7 @@
 		Now: timer.Boot, Log: g.log, Put: g.declared, Missing: func(string) {}, Proved: g.catalog.Prove,
 	})
 	g.list = feed.New(feed.Options{
-		Name: listTable, Source: g.adapter.List(), Relay: relay(listTable), Wait: listWait,
+		Name: listTable, Source: g.adapter.List(), Relay: relay(listTable), Wait: listWait, Rest: listRest,
 		Now: timer.Boot, Log: g.log, Put: g.listed, Missing: g.missing, Proved: func(time.Duration) {},
 	})
 }
