Divide prompts between the shelves

Cause of the parts read again at 59 VMs: each VM kept parts on one shelf chosen by zone, so that three shelves of 5.7 million tokens held much the same, though 11 million tokens of sessions are in use. Sites with one shelf are as before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -109,6 +109,8 @@
 	services map[string]*Service
 	teams    map[string]*Team
 	keys     map[keyHash]*Team
+	// shelves are in the order of their addresses.
+	shelves []*Shelf
 }
 
 // New indexes a declaration.
@@ -129,7 +131,11 @@
 	}
 	for _, s := range services {
 		c.services[s.Name] = s
+		if s.Shelf != nil {
+			c.shelves = append(c.shelves, s.Shelf)
+		}
 	}
+	slices.SortFunc(c.shelves, func(a, b *Shelf) int { return cmp.Compare(a.Address, b.Address) })
 	for _, t := range teams {
 		c.teams[t.Name] = t
 		for _, k := range t.Keys {
@@ -170,17 +176,5 @@
 // Teams returns all teams by name.
 func (c *Catalog) Teams() map[string]*Team { return c.teams }
 
-// Shelf returns the store of cached parts, the one in the zone first, or nil.
-func (c *Catalog) Shelf(zone string) *Shelf {
-	var best *Shelf
-	for _, s := range c.services {
-		if s.Shelf == nil {
-			continue
-		}
-		if best == nil || (s.Shelf.Zone == zone && best.Zone != zone) ||
-			((s.Shelf.Zone == zone) == (best.Zone == zone) && s.Shelf.Address < best.Address) {
-			best = s.Shelf
-		}
-	}
-	return best
-}
+// Shelves returns the stores of cached parts, by address.
+func (c *Catalog) Shelves() []*Shelf { return c.shelves }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 	"github.com/marjoramrock/marjoramrock/internal/catalog"
 	"github.com/marjoramrock/marjoramrock/internal/event"
+	"github.com/marjoramrock/marjoramrock/internal/parts"
 	"github.com/marjoramrock/marjoramrock/internal/upstream"
 )
 
@@ -119,10 +121,27 @@
 	if s := c.Service(f.service); s != nil {
 		f.engine = s.Engine
 	}
-	f.shelf = c.Shelf(g.settings.Zone)
+	f.shelf = shelfOf(c.Shelves(), f.call.Prompt)
 	return g.charge(f)
 }
 
+// shelfOf returns the shelf that a prompt's parts are kept on: one of several
+// by the deepest shared part, so that together they hold as much as they can.
+func shelfOf(shelves []*catalog.Shelf, p parts.Prompt) *catalog.Shelf {
+	shared := p.Shared()
+	if len(shared) == 0 {
+		return nil
+	}
+	var best *catalog.Shelf
+	var most uint64
+	for _, s := range shelves {
+		if h := xxhash.Sum64String(s.Address + "/" + shared[len(shared)-1].ID); best == nil || h > most {
+			best, most = s, h
+		}
+	}
+	return best
+}
+
 // identify finds the team that holds the call's key.
 func (g *Gateway) identify(c *catalog.Catalog, f *flight) *Refusal {
 	if !c.Keyed() || f.route.Open {
--- a/internal/gateway/serve_test.go
+++ b/internal/gateway/serve_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/marjoramrock/marjoramrock/internal/backend"
 	"github.com/marjoramrock/marjoramrock/internal/catalog"
+	"github.com/marjoramrock/marjoramrock/internal/parts"
 	"github.com/marjoramrock/marjoramrock/internal/upstream"
 	"github.com/stretchr/testify/require"
 )
@@ -219,6 +220,30 @@
 	require.Len(t, a.sent(), 1)
 }
 
+func TestPromptsAreDividedBetweenShelves(t *testing.T) {
+	shelves := []*catalog.Shelf{{Address: "1"}, {Address: "2"}, {Address: "3"}}
+	prompt := func(i int) parts.Prompt {
+		return parts.Prompt{Parts: []parts.Part{{ID: "top"}, {ID: fmt.Sprint(i)}, {ID: "own"}}}
+	}
+	count := map[string]int{}
+	moved := 0
+	for i := range 300 {
+		s := shelfOf(shelves, prompt(i))
+		require.Same(t, s, shelfOf(shelves, prompt(i)))
+		count[s.Address]++
+		if s != shelves[2] && shelfOf(shelves[:2], prompt(i)) != s {
+			moved++
+		}
+	}
+	require.Len(t, count, 3)
+	for _, n := range count {
+		require.Greater(t, n, 60)
+	}
+	require.Zero(t, moved, "a shelf that goes takes only its own prompts along")
+	require.Nil(t, shelfOf(shelves, parts.Prompt{Parts: []parts.Part{{ID: "own"}}}))
+	require.Nil(t, shelfOf(nil, prompt(1)))
+}
+
 func TestRepeatsKeepToTheBudget(t *testing.T) {
 	g, a := open(t, answerWith(func() *Answer { return notRun(http.StatusServiceUnavailable) }))
 	for range 200 {
