Stop handing on as soon as the store turns a VM away

Ruled out: the other VM's own way to the store (it was answered at once when asked). A reader now stops at its first failure, or when its answer is older than calls take; TestAVMThatLosesTheStoreStopsHandingOn failed before.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -60,7 +60,7 @@
 
 // New returns a follower that knows nothing yet.
 func New(o Options) *Follower {
-	return &Follower{options: o, copy: newShelf(o.Now), pause: leastPause}
+	return &Follower{options: o, copy: newShelf(o.Now, o.Wait+o.Rest+margin), pause: leastPause}
 }
 
 // Serve hands on what is known to another VM: the changes after a version, or
@@ -117,6 +117,7 @@
 }
 
 func (f *Follower) failed(err error) {
+	f.copy.fail()
 	if !f.lost {
 		f.lost = true
 		event.StoreLost.Log(f.options.Log, err, log.Fields{"table": f.options.Name})
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -141,6 +141,9 @@
 	require.Empty(t, out.missing)
 }
 
+// fresh is the age up to which shelves of tests hand on.
+const fresh = 2 * time.Second
+
 // handing is another VM's shelf as a source.
 type handing struct {
 	shelf *shelf
@@ -160,7 +163,7 @@
 
 func TestAnotherVMIsAskedInPlaceOfTheStore(t *testing.T) {
 	now := 10 * time.Second
-	leader := &handing{shelf: newShelf(func() time.Duration { return now })}
+	leader := &handing{shelf: newShelf(func() time.Duration { return now }, fresh)}
 	leader.shelf.put(row("a", 4, "leader's"))
 	leader.shelf.advance(4, 9*time.Second, true)
 	var proofs []time.Duration
@@ -192,7 +195,7 @@
 func TestCallsOfTheStoreKeepADistance(t *testing.T) {
 	began := time.Now()
 	now := func() time.Duration { return time.Since(began) }
-	s := newShelf(now)
+	s := newShelf(now, fresh)
 	s.advance(1, 0, true)
 	store := &handing{shelf: s}
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
@@ -213,7 +216,7 @@
 
 func TestOnlyWhatWasReadFromTheStoreLatelyIsHandedOn(t *testing.T) {
 	now := 10 * time.Second
-	s := newShelf(func() time.Duration { return now })
+	s := newShelf(func() time.Duration { return now }, fresh)
 	serve := func(after int64) error {
 		_, err := s.serve(context.Background(), false, after, 0)
 		return err
@@ -228,8 +231,33 @@
 	require.ErrorIs(t, serve(5), ErrUnready, "the proof is old")
 }
 
+// A VM that the store turns away has no news: it must not keep the others waiting.
+func TestAVMThatLosesTheStoreStopsHandingOn(t *testing.T) {
+	s := newShelf(func() time.Duration { return 0 }, fresh)
+	s.advance(1, 0, true)
+	time.AfterFunc(30*time.Millisecond, s.fail)
+	began := time.Now()
+	_, err := s.serve(context.Background(), false, 1, 5*time.Second)
+	require.ErrorIs(t, err, ErrUnready)
+	require.Less(t, time.Since(began), time.Second)
+
+	now := time.Duration(0)
+	f := New(Options{
+		Source: &script{t: t, steps: []answer{{all: true, page: Page{Version: 2}}}}, Wait: 600 * time.Millisecond,
+		Now: func() time.Duration { return now }, Put: func(Row) {}, Missing: func(string) {},
+		Proved: func(time.Duration) {}, Log: &log.Logger{Handler: discard.New()},
+	})
+	require.NoError(t, f.step(context.Background()))
+	_, err = f.Serve(context.Background(), false, 2, 0)
+	require.NoError(t, err)
+	// Its next call has had no answer for longer than calls take.
+	now = 600*time.Millisecond + margin + 1
+	_, err = f.Serve(context.Background(), false, 2, 0)
+	require.ErrorIs(t, err, ErrUnready)
+}
+
 func TestRemovedRowsAreHandedOnAsLongAsTheyAreKept(t *testing.T) {
-	s := newShelf(func() time.Duration { return 0 })
+	s := newShelf(func() time.Duration { return 0 }, fresh)
 	for i := range int64(2 * removedKept) {
 		key := string(rune('a' + i))
 		s.put(row(key, 2*i+1, ""))
@@ -247,7 +275,7 @@
 }
 
 func TestAQuestionIsHeldUntilThereIsSomethingNew(t *testing.T) {
-	s := newShelf(func() time.Duration { return 0 })
+	s := newShelf(func() time.Duration { return 0 }, fresh)
 	s.advance(1, 0, true)
 	time.AfterFunc(30*time.Millisecond, func() {
 		s.put(row("a", 2, "x"))
--- a/internal/feed/shelf.go
+++ b/internal/feed/shelf.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// fresh is the oldest answer of the store that is handed on as proof.
-	fresh = 2500 * time.Millisecond
+	// margin is how much older than the calls' distance an answer of the store
+	// may be to be handed on: the way to the store and back.
+	margin = 300 * time.Millisecond
 	// removedKept is how many removed rows are remembered for other VMs.
 	removedKept = 256
 )
@@ -18,6 +19,8 @@
 // shelf holds the rows of a table for other VMs. It is safe for concurrent use.
 type shelf struct {
 	now func() time.Duration
+	// fresh is the oldest answer of the store that is handed on.
+	fresh time.Duration
 
 	mu   sync.Mutex // guards the fields below
 	rows map[string]Row
@@ -34,8 +37,8 @@
 	changed chan struct{}
 }
 
-func newShelf(now func() time.Duration) *shelf {
-	return &shelf{now: now, rows: make(map[string]Row), changed: make(chan struct{})}
+func newShelf(now func() time.Duration, fresh time.Duration) *shelf {
+	return &shelf{now: now, fresh: fresh, rows: make(map[string]Row), changed: make(chan struct{})}
 }
 
 func (s *shelf) version() int64 {
@@ -111,6 +114,15 @@
 	s.changed = make(chan struct{})
 }
 
+// fail ends the handing on until the store answers again.
+func (s *shelf) fail() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.direct = false
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // serve waits for the next answer, or for rows that the other VM lacks.
 func (s *shelf) serve(ctx context.Context, all bool, after int64, wait time.Duration) (Page, error) {
 	arrived := s.now()
@@ -133,7 +145,7 @@
 func (s *shelf) page(all bool, after int64, arrived time.Duration) (Page, chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.whole || !s.direct || s.now()-s.asked > fresh || after > s.cursor {
+	if !s.whole || !s.direct || s.now()-s.asked > s.fresh || after > s.cursor {
 		return Page{}, nil, ErrUnready
 	}
 	if !all && after < s.floor {
