Judge a reader's answers by two calls' age, and doubt the list with the declarations

So that a silent store is still noticed in time, calls get half a second beyond their wait, and the list is no longer handed on when the shorter calls for declarations fail.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -14,7 +14,7 @@
 	leastPause = 100 * time.Millisecond
 	mostPause  = 400 * time.Millisecond
 	// slack is what a call may take beyond the wait that was asked for.
-	slack = 800 * time.Millisecond
+	slack = 500 * time.Millisecond
 	// returning is how long after the store is reached again rows that were
 	// removed meanwhile may come back: their writers could not renew them.
 	returning = 2500 * time.Millisecond
@@ -39,6 +39,8 @@
 	// a row is gone and may come back, since it lapsed while the store was away.
 	Put     func(Row)
 	Missing func(key string)
+	// Failed tells that the store does not answer; nil where nobody asks.
+	Failed func()
 	// Proved tells when the store was asked for the newest answer.
 	Proved func(asked time.Duration)
 	Log    log.Interface
@@ -60,7 +62,7 @@
 
 // New returns a follower that knows nothing yet.
 func New(o Options) *Follower {
-	return &Follower{options: o, copy: newShelf(o.Now, o.Wait+o.Rest+margin), pause: leastPause}
+	return &Follower{options: o, copy: newShelf(o.Now, 2*o.Wait+o.Rest+margin), pause: leastPause}
 }
 
 // Serve hands on what is known to another VM: the changes after a version, or
@@ -116,8 +118,15 @@
 	}
 }
 
+// Doubt ends the handing on until the store answers again: it was seen to be
+// out of reach otherwise.
+func (f *Follower) Doubt() { f.copy.fail() }
+
 func (f *Follower) failed(err error) {
 	f.copy.fail()
+	if f.options.Failed != nil {
+		f.options.Failed()
+	}
 	if !f.lost {
 		f.lost = true
 		event.StoreLost.Log(f.options.Log, err, log.Fields{"table": f.options.Name})
--- a/internal/feed/shelf.go
+++ b/internal/feed/shelf.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// margin is how much older than the calls' distance an answer of the store
-	// may be to be handed on: the way to the store and back.
+	// margin is how much older than two calls an answer of the store may be to be
+	// handed on: the way to the store and back.
 	margin = 300 * time.Millisecond
 	// removedKept is how many removed rows are remembered for other VMs.
 	removedKept = 256
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -188,6 +188,8 @@
 	g.declarations = feed.New(feed.Options{
 		Name: declaredTable, Source: g.adapter.Declarations(), Relay: relay(declaredTable), Wait: declaredWait,
 		Now: timer.Boot, Log: g.log, Put: g.declared, Missing: func(string) {}, Proved: g.catalog.Prove,
+		// Calls for declarations are the shorter ones, and notice first.
+		Failed: func() { g.list.Doubt() },
 	})
 	g.list = feed.New(feed.Options{
 		Name: listTable, Source: g.adapter.List(), Relay: relay(listTable), Wait: listWait, Rest: listRest,
