--- /dev/null
+++ b/cmd/marjoramrock/explain.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/marjoramrock/marjoramrock/internal/explain"
+	"github.com/urfave/cli/v2"
+)
+
+func explainCommand() *cli.Command {
+	return command(&cli.Command{
+		Name:      "explain",
+		Usage:     "print one request's way through the fleet from the routers' logs",
+		ArgsUsage: "REQUEST [FILE ...]",
+		Description: "Reads log lines from the files, or from standard input without any, and prints\n" +
+			"what was decided about the request with id REQUEST, marked by >, and what happened\n" +
+			"around it to the servers and VMs that it met. Exits with 1 if no line names it.",
+		Action: explainRequest,
+	})
+}
+
+func explainRequest(c *cli.Context) error {
+	if c.NArg() < 1 {
+		return usage("explain takes the id of a REQUEST")
+	}
+	var lines []explain.Line
+	add := func(r io.Reader) error {
+		more, err := explain.Read(r)
+		lines = append(lines, more...)
+		return err
+	}
+	if c.NArg() == 1 {
+		if err := add(os.Stdin); err != nil {
+			return err
+		}
+	}
+	for _, name := range c.Args().Slice()[1:] {
+		f, err := os.Open(name)
+		if err != nil {
+			return fmt.Errorf("explain: %w", err)
+		}
+		err = add(f)
+		_ = f.Close()
+		if err != nil {
+			return fmt.Errorf("explain: %s: %w", name, err)
+		}
+	}
+	found, err := explain.Request(os.Stdout, lines, c.Args().First())
+	if err != nil {
+		return err
+	}
+	if !found {
+		return fmt.Errorf("explain: no log line names request %s", c.Args().First())
+	}
+	return nil
+}
--- a/cmd/marjoramrock/gateway.go
+++ b/cmd/marjoramrock/gateway.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"errors"
 	"os"
 
 	"github.com/apex/log"
+	"github.com/marjoramrock/marjoramrock/internal/config"
 	"github.com/marjoramrock/marjoramrock/internal/event"
 	"github.com/marjoramrock/marjoramrock/platform"
 	"github.com/urfave/cli/v2"
@@ -22,7 +24,13 @@
 		Action: func(c *cli.Context) error {
 			writer := event.NewWriter(os.Stdout)
 			defer writer.Close()
-			return platform.Run(c.String("settings"), &log.Logger{Handler: writer, Level: log.InfoLevel})
+			err := platform.Run(c.String("settings"), &log.Logger{Handler: writer, Level: log.InfoLevel})
+			var wrong *config.SettingsError
+			var form config.ProblemsError
+			if errors.As(err, &wrong) || errors.As(err, &form) {
+				return &usageError{err: err}
+			}
+			return err
 		},
 	})
 }
--- a/cmd/marjoramrock/main.go
+++ b/cmd/marjoramrock/main.go
@@ -43,13 +43,14 @@
 	return &cli.App{
 		Name:  "marjoramrock",
 		Usage: "route language-model traffic with long shared prompts",
-		Description: "One binary: `router` runs on every entry VM; check, diff, apply, keys,\n" +
-			"status and dump are for operators; demo, load and standin are for trials.\n" +
+		Description: "One binary: `router`, or `gateway` on the users' platform, runs on every entry VM;\n" +
+			"check, diff, apply, keys, status, dump and explain are for operators; demo, load and\n" +
+			"standin are for trials.\n" +
 			"Exit codes: 0 fine, 1 failed, 2 wrong usage.",
 		HideHelpCommand: true,
 		Commands: []*cli.Command{
 			routerCommand(), gatewayCommand(), certsCommand(), checkCommand(), diffCommand(), applyCommand(),
-			keysCommand(), statusCommand(), dumpCommand(), loadCommand(), demoCommand(), standinCommand(),
+			keysCommand(), statusCommand(), dumpCommand(), explainCommand(), loadCommand(), demoCommand(), standinCommand(),
 		},
 		OnUsageError: wrongUsage,
 		ExitErrHandler: func(*cli.Context, error) {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -70,6 +70,8 @@
 	// missing are the prompt tokens that the engine is expected to read; pending
 	// and load are what it had to do for other calls.
 	missing int
+	// moved are the tokens that fetch is expected to bring.
+	moved   int
 	pending int
 	load    int
 }
@@ -161,15 +163,16 @@
 func (g *Gateway) source(c *choice, f *flight, s backend.Status, all []backend.Status) float64 {
 	prompt := f.call.Prompt
 	shared := prompt.Shared()
-	own := g.parts.Held(holderOf(s.Server), c.salt, shared)
+	since := g.now() - g.residence(f, len(all))
+	own := g.parts.Held(holderOf(s.Server), c.salt, shared, since)
 	most, address, far := own+fetchLeast, "", false
 	// A source that cannot be reached costs more than reading.
 	reached := func(zone string) bool { return zone == s.Server.Zone || !f.silent[zone] }
-	consider := func(h parts.Holder, addr, zone string) {
+	consider := func(h parts.Holder, addr, zone string, since time.Duration) {
 		if !reached(zone) {
 			return
 		}
-		held := g.parts.Held(h, c.salt, shared)
+		held := g.parts.Held(h, c.salt, shared, since)
 		away := zone != s.Server.Zone
 		if held > most || (held == most && address != "" && far && !away) {
 			most, address, far = held, addr, away
@@ -177,11 +180,11 @@
 	}
 	for _, o := range all {
 		if o.Server.ID != s.Server.ID && o.Versions[prompt.Model] == c.version && !o.Resting {
-			consider(holderOf(o.Server), o.Server.Address, o.Server.Zone)
+			consider(holderOf(o.Server), o.Server.Address, o.Server.Zone, since)
 		}
 	}
 	if shelf := f.shelf; shelf != nil {
-		consider(shelfHolder(shelf), shelf.Address, shelf.Zone)
+		consider(shelfHolder(shelf), shelf.Address, shelf.Zone, parts.Always)
 	}
 	if address == "" {
 		c.missing = max(0, prompt.Input-own)
@@ -193,6 +196,7 @@
 		return 0
 	}
 	c.fetch = address
+	c.moved = most - own
 	c.missing = max(0, prompt.Input-most)
 	transfer := 0.0
 	if e := f.engine; e != nil && e.LinkMbps > 0 {
@@ -204,6 +208,26 @@
 	return transfer
 }
 
+const (
+	// cachePart is the part of an engine's memory that caches have beside the
+	// running calls.
+	cachePart = 0.8
+	// leastResidence and mostResidence bound the estimate.
+	leastResidence = time.Second
+	mostResidence  = time.Minute
+)
+
+// residence is how long a part that nobody uses stays in an engine's cache, by
+// what all VMs together send to the engines of a service.
+func (g *Gateway) residence(f *flight, engines int) time.Duration {
+	rate := g.inflow.Rate(g.now()) * float64(g.node.Members()+1)
+	if f.engine == nil || rate <= 0 {
+		return mostResidence
+	}
+	seconds := cachePart * float64(f.engine.Capacity*engines) / rate
+	return min(max(time.Duration(seconds*float64(time.Second)), leastResidence), mostResidence)
+}
+
 func holderOf(s backend.Server) parts.Holder { return parts.Holder{ID: s.ID, Born: s.Born} }
 
 func shelfHolder(s *catalog.Shelf) parts.Holder { return parts.Holder{ID: "shelf/" + s.Address} }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,9 +31,9 @@
 	// changes; the proof of the catalog grows as old as the former.
 	declaredWait = 600 * time.Millisecond
 	listWait     = 2 * time.Second
-	// listRest is added to the age of the list; it is a tenth of the least time
-	// in which a leaving server must get nothing new.
-	listRest = 200 * time.Millisecond
+	// listRest is the part of the time in which a leaving server must get nothing
+	// new that may be added to the age of the list.
+	listRest = 10
 	// declaredTable and listTable name the tables between VMs.
 	declaredTable = "declarations"
 	listTable     = "servers"
@@ -113,7 +113,9 @@
 	orderer      *weights.Orderer
 	history      *weights.History
 	news         news
-	moves        moves
+	// inflow is what this VM sends into the engines caches.
+	inflow parts.Flow
+	moves  moves
 
 	draining atomic.Bool
 	inFlight atomic.Int64
@@ -192,7 +194,7 @@
 		Failed: func() { g.list.Doubt() },
 	})
 	g.list = feed.New(feed.Options{
-		Name: listTable, Source: g.adapter.List(), Relay: relay(listTable), Wait: listWait, Rest: listRest,
+		Name: listTable, Source: g.adapter.List(), Relay: relay(listTable), Wait: listWait, Rest: time.Duration(g.settings.Bounds.Leave) / listRest,
 		Now: timer.Boot, Log: g.log, Put: g.listed, Missing: g.missing, Proved: func(time.Duration) {},
 	})
 }
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -51,6 +51,9 @@
 	})
 }
 
+// outcomeAnswered is that of a call whose answer was passed on whole.
+const outcomeAnswered = "answered"
+
 // ended counts and logs the end of a call.
 func (g *Gateway) ended(f *flight) {
 	outcome := strings.ReplaceAll(strings.ReplaceAll(f.outcome, " ", "_"), "'", "")
@@ -68,6 +71,10 @@
 		fields["version"], fields["missing"], fields["pending"] = f.last.version, f.last.missing, f.last.pending
 		fields["load"], fields["fetch"] = f.last.load, f.last.fetch
 	}
+	fields["generation"], fields["proof"] = f.generation, f.proof.Milliseconds()
+	if f.outcome != outcomeAnswered && f.why != "" {
+		fields["why"] = f.why
+	}
 	if f.team != nil {
 		fields["team"] = f.team.Name
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -21,6 +21,7 @@
 	for ctx.Err() == nil {
 		c, err := g.next(ctx, f)
 		if err != nil {
+			f.why = err.Error()
 			break
 		}
 		if g.plainAttempt(ctx, f, c) {
@@ -81,7 +82,7 @@
 
 // pass sends a whole answer to the caller.
 func (g *Gateway) pass(f *flight, ans *Answer, body []byte) {
-	f.status, f.first, f.outcome = ans.Status, g.now(), "answered"
+	f.status, f.first, f.outcome = ans.Status, g.now(), outcomeAnswered
 	if err := f.sink.Begin(ans.Status, ans.Header, int64(len(body))); err != nil {
 		f.outcome = "caller left"
 		return
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -61,6 +62,12 @@
 	// charged are the tokens that the team was charged.
 	charged float64
 	outcome string
+	// why is what kept the call from being served, in a few words.
+	why string
+	// generation is that of the catalog that decided, and proof how old its
+	// proof was.
+	generation int64
+	proof      time.Duration
 	// last is the choice of the last attempt.
 	last   choice
 	status int
@@ -103,8 +110,10 @@
 func (g *Gateway) admit(f *flight) *Refusal {
 	c := g.catalog.Current()
 	if c == nil {
+		f.why = "no configuration yet"
 		return &Refusal{Reason: Unavailable, After: comeBack}
 	}
+	f.generation = c.Version()
 	if f.route = c.Match(f.call.Host, f.call.Path); f.route == nil {
 		return &Refusal{Reason: Unknown}
 	}
@@ -147,7 +156,9 @@
 	if !c.Keyed() || f.route.Open {
 		return nil
 	}
-	if age, ok := g.catalog.Age(g.now()); !ok || age > g.stale() {
+	age, ok := g.catalog.Age(g.now())
+	if f.proof = age; !ok || age > g.stale() {
+		f.why = "proof of the configuration is too old"
 		return &Refusal{Reason: Unavailable, After: comeBack}
 	}
 	if f.team = c.TeamOf(f.call.Key); f.team == nil {
@@ -171,6 +182,7 @@
 	}
 	ok, wait := g.quota.Take(f.team.Name, g.limitsOf(f.team), tokens, g.now())
 	if !ok {
+		f.why = fmt.Sprintf("%.0f tokens", tokens)
 		return &Refusal{Reason: OverRate, After: max(wait, comeBack)}
 	}
 	f.charged = tokens
@@ -305,6 +317,7 @@
 		return
 	}
 	now := g.now()
+	g.inflow.Add(c.missing+c.moved, now)
 	shared := len(f.call.Prompt.Shared())
 	for i, p := range f.call.Prompt.Parts {
 		fresh := g.parts.Add(holderOf(c.server), f.engine.Capacity, c.salt, p, now)
@@ -324,7 +337,7 @@
 	for _, p := range shared {
 		total += p.Tokens
 	}
-	return total > 0 && g.parts.Held(shelfHolder(f.shelf), salt, shared) < total
+	return total > 0 && g.parts.Held(shelfHolder(f.shelf), salt, shared, parts.Always) < total
 }
 
 // mayRepeat reports whether a call that may have run can be sent to another server.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -42,6 +42,7 @@
 	for ctx.Err() == nil {
 		c, err := g.next(ctx, f)
 		if err != nil {
+			f.why = err.Error()
 			break
 		}
 		if g.streamAttempt(ctx, st, c) {
@@ -108,7 +109,7 @@
 		return false
 	}
 	g.table.Succeeded(c.server.ID)
-	f.status, f.outcome = ans.Status, "answered"
+	f.status, f.outcome = ans.Status, outcomeAnswered
 	return true
 }
 
--- a/internal/parts/directory.go
+++ b/internal/parts/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"math"
 	"sync"
 	"time"
 )
@@ -44,6 +45,8 @@
 	key    key
 	tokens int
 	used   time.Duration
+	// told is when Add last reported it as news.
+	told time.Duration
 }
 
 // shelf is what one incarnation is believed to hold, least recently used last.
@@ -66,9 +69,14 @@
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory { return &Directory{shelves: make(map[string]*shelf)} }
 
+// retell is after how long the use of a known part is news again: others
+// forget parts that are not used.
+const retell = time.Second
+
 // Add records that an engine reads a part now. Capacity is the size of its
-// memory in tokens; what was used least recently yields.
-func (d *Directory) Add(h Holder, capacity int, salt string, p Part, now time.Duration) (fresh bool) {
+// memory in tokens; what was used least recently yields. It reports whether
+// that is news to others.
+func (d *Directory) Add(h Holder, capacity int, salt string, p Part, now time.Duration) (news bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.shelves[h.ID]
@@ -82,9 +90,12 @@
 		item := e.Value.(*entry)
 		item.used = now
 		s.order.MoveToFront(e)
-		return false
+		if news = now-item.told >= retell; news {
+			item.told = now
+		}
+		return news
 	}
-	s.entries[k] = s.order.PushFront(&entry{key: k, tokens: p.Tokens, used: now})
+	s.entries[k] = s.order.PushFront(&entry{key: k, tokens: p.Tokens, used: now, told: now})
 	s.tokens += p.Tokens
 	for s.tokens > s.capacity && s.order.Len() > 1 {
 		s.drop(s.order.Back())
@@ -117,22 +128,22 @@
 	delete(d.shelves, id)
 }
 
+// Always is the oldest use that Held is asked for where parts do not age.
+const Always = time.Duration(math.MinInt64)
+
 // Held returns how many tokens of the opening parts an engine is believed to
-// hold under a salt.
-func (d *Directory) Held(h Holder, salt string, parts []Part) int {
+// hold under a salt, counting parts that were used since an instant.
+func (d *Directory) Held(h Holder, salt string, parts []Part, since time.Duration) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.held(h, salt, parts)
-}
-
-func (d *Directory) held(h Holder, salt string, parts []Part) int {
 	s := d.shelves[h.ID]
 	if s == nil || s.holder.Born != h.Born {
 		return 0
 	}
 	n := 0
 	for _, p := range parts {
-		if s.entries[key{salt, p.ID}] == nil {
+		e := s.entries[key{salt, p.ID}]
+		if e == nil || e.Value.(*entry).used < since {
 			break
 		}
 		n += p.Tokens
--- a/internal/parts/directory_test.go
+++ b/internal/parts/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -25,7 +26,7 @@
 		{"another engine", Holder{ID: "f", Born: 1}, "m@1", 0},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) { require.Equal(t, tt.want, d.Held(tt.holder, tt.salt, prompt)) })
+		t.Run(tt.name, func(t *testing.T) { require.Equal(t, tt.want, d.Held(tt.holder, tt.salt, prompt, Always)) })
 	}
 }
 
@@ -36,16 +37,49 @@
 	d.Add(h, 100, "s", Part{"b", 40}, 0)
 	d.Add(h, 100, "s", Part{"a", 40}, 0)
 	d.Add(h, 100, "s", Part{"c", 40}, 0)
-	require.Equal(t, 40, d.Held(h, "s", []Part{{"a", 40}}))
-	require.Zero(t, d.Held(h, "s", []Part{{"b", 40}}))
+	require.Equal(t, 40, d.Held(h, "s", []Part{{"a", 40}}, Always))
+	require.Zero(t, d.Held(h, "s", []Part{{"b", 40}}, Always))
 	require.Equal(t, 2, d.Len())
 }
 
+func TestPartsAge(t *testing.T) {
+	d := NewDirectory()
+	h := Holder{ID: "e", Born: 1}
+	parts := []Part{{"a", 40}, {"b", 40}}
+	for i, p := range parts {
+		d.Add(h, 100, "s", p, time.Duration(2-i)*time.Second)
+	}
+	require.Equal(t, 80, d.Held(h, "s", parts, time.Second))
+	require.Equal(t, 40, d.Held(h, "s", parts, 1500*time.Millisecond))
+	require.Zero(t, d.Held(h, "s", parts, 3*time.Second))
+}
+
+func TestUseIsNewsAgainAfterAWhile(t *testing.T) {
+	d := NewDirectory()
+	h := Holder{ID: "e", Born: 1}
+	steps := []struct {
+		at   time.Duration
+		want bool
+	}{{0, true}, {retell / 2, false}, {retell, true}, {retell + 1, false}, {2 * retell, true}}
+	for _, s := range steps {
+		require.Equal(t, s.want, d.Add(h, 100, "s", Part{"a", 40}, s.at), s.at)
+	}
+}
+
+func TestFlowAverages(t *testing.T) {
+	var f Flow
+	for now := time.Duration(0); now < 20*time.Second; now += 10 * time.Millisecond {
+		f.Add(10, now)
+	}
+	require.InDelta(t, 1000, f.Rate(20*time.Second), 20)
+	require.Less(t, f.Rate(30*time.Second), 10.0)
+}
+
 func TestNewIncarnationHoldsNothing(t *testing.T) {
 	d := NewDirectory()
 	d.Add(Holder{ID: "e", Born: 1}, 100, "s", Part{"a", 40}, 0)
 	d.Add(Holder{ID: "e", Born: 2}, 100, "s", Part{"b", 40}, 0)
-	require.Zero(t, d.Held(Holder{ID: "e", Born: 2}, "s", []Part{{"a", 40}}))
+	require.Zero(t, d.Held(Holder{ID: "e", Born: 2}, "s", []Part{{"a", 40}}, Always))
 	d.Forget("e")
 	require.Zero(t, d.Len())
 }
