--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -12,7 +12,7 @@
 	minimumRest = 250 * time.Millisecond
 	maximumRest = 4 * time.Second
 	// peerLife is how long the load that another VM told is believed.
-	peerLife = 1500 * time.Millisecond
+	peerLife = 3 * time.Second
 	// reloadLife is how long an announced order is believed without a sign of
 	// its end; it exceeds the longest wait of an engine for its running calls.
 	reloadLife = 6 * time.Second
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,6 +113,8 @@
 	orderer      *weights.Orderer
 	history      *weights.History
 	news         news
+	// round counts the timer calls of tell.
+	round int
 	// inflow is what this VM sends into the engines caches.
 	inflow parts.Flow
 	moves  moves
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -31,7 +31,9 @@
 func (g *Gateway) limitsOf(t *catalog.Team) quota.Limits {
 	b := g.settings.Bounds
 	over := b.Over*(t.Rate*time.Duration(b.Span).Seconds()+t.Burst) + b.Slack
-	return quota.Limits{Rate: t.Rate, Burst: t.Burst, Spare: sparePart * over}
+	// Messages between zones are rarer with more VMs.
+	told := min(1, farVMs/float64(g.node.Members()+1))
+	return quota.Limits{Rate: t.Rate, Burst: t.Burst, Spare: sparePart * told * over}
 }
 
 func (g *Gateway) tellPart(h parts.Holder, salt string, p parts.Part) {
@@ -48,23 +50,33 @@
 	g.news.versions = append(g.news.versions, gossip.Version{Engine: s.ID, Born: s.Born, Model: model, Version: version})
 }
 
-// tell sends what is new to the other VMs.
+// farVMs is how many VMs are told beyond the zone in every round; with more,
+// rounds are left out, so that bytes between zones grow with their number and
+// not with its square.
+const farVMs = 12
+
+// tell sends what is new to the VMs of the zone, and in some rounds to all.
 func (g *Gateway) tell() {
+	g.round++
+	all := g.round%max(1, g.node.Members()/farVMs) == 0
 	g.news.mu.Lock()
 	m := &gossip.Message{Parts: g.news.parts, Versions: g.news.versions}
 	g.news.parts, g.news.versions = nil, nil
 	g.news.mu.Unlock()
-	g.broadcast(m)
+	g.spread(m, all)
 }
 
-// broadcast sends a message with the VM's present charges and loads.
-func (g *Gateway) broadcast(m *gossip.Message) {
+// broadcast sends a message to all VMs at once.
+func (g *Gateway) broadcast(m *gossip.Message) { g.spread(m, true) }
+
+// spread adds the VM's present charges and loads to a message and sends it.
+func (g *Gateway) spread(m *gossip.Message, all bool) {
 	m.Usage = g.quota.Totals()
 	m.Loads = make(map[string]gossip.Load)
 	for id, l := range g.table.Loads() {
 		m.Loads[id] = gossip.Load{Calls: l.Calls, Pending: l.Pending}
 	}
-	if err := g.node.Tell(m); err != nil {
+	if err := g.node.Tell(m, all); err != nil {
 		event.PeerUnreached.Log(g.log, err, nil)
 	}
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -57,12 +57,12 @@
 		Versions: []Version{{Engine: "e", Born: 4, Model: "m", Version: 3}},
 		Parts:    []Part{{Engine: "e", Born: 4, Salt: "m@3", ID: "ab", Tokens: 100}},
 	}
-	require.NoError(t, a.Tell(want))
+	require.NoError(t, a.Tell(want, true))
 	require.Eventually(t, func() bool { return fromA.count() == 1 }, time.Second, time.Millisecond)
 	require.Equal(t, want, fromA.list[0])
 	require.Equal(t, 1, fromA.fresh)
 
-	require.NoError(t, b.Tell(&Message{}))
+	require.NoError(t, b.Tell(&Message{}, true))
 	require.Eventually(t, func() bool { return fromB.count() == 1 }, time.Second, time.Millisecond, "b learnt of a")
 	require.Equal(t, 1, b.Members())
 }
@@ -109,6 +109,16 @@
 	require.Equal(t, map[string]bool{"z": true}, n.Silent(time.Second))
 }
 
+func TestTheOwnZoneIsToldAlone(t *testing.T) {
+	n, _ := start(t, "a", loopback.Address(t), 1)
+	n.hear(&Message{VM: "b", Zone: "z", Address: "127.0.0.1:1", Epoch: 1, Number: 1})
+	n.hear(&Message{VM: "c", Zone: "y", Address: "127.0.0.1:2", Epoch: 1, Number: 1})
+	require.Len(t, n.targets(true), 2)
+	near := n.targets(false)
+	require.Len(t, near, 1)
+	require.Equal(t, uint16(1), near[0].Port())
+}
+
 func TestGarbageIsCountedAndIgnored(t *testing.T) {
 	n, h := start(t, "a", loopback.Address(t), 1)
 	c, err := net.Dial("udp4", n.options.Address)
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -20,7 +20,7 @@
 	// store.
 	leaderLife = time.Second
 	// quiet is after how long without word a VM counts as not heard.
-	quiet = 2 * time.Second
+	quiet = 4 * time.Second
 )
 
 // member is another VM.
@@ -212,8 +212,8 @@
 	return out
 }
 
-// targets returns whom to tell this time.
-func (n *Node) targets() []netip.AddrPort {
+// targets returns whom to tell this time: those of the own zone, or all.
+func (n *Node) targets(all bool) []netip.AddrPort {
 	now := n.options.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -225,6 +225,9 @@
 			delete(n.members, vm)
 			continue
 		}
+		if !all && o.zone != n.options.Zone && o.zone != "" {
+			continue
+		}
 		if since < quiet || n.round%wakeEvery == 0 {
 			out = append(out, o.address)
 		}
@@ -237,8 +240,9 @@
 	return out
 }
 
-// Tell sends a message to the other VMs. Sender and number are filled in.
-func (n *Node) Tell(m *Message) error {
+// Tell sends a message to the other VMs, or to those of the own zone. Sender and
+// number are filled in.
+func (n *Node) Tell(m *Message, all bool) error {
 	m.VM, m.Zone, m.Address, m.Epoch = n.options.VM, n.options.Zone, n.options.Address, n.options.Epoch
 	n.mu.Lock()
 	n.number++
@@ -248,7 +252,7 @@
 	if err != nil {
 		return err
 	}
-	for _, addr := range n.targets() {
+	for _, addr := range n.targets(all) {
 		// A datagram that cannot be sent is as good as lost.
 		_, _ = n.conn.WriteToUDPAddrPort(raw, addr)
 	}
--- a/internal/quota/fleet.go
+++ b/internal/quota/fleet.go
@@ -7,8 +7,13 @@
 
 // Times that the estimate keeps by.
 const (
-	// silence is after how long without word a VM is charged by estimate.
+	// silence is the least time without word after which a VM is charged its
+	// equal part of each rate; until then, as it charged before.
 	silence = time.Second
+	// missed is how many of its usual pauses between messages it may be silent.
+	missed = 1.5
+	// settled is the least time over which a VM's charges give its rate.
+	settled = 50 * time.Millisecond
 	// lost is after how long without word a VM counts as gone.
 	lost = 15 * time.Second
 )
@@ -40,7 +45,11 @@
 	epoch  uint64
 	heard  time.Duration
 	totals map[string]float64
-	// assumed is what was charged for it while it was silent.
+	// pause is the time between its last two messages.
+	pause time.Duration
+	// rates are its charges a second between its last two messages.
+	rates map[string]float64
+	// assumed is what was charged for it since its last message.
 	assumed map[string]float64
 	// accrued is until when assumed is worked out.
 	accrued time.Duration
@@ -139,7 +148,9 @@
 	p := f.peers[vm]
 	if p == nil || p.epoch != epoch {
 		first := p == nil && !f.full
-		p = &peer{epoch: epoch, totals: make(map[string]float64), assumed: make(map[string]float64)}
+		p = &peer{
+			epoch: epoch, totals: make(map[string]float64), rates: make(map[string]float64), assumed: make(map[string]float64),
+		}
 		f.peers[vm] = p
 		if first {
 			// What it charged before this VM knew of it is not in the level.
@@ -148,10 +159,18 @@
 			}
 		}
 	}
+	since := now - p.heard
+	known := p.heard > 0
+	if known {
+		p.pause = since
+	}
 	p.heard, p.accrued = now, now
 	for team, n := range totals {
 		used := n - p.totals[team]
 		p.totals[team] = n
+		if known && since >= settled {
+			p.rates[team] = max(0, used/since.Seconds())
+		}
 		if a := f.accounts[team]; a != nil {
 			a.refill(now)
 			a.level = min(a.limits.most(), a.level-(used-p.assumed[team]))
@@ -168,7 +187,8 @@
 	delete(f.peers, vm)
 }
 
-// accrue charges the VMs that are silent their equal part of each rate.
+// accrue charges for the VMs what they will tell of: as they charged before,
+// and once they are silent at least their equal part of each rate.
 func (f *Fleet) accrue(now time.Duration) {
 	size := float64(len(f.peers) + 1)
 	for vm, p := range f.peers {
@@ -176,12 +196,15 @@
 			delete(f.peers, vm)
 			continue
 		}
-		from := max(p.accrued, p.heard+silence)
-		if now <= from {
+		if now <= p.accrued {
 			continue
 		}
 		for team, a := range f.accounts {
-			part := a.limits.Rate / size * (now - from).Seconds()
+			rate := p.rates[team]
+			if now-p.heard > max(silence, time.Duration(missed*float64(p.pause))) {
+				rate = max(rate, a.limits.Rate/size)
+			}
+			part := rate * (now - p.accrued).Seconds()
 			a.level -= part
 			p.assumed[team] += part
 		}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -97,6 +97,21 @@
 	require.True(t, ok, "vm2 charged nothing")
 }
 
+// What a VM will tell of is charged before it does.
+func TestChargesGoOnBetweenMessages(t *testing.T) {
+	f := NewFleet(true)
+	f.Take("t", limits, 0, time.Second)
+	f.Hear("vm2", 1, map[string]float64{"t": 0}, time.Second)
+	f.Hear("vm2", 1, map[string]float64{"t": 100}, 2*time.Second)
+	// It charges 100 a second, the whole rate: nothing is left to give out.
+	ok, _ := f.Take("t", limits, 10, 2500*time.Millisecond)
+	require.False(t, ok)
+	// It did not go on so: what was assumed is given back.
+	f.Hear("vm2", 1, map[string]float64{"t": 100}, 2500*time.Millisecond)
+	ok, _ = f.Take("t", limits, 40, 2500*time.Millisecond)
+	require.True(t, ok)
+}
+
 func TestLostAndLeavingVMsAreNotCharged(t *testing.T) {
 	f := NewFleet(true)
 	f.Take("t", limits, 100, 0)
