Tell VMs of other zones of charges in each round; bound the store calls for the duty

Two changes that went into one commit by mistake.

Charges that changed are now told to all in each round, in messages that hold nothing else; a team that is not named is as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,6 +115,8 @@
 	news         news
 	// round counts the timer calls of tell.
 	round int
+	// told are the charges that all VMs were told of last.
+	told map[string]float64
 	// inflow is what this VM sends into the engines caches.
 	inflow parts.Flow
 	moves  moves
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -31,7 +31,7 @@
 func (g *Gateway) limitsOf(t *catalog.Team) quota.Limits {
 	b := g.settings.Bounds
 	over := b.Over*(t.Rate*time.Duration(b.Span).Seconds()+t.Burst) + b.Slack
-	// Messages between zones are rarer with more VMs.
+	// The lag adds up over the VMs.
 	told := min(1, farVMs/float64(g.node.Members()+1))
 	return quota.Limits{Rate: t.Rate, Burst: t.Burst, Spare: sparePart * told * over}
 }
@@ -50,12 +50,13 @@
 	g.news.versions = append(g.news.versions, gossip.Version{Engine: s.ID, Born: s.Born, Model: model, Version: version})
 }
 
-// farVMs is how many VMs are told beyond the zone in every round; with more,
-// rounds are left out, so that bytes between zones grow with their number and
-// not with its square.
+// farVMs is how many VMs are told everything beyond the zone in every round;
+// with more, rounds are left out, so that bytes between zones grow with their
+// number and not with its square.
 const farVMs = 12
 
-// tell sends what is new to the VMs of the zone, and in some rounds to all.
+// tell sends what is new to the VMs of the zone, and in some rounds to all. In
+// the others those of other zones hear of charges alone, since rates bind all.
 func (g *Gateway) tell() {
 	g.round++
 	all := g.round%max(1, g.node.Members()/farVMs) == 0
@@ -63,9 +64,27 @@
 	m := &gossip.Message{Parts: g.news.parts, Versions: g.news.versions}
 	g.news.parts, g.news.versions = nil, nil
 	g.news.mu.Unlock()
+	if !all {
+		g.tellCharges()
+	}
 	g.spread(m, all)
 }
 
+// tellCharges tells all VMs which teams were charged since the last time.
+func (g *Gateway) tellCharges() {
+	m := &gossip.Message{Brief: true, Usage: make(map[string]float64)}
+	totals := g.quota.Totals()
+	for team, n := range totals {
+		if n != g.told[team] {
+			m.Usage[team] = n
+		}
+	}
+	g.told = totals
+	if len(m.Usage) > 0 {
+		g.post(m, true)
+	}
+}
+
 // broadcast sends a message to all VMs at once.
 func (g *Gateway) broadcast(m *gossip.Message) { g.spread(m, true) }
 
@@ -76,6 +95,10 @@
 	for id, l := range g.table.Loads() {
 		m.Loads[id] = gossip.Load{Calls: l.Calls, Pending: l.Pending}
 	}
+	g.post(m, all)
+}
+
+func (g *Gateway) post(m *gossip.Message, all bool) {
 	if err := g.node.Tell(m, all); err != nil {
 		event.PeerUnreached.Log(g.log, err, nil)
 	}
@@ -93,11 +116,13 @@
 		event.PeerJoined.Log(g.log, nil, log.Fields{"peer": m.VM, "zone": m.Zone, "epoch": m.Epoch})
 	}
 	g.quota.Hear(m.VM, m.Epoch, m.Usage, now)
-	loads := make(map[string]backend.Load, len(m.Loads))
-	for id, l := range m.Loads {
-		loads[id] = backend.Load{Calls: l.Calls, Pending: l.Pending}
+	if !m.Brief {
+		loads := make(map[string]backend.Load, len(m.Loads))
+		for id, l := range m.Loads {
+			loads[id] = backend.Load{Calls: l.Calls, Pending: l.Pending}
+		}
+		g.table.PeerLoads(m.VM, loads, now)
 	}
-	g.table.PeerLoads(m.VM, loads, now)
 	for _, v := range m.Reloading {
 		g.reloads(v.Engine, v.Born, v.Model, v.Version)
 	}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -26,8 +26,9 @@
 	Parts     []Part    `cbor:"10,keyasint,omitempty"`
 	// Leaving is set in the last message of a process.
 	Leaving bool `cbor:"11,keyasint,omitempty"`
-	// Hello asks the receiver to answer at once.
-	Hello bool `cbor:"12,keyasint,omitempty"`
+	// Brief messages name only the teams that were charged since the last one,
+	// and no loads.
+	Brief bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Load is the calls on a server, and the prompt tokens not yet read for them.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -108,6 +108,9 @@
 
 // take reads the record and replaces it if the duty is free or already ours.
 func (l *Lease) take(ctx context.Context, held bool, fence int64) error {
+	// A renewal that takes longer than half a life comes too late.
+	ctx, cancel := context.WithTimeout(ctx, l.times.Life/2)
+	defer cancel()
 	asked := l.now()
 	rec, err := l.store.Read(ctx, l.name)
 	if err != nil {
@@ -173,6 +176,8 @@
 	if !held {
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, l.times.Life/2)
+	defer cancel()
 	rec, err := l.store.Read(ctx, l.name)
 	if err != nil {
 		return fmt.Errorf("lease %s: release: %w", l.name, err)
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -149,6 +149,33 @@
 	require.True(t, keep(t, a), "it may take what is its own")
 }
 
+// mute is a store whose connections have gone silent.
+type mute struct{}
+
+func (mute) Read(ctx context.Context, _ string) (Record, error) {
+	<-ctx.Done()
+	return Record{}, ctx.Err()
+}
+
+func (mute) Swap(ctx context.Context, _ string, _ []byte, _ int64) (Record, error) {
+	<-ctx.Done()
+	return Record{}, ctx.Err()
+}
+
+// A store that answers nothing must not hold the caller, or the end of the
+// process, for good.
+func TestASilentStoreHoldsNobody(t *testing.T) {
+	began := time.Now()
+	brief := Times{Life: 100 * time.Millisecond, Margin: 10 * time.Millisecond, Pause: time.Second}
+	l := New(mute{}, "duty", "a", brief, func() time.Duration { return time.Since(began) })
+	go func() { _, _ = l.Keep(context.Background()) }()
+	time.Sleep(10 * time.Millisecond)
+	require.NoError(t, l.Release(context.Background()))
+	_, err := l.Keep(context.Background())
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.Less(t, time.Since(began), 2*time.Second)
+}
+
 func TestReleaseLeavesThePauseOnly(t *testing.T) {
 	m := &memory{}
 	a, b := vm(m, "a"), vm(m, "b")
--- a/internal/quota/fleet.go
+++ b/internal/quota/fleet.go
@@ -140,7 +140,8 @@
 	return out
 }
 
-// Hear takes in another VM's totals. Epoch tells its processes apart.
+// Hear takes in another VM's totals; those of teams that it does not name are as
+// before. Epoch tells its processes apart.
 func (f *Fleet) Hear(vm string, epoch uint64, totals map[string]float64, now time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -165,19 +166,29 @@
 		p.pause = since
 	}
 	p.heard, p.accrued = now, now
+	for team := range p.assumed {
+		if _, named := totals[team]; !named {
+			p.settle(f.accounts[team], team, p.totals[team], now)
+		}
+	}
 	for team, n := range totals {
 		used := n - p.totals[team]
-		p.totals[team] = n
 		if known && since >= settled {
 			p.rates[team] = max(0, used/since.Seconds())
 		}
-		if a := f.accounts[team]; a != nil {
-			a.refill(now)
-			a.level = min(a.limits.most(), a.level-(used-p.assumed[team]))
-		}
-		delete(p.assumed, team)
+		p.settle(f.accounts[team], team, n, now)
+	}
+}
+
+// settle sets what a VM charged to a team off against what was assumed.
+func (p *peer) settle(a *account, team string, total float64, now time.Duration) {
+	used := total - p.totals[team]
+	p.totals[team] = total
+	if a != nil {
+		a.refill(now)
+		a.level = min(a.limits.most(), a.level-(used-p.assumed[team]))
 	}
-	clear(p.assumed)
+	delete(p.assumed, team)
 }
 
 // Leave forgets a VM that has ended.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -112,6 +112,19 @@
 	require.True(t, ok)
 }
 
+// A team that a message does not name was charged nothing since the last one.
+func TestTeamsThatAreNotNamedAreAsBefore(t *testing.T) {
+	f := NewFleet(true)
+	f.Take("t", limits, 100, time.Second)
+	f.Hear("vm2", 1, map[string]float64{"t": 0}, time.Second)
+	f.Hear("vm2", 1, map[string]float64{"t": 50}, 2*time.Second)
+	f.Take("t", limits, 0, 3*time.Second)
+	f.Hear("vm2", 1, map[string]float64{"other": 1}, 3*time.Second)
+	// 100 minted in each of two seconds; 50 charged by vm2.
+	ok, _ := f.Take("t", limits, 100, 3*time.Second)
+	require.True(t, ok)
+}
+
 func TestLostAndLeavingVMsAreNotCharged(t *testing.T) {
 	f := NewFleet(true)
 	f.Take("t", limits, 100, 0)
--- a/internal/weights/history.go
+++ b/internal/weights/history.go
@@ -11,6 +11,10 @@
 	"github.com/marjoramrock/marjoramrock/internal/lease"
 )
 
+// storeTimeout bounds a call of the store, which may go silent; it is several
+// times what a slow one takes.
+const storeTimeout = time.Second
+
 // historyName is the record of when versions were named.
 const historyName = "named"
 
@@ -47,6 +51,8 @@
 }
 
 func (h *History) read(ctx context.Context) (lease.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
 	rec, err := h.store.Read(ctx, historyName)
 	if err != nil {
 		return rec, fmt.Errorf("history of versions: %w", err)
@@ -92,6 +98,8 @@
 	if err != nil {
 		return fmt.Errorf("history of versions: %w", err)
 	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
 	if _, err := h.store.Swap(ctx, historyName, value, rec.Version); err != nil {
 		return fmt.Errorf("history of versions: %w", err)
 	}
