--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 	"github.com/marjoramrock/marjoramrock/internal/event"
+	"github.com/marjoramrock/marjoramrock/internal/timer"
 )
 
 const (
@@ -93,21 +94,14 @@
 }
 
 func (f *Follower) sleep(ctx context.Context) {
-	wait(ctx, f.pause)
+	timer.Sleep(ctx, f.pause)
 	f.pause = min(2*f.pause, mostPause)
 }
 
 // rest waits before the store is asked again; another VM may be asked at once.
 func (f *Follower) rest(ctx context.Context) {
 	if f.options.Rest > 0 && f.copy.isDirect() {
-		wait(ctx, f.options.Rest)
-	}
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+		timer.Sleep(ctx, f.options.Rest)
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/marjoramrock/marjoramrock/internal/event"
+	"github.com/marjoramrock/marjoramrock/internal/parts"
+	"github.com/marjoramrock/marjoramrock/internal/timer"
+	"github.com/marjoramrock/marjoramrock/internal/upstream"
+)
+
+// Bounds of the attempts of a call.
+const (
+	// sends bounds the attempts at servers that state not to have run a call.
+	sends = 4
+	// waitStep is the pause before the servers are looked at again where none
+	// takes a call.
+	waitStep = 25 * time.Millisecond
+)
+
+// Errors that end the attempts of a call.
+var (
+	errNoServer = errors.New("no server takes the call")
+	errBudget   = errors.New("retry budget is spent")
+)
+
+// next chooses the server of the next attempt. It waits for one a little while
+// none takes the call.
+func (g *Gateway) next(ctx context.Context, f *flight) (choice, error) {
+	patience := g.now() + f.route.Goal/2
+	for {
+		if c, ok := g.choose(f, f.service); ok {
+			if f.sent > 0 && !f.prepaid && !g.retries.Take(f.service, g.now()) {
+				return choice{}, errBudget
+			}
+			f.prepaid = false
+			return c, nil
+		}
+		if f.sent >= sends || g.now() > patience {
+			return choice{}, errNoServer
+		}
+		if !timer.Sleep(ctx, waitStep) {
+			return choice{}, ctx.Err()
+		}
+		clear(f.tried)
+	}
+}
+
+// send makes one attempt and tells whether the call may have run.
+func (g *Gateway) send(ctx context.Context, f *flight, c choice, after string) (*Answer, error) {
+	a := &Attempt{
+		Call: f.call, Server: c.server, Left: f.ends - g.now(), Version: c.version, Salt: c.salt,
+		Fetch: c.fetch, Priority: f.priority(), After: after,
+	}
+	if f.team != nil {
+		a.Team = f.team.Name
+	}
+	if !f.route.Repeatable() {
+		a.Fresh = onceFresh
+	}
+	if f.shelf != nil && c.salt != "" && !f.silent[f.shelf.Zone] && g.unsaved(f, c.salt) {
+		a.Save = f.shelf.Address
+	}
+	if f.sent == 0 {
+		g.retries.Call(f.service, g.now())
+	}
+	f.sent++
+	f.last = c
+	g.read(f, c, a.Save != "")
+	ans, err := g.servers.Send(ctx, a)
+	switch {
+	case errors.Is(err, upstream.ErrUnsent):
+	case err != nil:
+		f.runs++
+	case ans.NotRun || ans.Other:
+	default:
+		f.runs++
+	}
+	g.learn(f, c, ans, err, ctx.Err() != nil)
+	return ans, err
+}
+
+// onceFresh is how recently a kept connection must have been used for a call
+// that is sent once: a server that closes it meanwhile leaves the call's fate
+// unknown.
+const onceFresh = time.Second
+
+// learn takes in what an attempt showed of a server.
+func (g *Gateway) learn(f *flight, c choice, ans *Answer, err error, over bool) {
+	s := c.server
+	model := f.call.Prompt.Model
+	switch {
+	case err != nil && over:
+		// The call's time is over or its caller has left: no fault of the server.
+	case err != nil:
+		g.table.Failed(s.ID, g.now())
+	case ans.Other:
+		g.table.Gone(s.ID, g.now())
+	case ans.Version > 0 && model != "":
+		if ans.Version != c.version {
+			g.table.Correct(s.ID, s.Born, model, ans.Version)
+			g.tellVersion(s, model, ans.Version)
+		}
+	}
+	if err != nil || ans.NotRun || ans.Other {
+		f.tried[s.ID] = true
+		fields := log.Fields{"request": f.call.ID, "server": s.ID, "sent": f.sent, "version": c.version}
+		if ans != nil {
+			fields["status"], fields["notrun"], fields["other"], fields["runs"] = ans.Status, ans.NotRun, ans.Other, ans.Version
+		}
+		event.AttemptFailed.Log(g.log, err, fields)
+	}
+}
+
+// read records that an engine is about to read a prompt's parts.
+func (g *Gateway) read(f *flight, c choice, save bool) {
+	if c.salt == "" || f.engine == nil {
+		return
+	}
+	now := g.now()
+	g.inflow.Add(c.missing+c.moved, now)
+	shared := len(f.call.Prompt.Shared())
+	for i, p := range f.call.Prompt.Parts {
+		fresh := g.parts.Add(holderOf(c.server), f.engine.Capacity, c.salt, p, now)
+		if fresh && i < shared {
+			g.tellPart(holderOf(c.server), c.salt, p)
+		}
+		if save && i < shared && g.parts.Add(shelfHolder(f.shelf), f.shelf.Tokens, c.salt, p, now) {
+			g.tellPart(shelfHolder(f.shelf), c.salt, p)
+		}
+	}
+}
+
+// unsaved reports whether the shelf is not known to hold all shared parts.
+func (g *Gateway) unsaved(f *flight, salt string) bool {
+	shared := f.call.Prompt.Shared()
+	total := 0
+	for _, p := range shared {
+		total += p.Tokens
+	}
+	return total > 0 && g.parts.Held(shelfHolder(f.shelf), salt, shared, parts.Always) < total
+}
+
+// mayRepeat reports whether a call that may have run can be sent to another server.
+func (f *flight) mayRepeat() bool {
+	return f.route.Repeatable() && f.runs < max(1, f.route.Attempts) && f.sent < sends
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -286,7 +286,7 @@
 		if err := g.meet(ctx); err == nil {
 			return
 		}
-		if !wait(ctx, pause) {
+		if !timer.Sleep(ctx, pause) {
 			return
 		}
 	}
--- a/internal/weights/orderer.go
+++ b/internal/weights/orderer.go
@@ -12,6 +12,7 @@
 	"github.com/marjoramrock/marjoramrock/internal/backend"
 	"github.com/marjoramrock/marjoramrock/internal/catalog"
 	"github.com/marjoramrock/marjoramrock/internal/event"
+	"github.com/marjoramrock/marjoramrock/internal/timer"
 )
 
 // Errors of orders.
@@ -286,7 +287,7 @@
 		return
 	}
 	o.options.Announce.Reloading(s, t.model, t.version)
-	if !sleep(ctx, notice) || !o.emptied(ctx, s, atOnce) {
+	if !timer.Sleep(ctx, notice) || !o.emptied(ctx, s, atOnce) {
 		return
 	}
 	defer o.loaded(s.Service)
@@ -323,7 +324,7 @@
 				event.OrderFailed.Log(o.options.Log, err, log.Fields{"engine": s.ID, "model": t.model, "version": target.Version})
 			}
 		}
-		if !sleep(ctx, look) {
+		if !timer.Sleep(ctx, look) {
 			return
 		}
 	}
@@ -341,7 +342,7 @@
 		if empty && o.turn(s.Service, atOnce) {
 			return true
 		}
-		if !sleep(ctx, glance) {
+		if !timer.Sleep(ctx, glance) {
 			return false
 		}
 	}
@@ -383,12 +384,3 @@
 	defer cancel()
 	return o.options.Engines.Order(ctx, s, order)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
