Notice a lost call for the list while a leaving server may still get work

Ruled out: the reader of the zone handing on old news (the VM was itself the reader). The wait is now half of the time in which a leaving server may get new work.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,13 +27,9 @@
 	tellPeriod  = 200 * time.Millisecond
 	orderPeriod = 100 * time.Millisecond
 	tidyPeriod  = time.Second
-	// declaredWait and listWait are how long the store holds a call without
-	// changes; the proof of the catalog grows as old as the former.
+	// declaredWait is how long the store holds a call for declarations without
+	// changes; the proof of the catalog grows as old.
 	declaredWait = 600 * time.Millisecond
-	listWait     = 2 * time.Second
-	// listRest is the part of the time in which a leaving server must get nothing
-	// new that may be added to the age of the list.
-	listRest = 10
 	// declaredTable and listTable name the tables between VMs.
 	declaredTable = "declarations"
 	listTable     = "servers"
@@ -180,6 +176,11 @@
 // windows of VMs do not meet those that are judged.
 const repeatPart = 0.8
 
+// listTimes returns how long a call for the list of servers is held without
+// changes, and the distance between two calls: a call that is never answered
+// must be noticed while a leaving server may still get new work.
+func listTimes(leave time.Duration) (wait, rest time.Duration) { return leave / 2, leave / 10 }
+
 // follow sets up the followers of the store's tables.
 func (g *Gateway) follow() {
 	relay := func(table string) func() feed.Source {
@@ -197,8 +198,9 @@
 		// Calls for declarations are the shorter ones, and notice first.
 		Failed: func() { g.list.Doubt() },
 	})
+	listWait, listRest := listTimes(time.Duration(g.settings.Bounds.Leave))
 	g.list = feed.New(feed.Options{
-		Name: listTable, Source: g.adapter.List(), Relay: relay(listTable), Wait: listWait, Rest: time.Duration(g.settings.Bounds.Leave) / listRest,
+		Name: listTable, Source: g.adapter.List(), Relay: relay(listTable), Wait: listWait, Rest: listRest,
 		Now: timer.Boot, Log: g.log, Put: g.listed, Missing: g.missing, Proved: func(time.Duration) {},
 	})
 }
--- a/internal/gateway/serve_test.go
+++ b/internal/gateway/serve_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/marjoramrock/marjoramrock/internal/backend"
 	"github.com/marjoramrock/marjoramrock/internal/catalog"
+	"github.com/marjoramrock/marjoramrock/internal/feed"
 	"github.com/marjoramrock/marjoramrock/internal/parts"
 	"github.com/marjoramrock/marjoramrock/internal/upstream"
 	"github.com/stretchr/testify/require"
@@ -167,6 +168,15 @@
 	}
 }
 
+// A call for the list that a dead connection swallows must not hide a leaving
+// server for longer than it may get new work.
+func TestALostCallForTheListIsNoticedInTime(t *testing.T) {
+	for _, leave := range []time.Duration{2 * time.Second, 3 * time.Second} {
+		wait, rest := listTimes(leave)
+		require.Less(t, wait+rest+feed.Slack, leave)
+	}
+}
+
 func TestFinalAnswerAtTheTimeout(t *testing.T) {
 	tests := []struct {
 		path string
