Look at engines and parts once for each choice of a server

Cause: weigh looked through all engines for each engine, took the directory's lock each time, copied the versions of all servers and went through what every VM told of each. A choice grew with engines squared and with VMs times engines. Now one survey gathers what is held, with the best sources sorted, and the table keeps the sum of what peers told. Ruled out: nothing was dropped from the reckoning; sources that reach the same share are tried in random order as before.

--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -40,12 +40,14 @@
 // record is what is known of one server beside its listing.
 type record struct {
 	server Server
-	// versions overlays what the list says with newer knowledge.
+	// versions overlays what the list says with newer knowledge. A change makes
+	// a new map: Status values share it.
 	versions map[string]int64
 	inFlight int
 	// pending are the prompt tokens sent to it whose first event is not there.
 	pending int
-	peers   map[string]peerLoad
+	// others is the sum of what the other VMs told of last.
+	others Load
 	// failures counts failures in a row; the server rests until restUntil.
 	failures  int
 	restUntil time.Duration
@@ -57,9 +59,10 @@
 	missing time.Duration
 }
 
-type peerLoad struct {
-	Load
-	at time.Duration
+// peer is what one other VM told of last, by the incarnation it meant.
+type peer struct {
+	at    time.Duration
+	loads map[*record]Load
 }
 
 // Load is one VM's calls on a server, and the prompt tokens that the server has
@@ -69,15 +72,23 @@
 	Pending int
 }
 
+func (l *Load) add(o Load) {
+	l.Calls += o.Calls
+	l.Pending += o.Pending
+}
+
 // Table holds the records of all listed servers by ID. It is safe for
 // concurrent use. Times are those of a clock that the caller passes.
 type Table struct {
 	mu      sync.Mutex // guards the fields below
 	servers map[string]*record
+	peers   map[string]*peer
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{servers: make(map[string]*record)} }
+func NewTable() *Table {
+	return &Table{servers: make(map[string]*record), peers: make(map[string]*peer)}
+}
 
 // Put takes in the listing of one server. It reports whether the server is new
 // or a new incarnation.
@@ -86,7 +97,7 @@
 	defer t.mu.Unlock()
 	r := t.servers[s.ID]
 	if r == nil || r.server.Born != s.Born || r.server.Address != s.Address {
-		t.servers[s.ID] = &record{server: s, versions: maps.Clone(s.Models), peers: make(map[string]peerLoad)}
+		t.servers[s.ID] = &record{server: s, versions: maps.Clone(s.Models)}
 		return true
 	}
 	r.server = s
@@ -98,17 +109,21 @@
 }
 
 func (r *record) learn(model string, version int64) {
-	if r.versions == nil {
-		r.versions = make(map[string]int64)
-	}
 	if r.versions[model] < version {
-		r.versions[model] = version
+		r.set(model, version)
 	}
 	if version >= r.awaited {
 		r.reloading = 0
 	}
 }
 
+func (r *record) set(model string, version int64) {
+	next := make(map[string]int64, len(r.versions)+1)
+	maps.Copy(next, r.versions)
+	next[model] = version
+	r.versions = next
+}
+
 // Remove takes a server out of the table.
 func (t *Table) Remove(id string) bool {
 	t.mu.Lock()
@@ -177,7 +192,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r := t.servers[id]; r != nil && r.server.Born == born {
-		delete(r.versions, model)
+		r.set(model, version)
 		r.learn(model, version)
 	}
 }
@@ -274,11 +289,34 @@
 func (t *Table) PeerLoads(vm string, loads map[string]Load, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id, r := range t.servers {
-		if l, ok := loads[id]; ok {
-			r.peers[vm] = peerLoad{Load: l, at: now}
-		} else {
-			delete(r.peers, vm)
+	t.forget(vm)
+	p := &peer{at: now, loads: make(map[*record]Load, len(loads))}
+	for id, l := range loads {
+		if r := t.servers[id]; r != nil {
+			p.loads[r] = l
+			r.others.add(l)
+		}
+	}
+	t.peers[vm] = p
+}
+
+// forget takes back what another VM told of.
+func (t *Table) forget(vm string) {
+	p := t.peers[vm]
+	if p == nil {
+		return
+	}
+	for r, l := range p.loads {
+		r.others.add(Load{Calls: -l.Calls, Pending: -l.Pending})
+	}
+	delete(t.peers, vm)
+}
+
+// lapse forgets the VMs that were silent for too long to be believed.
+func (t *Table) lapse(now time.Duration) {
+	for vm, p := range t.peers {
+		if now-p.at >= peerLife {
+			t.forget(vm)
 		}
 	}
 }
@@ -287,6 +325,7 @@
 func (t *Table) Load(id string, now time.Duration) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.lapse(now)
 	if r := t.servers[id]; r != nil {
 		return r.status(now).Load
 	}
@@ -295,7 +334,8 @@
 
 // Status is what is known of one server.
 type Status struct {
-	Server    Server           `json:"server"`
+	Server Server `json:"server"`
+	// Versions is not to be changed.
 	Versions  map[string]int64 `json:"versions,omitempty"`
 	InFlight  int              `json:"inflight"`
 	Load      int              `json:"load"`
@@ -309,7 +349,8 @@
 func (t *Table) Of(service string, now time.Duration) []Status {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []Status
+	t.lapse(now)
+	out := make([]Status, 0, len(t.servers))
 	for _, r := range t.servers {
 		if service == "" || r.server.Service == service {
 			out = append(out, r.status(now))
@@ -319,15 +360,9 @@
 }
 
 func (r *record) status(now time.Duration) Status {
-	load, pending := r.inFlight, r.pending
-	for _, p := range r.peers {
-		if now-p.at < peerLife {
-			load += p.Calls
-			pending += p.Pending
-		}
-	}
 	return Status{
-		Server: r.server, Versions: maps.Clone(r.versions), InFlight: r.inFlight, Load: load, Pending: pending,
+		Server: r.server, Versions: r.versions, InFlight: r.inFlight,
+		Load: r.inFlight + r.others.Calls, Pending: r.pending + r.others.Pending,
 		Resting: now < r.restUntil, Reloading: now < r.reloading, Failures: r.failures,
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -61,7 +61,7 @@
 	if !f.route.Repeatable() {
 		a.Fresh = onceFresh
 	}
-	if f.shelf != nil && c.salt != "" && !f.silent[f.shelf.Zone] && g.unsaved(f, c.salt) {
+	if c.shelved && c.salt != "" && g.unsaved(f, c.salt) {
 		a.Save = f.shelf.Address
 	}
 	if f.sent == 0 {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -7,7 +7,6 @@
 
 	"github.com/marjoramrock/marjoramrock/internal/backend"
 	"github.com/marjoramrock/marjoramrock/internal/catalog"
-	"github.com/marjoramrock/marjoramrock/internal/parts"
 )
 
 // What an attempt at a server is expected to cost, in milliseconds of delay or
@@ -74,6 +73,8 @@
 	moved   int
 	pending int
 	load    int
+	// shelved is set where the server reaches the shelf.
+	shelved bool
 }
 
 // saltOf names the cache that calls of a team share for a version of a model.
@@ -86,17 +87,14 @@
 
 // choose returns the server that an attempt is expected to cost least at.
 func (g *Gateway) choose(f *flight, service string) (choice, bool) {
-	now := g.now()
+	v := g.survey(f, service)
 	var best choice
 	least, found := 0.0, false
-	statuses := g.table.Of(service, now)
-	f.silent = g.node.Silent(cutAfter)
-	f.spread = min(mostSpread, spread*float64(g.node.Members()+1))
-	for _, s := range statuses {
+	for i, s := range v.statuses {
 		if s.Server.Draining || f.tried[s.Server.ID] {
 			continue
 		}
-		c, cost, ok := g.weigh(f, s, statuses, now)
+		c, cost, ok := g.weigh(f, v, i)
 		if ok && (!found || cost < least) {
 			best, least, found = c, cost, true
 		}
@@ -104,13 +102,14 @@
 	return best, found
 }
 
-// weigh returns what an attempt at a server is expected to cost.
-func (g *Gateway) weigh(f *flight, s backend.Status, all []backend.Status, now time.Duration) (choice, float64, bool) {
+// weigh returns what an attempt at a server of a survey is expected to cost.
+func (g *Gateway) weigh(f *flight, v *survey, i int) (choice, float64, bool) {
+	s := v.statuses[i]
 	c := choice{server: s.Server, pending: s.Pending, load: s.Load}
-	cost := rand.Float64() * f.spread
+	cost := rand.Float64()*v.spread + queueCost*float64(over(s))
 	if s.Server.Zone != g.settings.Zone {
 		cost += zoneCost
-		if f.silent[s.Server.Zone] {
+		if v.silent[s.Server.Zone] {
 			cost += cutCost
 		}
 	}
@@ -119,11 +118,7 @@
 	}
 	model := f.call.Prompt.Model
 	if model == "" {
-		cost += plainCost * float64(s.Load)
-		if over := s.Load + 1 - s.Server.Slots; s.Server.Slots > 0 && over > 0 {
-			cost += queueCost * float64(over)
-		}
-		return c, cost, true
+		return c, cost + plainCost*float64(s.Load), true
 	}
 	c.version = s.Versions[model]
 	if c.version == 0 {
@@ -133,7 +128,7 @@
 		cost += reloadCost
 	}
 	if since, ok := g.catalog.Outdated(model, c.version); ok {
-		age := now - since
+		age := v.now - since
 		switch {
 		case age+queued(s) > time.Duration(g.settings.Bounds.Version)-versionMargin:
 			return c, 0, false
@@ -143,91 +138,21 @@
 			cost += oldCost
 		}
 	}
-	c.salt = saltOf(model, c.version, f.team)
-	delay := g.source(&c, f, s, all) + float64(c.missing+s.Pending)/readRate + callCost*float64(s.Load)
-	cost += delay + tardyRate*max(0, delay-tardyPart*float64(f.route.Goal.Milliseconds()))
-	if over := s.Load + 1 - s.Server.Slots; s.Server.Slots > 0 && over > 0 {
-		cost += queueCost * float64(over)
-	}
-	return c, cost, true
-}
-
-// queued is how long a call may wait at an engine before it begins.
-func queued(s backend.Status) time.Duration {
-	over := max(0, s.Load+1-s.Server.Slots)
-	return time.Duration((float64(s.Pending)/readRate + queueCost*float64(over)) * float64(time.Millisecond))
+	c.salt = v.salts[c.version]
+	c.shelved = f.shelf != nil && v.reached(s.Server.Zone, f.shelf.Zone)
+	delay := v.source(&c, f, i) + float64(c.missing+s.Pending)/readRate + callCost*float64(s.Load)
+	return c, cost + delay + tardyRate*max(0, delay-tardyPart*float64(f.route.Goal.Milliseconds())), true
 }
 
-// source finds who has more of a prompt's shared parts than an engine, sets
-// what is left to read, and returns the time of the transfer.
-func (g *Gateway) source(c *choice, f *flight, s backend.Status, all []backend.Status) float64 {
-	prompt := f.call.Prompt
-	shared := prompt.Shared()
-	since := g.now() - g.residence(f, len(all))
-	own := g.parts.Held(holderOf(s.Server), c.salt, shared, since)
-	most, address, far := own+fetchLeast, "", false
-	// A source that cannot be reached costs more than reading.
-	reached := func(zone string) bool { return zone == s.Server.Zone || !f.silent[zone] }
-	consider := func(h parts.Holder, addr, zone string, since time.Duration) {
-		if !reached(zone) {
-			return
-		}
-		held := g.parts.Held(h, c.salt, shared, since)
-		away := zone != s.Server.Zone
-		if held > most || (held == most && address != "" && far && !away) {
-			most, address, far = held, addr, away
-		}
-	}
-	for _, o := range all {
-		if o.Server.ID != s.Server.ID && o.Versions[prompt.Model] == c.version && !o.Resting {
-			consider(holderOf(o.Server), o.Server.Address, o.Server.Zone, since)
-		}
-	}
-	if shelf := f.shelf; shelf != nil {
-		consider(shelfHolder(shelf), shelf.Address, shelf.Zone, parts.Always)
-	}
-	if address == "" {
-		c.missing = max(0, prompt.Input-own)
-		if f.shelf != nil && len(shared) > 0 && reached(f.shelf.Zone) {
-			// The engine may have dropped what it held, and this VM may not have
-			// heard of what the shelf holds. Nothing moves that the engine has.
-			c.fetch = f.shelf.Address
-		}
+// over is how many calls more than its slots a server would have with another one.
+func over(s backend.Status) int {
+	if s.Server.Slots <= 0 {
 		return 0
 	}
-	c.fetch = address
-	c.moved = most - own
-	c.missing = max(0, prompt.Input-most)
-	transfer := 0.0
-	if e := f.engine; e != nil && e.LinkMbps > 0 {
-		transfer = float64(most-own) * e.TokenBytes * 8 / (e.LinkMbps * 1000)
-	}
-	if far {
-		transfer *= 2
-	}
-	return transfer
+	return max(0, s.Load+1-s.Server.Slots)
 }
 
-const (
-	// cachePart is the part of an engine's memory that caches have beside the
-	// running calls.
-	cachePart = 0.8
-	// leastResidence and mostResidence bound the estimate.
-	leastResidence = time.Second
-	mostResidence  = time.Minute
-)
-
-// residence is how long a part that nobody uses stays in an engine's cache, by
-// what all VMs together send to the engines of a service.
-func (g *Gateway) residence(f *flight, engines int) time.Duration {
-	rate := g.inflow.Rate(g.now()) * float64(g.node.Members()+1)
-	if f.engine == nil || rate <= 0 {
-		return mostResidence
-	}
-	seconds := cachePart * float64(f.engine.Capacity*engines) / rate
-	return min(max(time.Duration(seconds*float64(time.Second)), leastResidence), mostResidence)
+// queued is how long a call may wait at an engine before it begins.
+func queued(s backend.Status) time.Duration {
+	return time.Duration((float64(s.Pending)/readRate + queueCost*float64(over(s))) * float64(time.Millisecond))
 }
-
-func holderOf(s backend.Server) parts.Holder { return parts.Holder{ID: s.ID, Born: s.Born} }
-
-func shelfHolder(s *catalog.Shelf) parts.Holder { return parts.Holder{ID: "shelf/" + s.Address} }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -23,10 +23,6 @@
 	// began is when the call came in; ends is when its time is over.
 	began time.Duration
 	ends  time.Duration
-	// silent are the zones that seem to be cut off.
-	silent map[string]bool
-	// spread is the largest random addition to the cost of a server.
-	spread float64
 	// tried are the servers not to be chosen again.
 	tried map[string]bool
 	sent  int
--- a/internal/parts/directory.go
+++ b/internal/parts/directory.go
@@ -136,6 +136,10 @@
 func (d *Directory) Held(h Holder, salt string, parts []Part, since time.Duration) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.held(h, salt, parts, since)
+}
+
+func (d *Directory) held(h Holder, salt string, parts []Part, since time.Duration) int {
 	s := d.shelves[h.ID]
 	if s == nil || s.holder.Born != h.Born {
 		return 0
