Move a stream only where the budget bears a refusal by its next engine

Now a move leaves half of the budget, a call that has not begun 0.15, and a stream that has begun may take the rest. TestAStreamIsMovedOnlyWithBudgetToSpare failed before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -33,10 +33,9 @@
 	patience := g.now() + f.route.Goal/2
 	for {
 		if c, ok := g.choose(f, f.service); ok {
-			if f.sent > 0 && !f.prepaid && !g.retries.Take(f.service, g.now()) {
+			if !g.afford(f) {
 				return choice{}, errBudget
 			}
-			f.prepaid = false
 			return c, nil
 		}
 		if f.sent >= sends || g.now() > patience {
@@ -49,6 +48,19 @@
 	}
 }
 
+// afford takes an attempt after the first from the budget of repeats.
+func (g *Gateway) afford(f *flight) bool {
+	if f.sent == 0 || f.prepaid {
+		f.prepaid = false
+		return true
+	}
+	leave := startLeaves
+	if f.begun {
+		leave = 0
+	}
+	return g.retries.Take(f.service, g.now(), leave)
+}
+
 // send makes one attempt and tells whether the call may have run.
 func (g *Gateway) send(ctx context.Context, f *flight, c choice, after string) (*Answer, error) {
 	a := &Attempt{
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -155,6 +155,8 @@
 			Targets: []catalog.Target{{Service: "model", Weight: 1}}},
 		{Name: "resumable", Host: "h", Prefix: "/resumable/", Kind: catalog.Stream, Timeout: 4 * time.Second, Goal: 100 * time.Millisecond,
 			Gap: 100 * time.Millisecond, Attempts: 2, Resumable: true, Targets: []catalog.Target{{Service: "model", Weight: 1}}},
+		{Name: "patient", Host: "h", Prefix: "/patient/", Kind: catalog.Stream, Timeout: 4 * time.Second, Goal: time.Second,
+			Gap: time.Second, Attempts: 2, Resumable: true, Targets: []catalog.Target{{Service: "model", Weight: 1}}},
 	}
 	services := []*catalog.Service{
 		{Name: "plain"},
@@ -187,7 +189,7 @@
 
 func newCall(path, key string) *Call {
 	c := &Call{ID: "id", Method: http.MethodPost, Path: path, Target: path, Host: "h", Header: http.Header{}, Key: key}
-	if strings.HasPrefix(path, "/stream/") || strings.HasPrefix(path, "/resumable/") {
+	if path == "/stream/" || path == "/resumable/" || path == "/patient/" {
 		c.Prompt = parts.Prompt{Model: "m", Input: 300, Output: 10, Parts: []parts.Part{{ID: "a", Tokens: 200}, {ID: "own", Tokens: 100}}}
 		c.Sized = true
 	}
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -12,6 +12,14 @@
 // it from loading for as long as they last.
 const moveAfter = 400 * time.Millisecond
 
+// Parts of the budget of repeats that are left to what needs it more: a stream
+// that is moved may be refused by its next engine, and one that has begun is
+// lost where nothing is left.
+const (
+	moveLeaves  = 0.5
+	startLeaves = 0.15
+)
+
 // moves holds the attempts of streams that can go on at another engine, by
 // engine. It is safe for concurrent use; the zero value is ready.
 type moves struct {
@@ -67,7 +75,7 @@
 			return
 		}
 		for _, a := range g.moves.at(id) {
-			if !g.retries.Take(a.service, g.now()) {
+			if !g.retries.Take(a.service, g.now(), moveLeaves) {
 				return
 			}
 			a.moved.Store(true)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -26,6 +26,8 @@
 	// tried are the servers not to be chosen again.
 	tried map[string]bool
 	sent  int
+	// begun is set once the head of an answer was passed on.
+	begun bool
 	// prepaid is set where the next attempt was taken from the budget already.
 	prepaid bool
 	// runs counts the servers at which the call may have run.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -30,8 +30,6 @@
 // streaming is the state of a stream over its attempts.
 type streaming struct {
 	*flight
-	// begun is set once the head of an answer was passed on.
-	begun bool
 	// last is the id of the last event passed on.
 	last string
 }
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -156,6 +156,39 @@
 	require.Empty(t, g.moves.engines)
 }
 
+// A stream is not moved where the budget would not bear a refusal by the next
+// engine: the caller would lose what it had without need.
+func TestAStreamIsMovedOnlyWithBudgetToSpare(t *testing.T) {
+	var g *Gateway
+	answer := func(ctx context.Context, n int, a *Attempt) (*Answer, error) {
+		if n > 1 {
+			return notRun(http.StatusServiceUnavailable), nil
+		}
+		g.reloads(a.Server.ID, 0, "m", 2)
+		r, w := io.Pipe()
+		go func() {
+			_, _ = io.WriteString(w, events("1"))
+			select {
+			case <-ctx.Done():
+				_ = w.CloseWithError(ctx.Err())
+			case <-time.After(2 * moveAfter):
+				_, _ = io.WriteString(w, events("2"))
+				_ = w.Close()
+			}
+		}()
+		return &Answer{Status: http.StatusOK, Header: http.Header{}, Length: -1, Body: r}, nil
+	}
+	g, a := open(t, answer)
+	for range int(bounds.Spare*repeatPart) - 1 {
+		require.True(t, g.retries.Take("model", g.now(), 0))
+	}
+	// The engine's silence is no reason to leave it in this test.
+	c := ask(t, g, "/patient/", "wall")
+	require.False(t, c.broken)
+	require.Equal(t, events("1", "2"), c.body.String())
+	require.Len(t, a.sent(), 1)
+}
+
 // An engine that runs other weights than thought is known better afterwards.
 func TestARefusalTeachesTheVersion(t *testing.T) {
 	g, _ := open(t, func(_ context.Context, _ int, a *Attempt) (*Answer, error) {
--- a/internal/quota/budget.go
+++ b/internal/quota/budget.go
@@ -56,8 +56,9 @@
 	w.calls[w.step%slices]++
 }
 
-// Take reports whether a repeat is within the budget, and takes it.
-func (r *Retries) Take(service string, now time.Duration) bool {
+// Take reports whether a repeat leaves a part of the window's budget for others,
+// and takes it.
+func (r *Retries) Take(service string, now time.Duration, leave float64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.at(service, now)
@@ -66,7 +67,7 @@
 		calls += w.calls[i]
 		repeats += w.repeats[i]
 	}
-	if repeats+1 > r.ratio*calls+r.slack() {
+	if repeats+1 > (1-leave)*(r.ratio*calls+r.slack()) {
 		return false
 	}
 	w.repeats[w.step%slices]++
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -141,12 +141,24 @@
 	}
 	taken := 0
 	for range 10 {
-		if r.Take("s", 0) {
+		if r.Take("s", 0, 0) {
 			taken++
 		}
 	}
 	require.Equal(t, 4, taken)
-	require.False(t, r.Take("s", 9*time.Second), "still the same window")
-	require.True(t, r.Take("s", 11*time.Second), "the slack of a new window")
-	require.True(t, r.Take("other", 0))
+	require.False(t, r.Take("s", 9*time.Second, 0), "still the same window")
+	require.True(t, r.Take("s", 11*time.Second, 0), "the slack of a new window")
+	require.True(t, r.Take("other", 0, 0))
+}
+
+func TestRetriesLeavePartOfTheBudget(t *testing.T) {
+	r := NewRetries(0, 10*time.Second, func() float64 { return 8 })
+	for range 4 {
+		require.True(t, r.Take("s", 0, 0.5))
+	}
+	require.False(t, r.Take("s", 0, 0.5), "the other half is for others")
+	require.True(t, r.Take("s", 0, 0.25))
+	require.True(t, r.Take("s", 0, 0.25))
+	require.False(t, r.Take("s", 0, 0.25))
+	require.True(t, r.Take("s", 0, 0))
 }
