One VM of each zone tells the other zones of all

Now VMs tell those of their zone alone, every second round where they are many; the VM that reads the store for its zone sends digests (charges of each VM, loads of the zone, parts, versions) to two VMs of each other zone, and the one that leads there hands them on. Orders that are announced together share a message. What is assumed for silent VMs is reckoned at most every 20 ms.

--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -272,8 +272,9 @@
 	}
 }
 
-// Loads returns what this VM has on each server that has any of it.
-func (t *Table) Loads() map[string]Load {
+// Loads returns what this VM, and other VMs as they told last, have on each
+// server that has any of it.
+func (t *Table) Loads(vms ...string) map[string]Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make(map[string]Load)
@@ -282,6 +283,17 @@
 			out[id] = Load{Calls: r.inFlight, Pending: r.pending}
 		}
 	}
+	for _, vm := range vms {
+		p := t.peers[vm]
+		if p == nil {
+			continue
+		}
+		for r, l := range p.loads {
+			sum := out[r.server.ID]
+			sum.add(l)
+			out[r.server.ID] = sum
+		}
+	}
 	return out
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,8 +111,7 @@
 	news         news
 	// round counts the timer calls of tell.
 	round int
-	// told are the charges that all VMs were told of last.
-	told map[string]float64
+	mates mates
 	// inflow is what this VM sends into the engines caches.
 	inflow parts.Flow
 	moves  moves
@@ -162,7 +161,7 @@
 	}, timer.Boot)
 	g.history = weights.NewHistory(a.Store(), g.catalog, timer.Boot)
 	g.orderer = weights.New(weights.Options{
-		Holder: holder, Catalog: g.catalog, Table: g.table, Engines: a, Duty: g.duty, History: g.history, Announce: announcer{g},
+		Holder: holder, Catalog: g.catalog, Table: g.table, Engines: a, Duty: g.duty, History: g.history, Announce: &announcer{g: g},
 		Now: timer.Boot, Log: g.log,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -13,17 +13,6 @@
 	"github.com/marjoramrock/marjoramrock/internal/quota"
 )
 
-// newsLimit bounds the parts told in one message; the rest is left out, since
-// an engine that is not known to hold a part only reads it again.
-const newsLimit = 400
-
-// news gathers what the other VMs are to be told next.
-type news struct {
-	mu       sync.Mutex // guards the fields below
-	parts    []gossip.Part
-	versions []gossip.Version
-}
-
 // sparePart is the part of what a team may exceed its rate by that is given
 // out; the rest covers calls of which the VMs have not told each other yet.
 const sparePart = 0.5
@@ -37,76 +26,76 @@
 }
 
 func (g *Gateway) tellPart(h parts.Holder, salt string, p parts.Part) {
-	g.news.mu.Lock()
-	defer g.news.mu.Unlock()
-	if len(g.news.parts) < newsLimit {
-		g.news.parts = append(g.news.parts, gossip.Part{Engine: h.ID, Born: h.Born, Salt: salt, ID: p.ID, Tokens: p.Tokens})
-	}
+	g.news.part(gossip.Part{Engine: h.ID, Born: h.Born, Salt: salt, ID: p.ID, Tokens: p.Tokens})
 }
 
 func (g *Gateway) tellVersion(s backend.Server, model string, version int64) {
-	g.news.mu.Lock()
-	defer g.news.mu.Unlock()
-	g.news.versions = append(g.news.versions, gossip.Version{Engine: s.ID, Born: s.Born, Model: model, Version: version})
+	g.news.version(gossip.Version{Engine: s.ID, Born: s.Born, Model: model, Version: version})
 }
 
-// farVMs is how many VMs are told everything beyond the zone in every round;
-// with more, rounds are left out, so that bytes between zones grow with their
-// number and not with its square.
-const farVMs = 12
+const (
+	// farVMs is how many VMs may lag behind each other's charges without taking
+	// from what a team may exceed its rate by.
+	farVMs = 12
+	// mateVMs is how many VMs of the zone are told in every round; with more, a
+	// round is left out.
+	mateVMs = 8
+	// mostRounds bounds the rounds between two messages to the own zone, so that
+	// the VM that reads the store for the zone is not thought to have ended.
+	mostRounds = 2
+)
 
-// tell sends what is new to the VMs of the zone, and in some rounds to all. In
-// the others those of other zones hear of charges alone, since rates bind all.
+// tell tells the VMs of the zone of this one, and where this VM speaks for its
+// zone, the other zones of all its VMs.
 func (g *Gateway) tell() {
 	g.round++
-	all := g.round%max(1, g.node.Members()/farVMs) == 0
-	g.news.mu.Lock()
-	m := &gossip.Message{Parts: g.news.parts, Versions: g.news.versions}
-	g.news.parts, g.news.versions = nil, nil
-	g.news.mu.Unlock()
-	if !all {
-		g.tellCharges()
-	}
-	g.spread(m, all)
-}
-
-// tellCharges tells all VMs which teams were charged since the last time.
-func (g *Gateway) tellCharges() {
-	m := &gossip.Message{Brief: true, Usage: make(map[string]float64)}
-	totals := g.quota.Totals()
-	for team, n := range totals {
-		if n != g.told[team] {
-			m.Usage[team] = n
-		}
+	every := min(max(1, g.node.Neighbors()/mateVMs), mostRounds)
+	if g.round%every == 0 {
+		m := g.news.near()
+		g.describe(m, g.table.Loads())
+		g.post(m, gossip.Near)
 	}
-	g.told = totals
-	if len(m.Usage) > 0 {
-		g.post(m, true)
+	digest := g.news.far()
+	if _, other := g.node.Leader(); other {
+		return
 	}
+	digest.Digest = true
+	mates := g.node.Near(cutAfter)
+	vms := make([]string, 0, len(mates))
+	for _, mate := range mates {
+		vms = append(vms, mate.VM)
+	}
+	digest.Members = g.mates.changes(mates, g.round%wholeEvery == 0)
+	g.describe(digest, g.table.Loads(vms...))
+	g.post(digest, gossip.Far)
 }
 
-// broadcast sends a message to all VMs at once.
-func (g *Gateway) broadcast(m *gossip.Message) { g.spread(m, true) }
-
-// spread adds the VM's present charges and loads to a message and sends it.
-func (g *Gateway) spread(m *gossip.Message, all bool) {
+// describe adds the VM's charges, and loads, to a message.
+func (g *Gateway) describe(m *gossip.Message, loads map[string]backend.Load) {
 	m.Usage = g.quota.Totals()
-	m.Loads = make(map[string]gossip.Load)
-	for id, l := range g.table.Loads() {
+	m.Loads = make(map[string]gossip.Load, len(loads))
+	for id, l := range loads {
 		m.Loads[id] = gossip.Load{Calls: l.Calls, Pending: l.Pending}
 	}
-	g.post(m, all)
 }
 
-func (g *Gateway) post(m *gossip.Message, all bool) {
-	if err := g.node.Tell(m, all); err != nil {
+// broadcast tells all VMs at once of what is new.
+func (g *Gateway) broadcast(m *gossip.Message) {
+	m.Brief = true
+	g.post(m, gossip.All)
+}
+
+func (g *Gateway) post(m *gossip.Message, scope gossip.Scope) {
+	if err := g.node.Tell(m, scope); err != nil {
 		event.PeerUnreached.Log(g.log, err, nil)
 	}
 }
 
-// leave tells the other VMs that this one ends.
+// leave tells the other VMs that this one ends, with its last charges.
 func (g *Gateway) leave() {
-	g.broadcast(&gossip.Message{Leaving: true})
+	m := &gossip.Message{Leaving: true}
+	g.describe(m, nil)
+	g.post(m, gossip.All)
 }
 
 // hear takes in a message of another VM.
@@ -115,13 +104,16 @@
 	if fresh {
 		event.PeerJoined.Log(g.log, nil, log.Fields{"peer": m.VM, "zone": m.Zone, "epoch": m.Epoch})
 	}
-	g.quota.Hear(m.VM, m.Epoch, m.Usage, now)
+	near := m.Zone == g.settings.Zone
 	if !m.Brief {
-		loads := make(map[string]backend.Load, len(m.Loads))
-		for id, l := range m.Loads {
-			loads[id] = backend.Load{Calls: l.Calls, Pending: l.Pending}
+		g.quota.Hear(m.VM, m.Epoch, m.Usage, now)
+		g.hearLoads(m, now)
+		if near {
+			g.mates.heard(m)
 		}
-		g.table.PeerLoads(m.VM, loads, now)
+	}
+	for _, x := range m.Members {
+		g.quota.Hear(x.VM, x.Epoch, x.Usage, now)
 	}
 	for _, v := range m.Reloading {
 		g.reloads(v.Engine, v.Born, v.Model, v.Version)
@@ -132,12 +124,29 @@
 	for _, p := range m.Parts {
 		g.parts.Add(parts.Holder{ID: p.Engine, Born: p.Born}, g.capacity(p.Engine), p.Salt, parts.Part{ID: p.ID, Tokens: p.Tokens}, now)
 	}
+	if near && !m.Brief {
+		g.news.pass(m)
+	}
 	if m.Leaving {
 		g.quota.Leave(m.VM)
+		g.mates.left(m.VM)
 		event.PeerLeft.Log(g.log, nil, log.Fields{"peer": m.VM})
 	}
 }
 
+// hearLoads takes in the loads of a VM, or those of a zone under its name.
+func (g *Gateway) hearLoads(m *gossip.Message, now time.Duration) {
+	loads := make(map[string]backend.Load, len(m.Loads))
+	for id, l := range m.Loads {
+		loads[id] = backend.Load{Calls: l.Calls, Pending: l.Pending}
+	}
+	source := m.VM
+	if m.Digest {
+		source = "zone/" + m.Zone
+	}
+	g.table.PeerLoads(source, loads, now)
+}
+
 // capacity returns the memory of an engine or shelf in tokens.
 func (g *Gateway) capacity(id string) int {
 	c := g.catalog.Current()
@@ -157,22 +166,50 @@
 	return 0
 }
 
-// announcer tells this VM and the others of orders.
-type announcer struct{ g *Gateway }
+// announcer tells this VM and the others of orders. What comes within gather
+// goes in one message.
+type announcer struct {
+	g *Gateway
+
+	mu      sync.Mutex // guards the field below
+	waiting *gossip.Message
+}
+
+// gather is how long an announcement waits for others; it is well below the
+// time that passes between an announcement and its order.
+const gather = 15 * time.Millisecond
 
 // Reloading implements weights.Announcer.
-func (a announcer) Reloading(s backend.Server, model string, version int64) {
+func (a *announcer) Reloading(s backend.Server, model string, version int64) {
 	a.g.reloads(s.ID, s.Born, model, version)
-	a.g.broadcast(&gossip.Message{
-		Reloading: []gossip.Version{{Engine: s.ID, Born: s.Born, Model: model, Version: version}},
+	a.tell(func(m *gossip.Message) {
+		m.Reloading = append(m.Reloading, gossip.Version{Engine: s.ID, Born: s.Born, Model: model, Version: version})
 	})
 }
 
 // Reloaded implements weights.Announcer.
-func (a announcer) Reloaded(s backend.Server, model string, version int64) {
+func (a *announcer) Reloaded(s backend.Server, model string, version int64) {
 	a.g.table.Learn(s.ID, s.Born, model, version)
 	event.EngineReloaded.Log(a.g.log, nil, log.Fields{"engine": s.ID, "model": model, "version": version})
-	a.g.broadcast(&gossip.Message{
-		Versions: []gossip.Version{{Engine: s.ID, Born: s.Born, Model: model, Version: version}},
+	a.tell(func(m *gossip.Message) {
+		m.Versions = append(m.Versions, gossip.Version{Engine: s.ID, Born: s.Born, Model: model, Version: version})
 	})
 }
+
+func (a *announcer) tell(add func(*gossip.Message)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.waiting == nil {
+		a.waiting = &gossip.Message{}
+		time.AfterFunc(gather, a.send)
+	}
+	add(a.waiting)
+}
+
+func (a *announcer) send() {
+	a.mu.Lock()
+	m := a.waiting
+	a.waiting = nil
+	a.mu.Unlock()
+	a.g.broadcast(m)
+}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"fmt"
 	"net"
 	"sync"
 	"testing"
@@ -57,12 +58,12 @@
 		Versions: []Version{{Engine: "e", Born: 4, Model: "m", Version: 3}},
 		Parts:    []Part{{Engine: "e", Born: 4, Salt: "m@3", ID: "ab", Tokens: 100}},
 	}
-	require.NoError(t, a.Tell(want, true))
+	require.NoError(t, a.Tell(want, All))
 	require.Eventually(t, func() bool { return fromA.count() == 1 }, time.Second, time.Millisecond)
 	require.Equal(t, want, fromA.list[0])
 	require.Equal(t, 1, fromA.fresh)
 
-	require.NoError(t, b.Tell(&Message{}, true))
+	require.NoError(t, b.Tell(&Message{}, All))
 	require.Eventually(t, func() bool { return fromB.count() == 1 }, time.Second, time.Millisecond, "b learnt of a")
 	require.Equal(t, 1, b.Members())
 }
@@ -109,14 +110,58 @@
 	require.Equal(t, map[string]bool{"z": true}, n.Silent(time.Second))
 }
 
-func TestTheOwnZoneIsToldAlone(t *testing.T) {
+func TestWhoIsToldByScope(t *testing.T) {
 	n, _ := start(t, "a", loopback.Address(t), 1)
-	n.hear(&Message{VM: "b", Zone: "z", Address: "127.0.0.1:1", Epoch: 1, Number: 1})
-	n.hear(&Message{VM: "c", Zone: "y", Address: "127.0.0.1:2", Epoch: 1, Number: 1})
-	require.Len(t, n.targets(true), 2)
-	near := n.targets(false)
-	require.Len(t, near, 1)
-	require.Equal(t, uint16(1), near[0].Port())
+	now := time.Duration(0)
+	n.options.Now = func() time.Duration { return now }
+	for i, vm := range []struct{ name, zone string }{{"b", "z"}, {"c", "y"}, {"d", "y"}, {"e", "y"}, {"f", "x"}, {"g", ""}} {
+		n.hear(&Message{VM: vm.name, Zone: vm.zone, Address: fmt.Sprint("127.0.0.1:", i+1), Epoch: 1, Number: 1})
+	}
+	now = leaderLife
+	// Of the zone y only its last VM is still heard.
+	n.hear(&Message{VM: "e", Zone: "y", Address: "127.0.0.1:4", Epoch: 1, Number: 2})
+	tests := []struct {
+		name  string
+		scope Scope
+		want  []uint16
+	}{
+		{"the own zone, and whose zone is not known", Near, []uint16{1, 6}},
+		{"two of each other zone, first those heard lately", Far, []uint16{2, 4, 5}},
+		{"all", All, []uint16{1, 2, 3, 4, 5, 6}},
+	}
+	for _, tt := range tests {
+		var ports []uint16
+		for _, addr := range n.targets(tt.scope) {
+			ports = append(ports, addr.Port())
+		}
+		require.ElementsMatch(t, tt.want, ports, tt.name)
+	}
+	require.Equal(t, 1, n.Neighbors())
+	require.Empty(t, n.Near(time.Second/2))
+}
+
+// A digest names VMs that were never heard, and is handed on in the zone.
+func TestADigestIsHandedOnInTheZone(t *testing.T) {
+	far, _ := start(t, "far", loopback.Address(t), 1)
+	far.options.Zone = "y"
+	a, fromFar := start(t, "a", loopback.Address(t), 1)
+	b, fromA := start(t, "b", loopback.Address(t), 1)
+	for n, vm := range map[*Node]*Node{a: b, b: a} {
+		n.hear(&Message{VM: vm.options.VM, Zone: "z", Address: vm.options.Address, Epoch: 1, Number: 0})
+	}
+	far.hear(&Message{VM: "a", Zone: "z", Address: a.options.Address, Epoch: 1, Number: 0})
+	mate := Member{VM: "mate", Address: "127.0.0.9:9", Epoch: 3, Number: 7, Usage: map[string]float64{"t": 4}}
+	old := Member{VM: "b", Address: b.options.Address, Epoch: 0, Number: 9}
+	require.NoError(t, far.Tell(&Message{Digest: true, Members: []Member{mate, old}}, Far))
+	for _, h := range []*heard{fromFar, fromA} {
+		require.Eventually(t, func() bool { return h.count() == 1 }, time.Second, time.Millisecond)
+		require.Equal(t, []Member{mate}, h.list[0].Members, "b's own word is newer")
+	}
+	require.Equal(t, 3, a.Members())
+	require.Equal(t, 3, b.Members())
+	// What a VM says itself and what a digest tells of it have one order.
+	fresh, take := a.hear(&Message{VM: "mate", Zone: "y", Address: mate.Address, Epoch: 3, Number: 7})
+	require.False(t, fresh || take)
 }
 
 func TestGarbageIsCountedAndIgnored(t *testing.T) {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -26,9 +26,26 @@
 	Parts     []Part    `cbor:"10,keyasint,omitempty"`
 	// Leaving is set in the last message of a process.
 	Leaving bool `cbor:"11,keyasint,omitempty"`
-	// Brief messages name only the teams that were charged since the last one,
-	// and no loads.
+	// Brief messages hold what is new alone: their lack of usage and loads says
+	// nothing.
 	Brief bool `cbor:"12,keyasint,omitempty"`
+	// Digest messages speak for the sender's zone: Loads are those of the whole
+	// zone, and Members are its other VMs. The VM that speaks for another zone
+	// hands it on there.
+	Digest  bool     `cbor:"13,keyasint,omitempty"`
+	Members []Member `cbor:"14,keyasint,omitempty"`
+}
+
+// Member is another VM as the sender of a digest heard it last.
+type Member struct {
+	_       struct{} `cbor:",toarray"`
+	VM      string
+	Address string
+	Epoch   uint64
+	// Number is that of its message which the digest tells of.
+	Number uint64
+	// Usage names the teams whose charges changed since an earlier digest.
+	Usage map[string]float64
 }
 
 // Load is the calls on a server, and the prompt tokens not yet read for them.
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -21,6 +23,9 @@
 	leaderLife = time.Second
 	// quiet is after how long without word a VM counts as not heard.
 	quiet = 4 * time.Second
+	// receivers is how many VMs of another zone are told of this one: with two,
+	// the end of one loses nothing.
+	receivers = 2
 )
 
 // member is another VM.
@@ -60,7 +65,8 @@
 	// seeds are addresses without a name yet.
 	seeds  map[netip.AddrPort]bool
 	number uint64
-	round  int
+	// rounds counts the messages of each scope.
+	rounds [All + 1]int
 }
 
 // NewNode binds the address and starts to listen.
@@ -100,11 +106,21 @@
 			continue
 		}
 		if fresh, take := n.hear(m); take {
+			if m.Digest && m.Zone != n.options.Zone && from.String() == m.Address && n.leads() {
+				n.send(buf[:size], n.near())
+			}
 			n.options.Handle(m, fresh)
 		}
 	}
 }
 
+func (n *Node) send(raw []byte, to []netip.AddrPort) {
+	for _, addr := range to {
+		// A datagram that cannot be sent is as good as lost.
+		_, _ = n.conn.WriteToUDPAddrPort(raw, addr)
+	}
+}
+
 // hear notes a message's sender and drops messages that were overtaken.
 func (n *Node) hear(m *Message) (fresh, take bool) {
 	addr, err := netip.ParseAddrPort(m.Address)
@@ -115,22 +131,43 @@
 	now := n.options.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	fresh, take = n.note(m.VM, m.Zone, addr, m.Epoch, m.Number, now)
+	if !take {
+		return false, false
+	}
+	if m.Leaving {
+		delete(n.members, m.VM)
+	}
+	kept := m.Members[:0]
+	for _, x := range m.Members {
+		addr, err := netip.ParseAddrPort(x.Address)
+		if err != nil || x.VM == n.options.VM {
+			continue
+		}
+		if _, newer := n.note(x.VM, m.Zone, addr, x.Epoch, x.Number, now); newer {
+			kept = append(kept, x)
+		}
+	}
+	m.Members = kept
+	return fresh, true
+}
+
+// note takes in that a VM was heard. It reports whether its process is new, and
+// whether the message was not overtaken.
+func (n *Node) note(vm, zone string, addr netip.AddrPort, epoch, number uint64, now time.Duration) (fresh, newer bool) {
 	delete(n.seeds, addr)
-	o := n.members[m.VM]
-	if o == nil || o.epoch != m.Epoch {
-		if o != nil && o.epoch > m.Epoch {
+	o := n.members[vm]
+	if o == nil || o.epoch != epoch {
+		if o != nil && o.epoch > epoch {
 			return false, false
 		}
-		o = &member{epoch: m.Epoch, known: now}
-		n.members[m.VM] = o
+		o = &member{epoch: epoch, known: now}
+		n.members[vm] = o
 		fresh = true
-	} else if m.Number <= o.number {
+	} else if number <= o.number {
 		return false, false
 	}
-	o.address, o.zone, o.number, o.heard = addr, m.Zone, m.Number, now
-	if m.Leaving {
-		delete(n.members, m.VM)
-	}
+	o.address, o.zone, o.number, o.heard = addr, zone, number, now
 	return fresh, true
 }
 
@@ -191,6 +228,12 @@
 	return address, other
 }
 
+// leads reports whether this VM speaks for its zone.
+func (n *Node) leads() bool {
+	_, other := n.Leader()
+	return !other
+}
+
 // Silent returns the zones of which VMs are known and none was heard for a
 // while: they are cut off, or their VMs are all down.
 func (n *Node) Silent(since time.Duration) map[string]bool {
@@ -212,27 +255,61 @@
 	return out
 }
 
-// targets returns whom to tell this time: those of the own zone, or all.
-func (n *Node) targets(all bool) []netip.AddrPort {
+// Scope says whom a message is for.
+type Scope int
+
+// Scopes of messages.
+const (
+	// Near are the VMs of the own zone, and those whose zone is not known yet.
+	Near Scope = iota
+	// Far are two VMs of each other zone.
+	Far
+	// All are all VMs.
+	All
+)
+
+// targets returns whom to tell this time.
+func (n *Node) targets(scope Scope) []netip.AddrPort {
 	now := n.options.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.round++
+	n.rounds[scope]++
+	wake := n.rounds[scope]%wakeEvery == 0
 	var out []netip.AddrPort
+	zones := make(map[string][]string)
 	for vm, o := range n.members {
 		since := now - max(o.heard, o.known)
 		if since > forget {
 			delete(n.members, vm)
 			continue
 		}
-		if !all && o.zone != n.options.Zone && o.zone != "" {
-			continue
-		}
-		if since < quiet || n.round%wakeEvery == 0 {
+		far := o.zone != n.options.Zone && o.zone != ""
+		switch {
+		case scope == Far && far:
+			if since < quiet || wake {
+				zones[o.zone] = append(zones[o.zone], vm)
+			}
+		case scope == Far, scope == Near && far:
+		case since < quiet || wake:
 			out = append(out, o.address)
 		}
 	}
-	if n.round%wakeEvery == 1 {
+	for _, vms := range zones {
+		slices.SortFunc(vms, func(a, b string) int {
+			lately := func(vm string) bool { return now-n.members[vm].heard < leaderLife }
+			if x, y := lately(a), lately(b); x != y {
+				if x {
+					return -1
+				}
+				return 1
+			}
+			return strings.Compare(a, b)
+		})
+		for _, vm := range vms[:min(len(vms), receivers)] {
+			out = append(out, n.members[vm].address)
+		}
+	}
+	if scope != Far && n.rounds[scope]%wakeEvery == 1 {
 		for addr := range n.seeds {
 			out = append(out, addr)
 		}
@@ -240,9 +317,51 @@
 	return out
 }
 
-// Tell sends a message to the other VMs, or to those of the own zone. Sender and
-// number are filled in.
-func (n *Node) Tell(m *Message, all bool) error {
+// near returns the other VMs of the own zone that were heard lately.
+func (n *Node) near() []netip.AddrPort {
+	now := n.options.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []netip.AddrPort
+	for _, o := range n.members {
+		if o.zone == n.options.Zone && now-o.heard < quiet {
+			out = append(out, o.address)
+		}
+	}
+	return out
+}
+
+// Near returns the other VMs of the own zone that were heard within a time, with
+// the numbers of their last messages.
+func (n *Node) Near(within time.Duration) []Member {
+	now := n.options.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []Member
+	for vm, o := range n.members {
+		if o.zone == n.options.Zone && o.heard > 0 && now-o.heard < within {
+			out = append(out, Member{VM: vm, Address: o.address.String(), Epoch: o.epoch, Number: o.number})
+		}
+	}
+	return out
+}
+
+// Neighbors returns how many other VMs of the own zone are known.
+func (n *Node) Neighbors() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	count := 0
+	for _, o := range n.members {
+		if o.zone == n.options.Zone {
+			count++
+		}
+	}
+	return count
+}
+
+// Tell sends a message to the other VMs of a scope. Sender and number are
+// filled in.
+func (n *Node) Tell(m *Message, scope Scope) error {
 	m.VM, m.Zone, m.Address, m.Epoch = n.options.VM, n.options.Zone, n.options.Address, n.options.Epoch
 	n.mu.Lock()
 	n.number++
@@ -252,9 +371,6 @@
 	if err != nil {
 		return err
 	}
-	for _, addr := range n.targets(all) {
-		// A datagram that cannot be sent is as good as lost.
-		_, _ = n.conn.WriteToUDPAddrPort(raw, addr)
-	}
+	n.send(raw, n.targets(scope))
 	return nil
 }
--- a/internal/quota/fleet.go
+++ b/internal/quota/fleet.go
@@ -16,6 +16,9 @@
 	settled = 50 * time.Millisecond
 	// lost is after how long without word a VM counts as gone.
 	lost = 15 * time.Second
+	// accrueStep is the least time between two reckonings of what is assumed for
+	// all VMs; calls in between use the last one.
+	accrueStep = 20 * time.Millisecond
 )
 
 // Limits are a team's rate in tokens a second and burst in tokens.
@@ -64,6 +67,7 @@
 	mu       sync.Mutex // guards the fields below
 	accounts map[string]*account
 	peers    map[string]*peer
+	accrued  time.Duration
 }
 
 // NewFleet returns a Fleet. Full accounts start with the whole burst; else a VM
@@ -201,6 +205,10 @@
 // accrue charges for the VMs what they will tell of: as they charged before,
 // and once they are silent at least their equal part of each rate.
 func (f *Fleet) accrue(now time.Duration) {
+	if now-f.accrued < accrueStep {
+		return
+	}
+	f.accrued = now
 	size := float64(len(f.peers) + 1)
 	for vm, p := range f.peers {
 		if now-p.heard > lost {
