Let timers sleep until a call is due

Cause: the timer service looked at the clock every 40 ms, 25 wake-ups a second in each of 87 processes, where calls are due 16 times a second.

--- a/internal/timer/timer.go
+++ b/internal/timer/timer.go
@@ -33,9 +33,13 @@
 	Cancel()
 }
 
-// Resolution is how often the system service looks at the clock.
+// Resolution is how often the system service looks at the clock while somebody
+// wants to hear of pauses; else it sleeps until the next call is due.
 const Resolution = 40 * time.Millisecond
 
+// longestSleep bounds the sleep of a service without subscribers.
+const longestSleep = time.Second
+
 // GapThreshold is the shortest time between two ticks that counts as a pause.
 const GapThreshold = 400 * time.Millisecond
 
@@ -44,6 +48,8 @@
 	start time.Time
 	stop  chan struct{}
 	once  sync.Once
+	// changed is sent to when a call may be due sooner than was known.
+	changed chan struct{}
 
 	mu sync.Mutex // guards the fields below
 	// last is the instant of the newest tick; it never decreases. It is zero,
@@ -67,19 +73,22 @@
 // NewSystem returns a running service. Close ends it.
 func NewSystem() *System {
 	s := &System{
-		start: time.Now(),
-		stop:  make(chan struct{}),
-		subs:  make(map[*subscription]struct{}),
-		gaps:  make(map[*subscription]struct{}),
+		start:   time.Now(),
+		stop:    make(chan struct{}),
+		changed: make(chan struct{}, 1),
+		subs:    make(map[*subscription]struct{}),
+		gaps:    make(map[*subscription]struct{}),
 	}
 	go func() {
-		ticker := time.NewTicker(Resolution)
-		defer ticker.Stop()
+		due := time.NewTimer(longestSleep)
+		defer due.Stop()
 		for {
+			due.Reset(s.sleep())
 			select {
 			case <-s.stop:
 				return
-			case <-ticker.C:
+			case <-s.changed:
+			case <-due.C:
 				s.tick()
 			}
 		}
@@ -87,6 +96,32 @@
 	return s
 }
 
+// sleep returns how long there is nothing to do.
+func (s *System) sleep() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sleep := longestSleep
+	if len(s.gaps) > 0 {
+		sleep = Resolution
+	}
+	now := s.Now()
+	for sub := range s.subs {
+		// The end of a call that outlasts its period wakes the service.
+		if !sub.busy || sub.next > now {
+			sleep = min(sleep, sub.next.Sub(now))
+		}
+	}
+	return max(sleep, 0)
+}
+
+// wake makes the service look again at what is due.
+func (s *System) wake() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
 // Now returns the time since the service was started.
 func (s *System) Now() Instant { return Instant(time.Since(s.start)) }
 
@@ -99,6 +134,7 @@
 	s.mu.Lock()
 	s.subs[sub] = struct{}{}
 	s.mu.Unlock()
+	s.wake()
 	return sub
 }
 
@@ -106,8 +142,13 @@
 func (s *System) OnGap(f func(time.Duration)) Subscription {
 	sub := &subscription{gap: f, cancel: s.remove}
 	s.mu.Lock()
+	if len(s.gaps) == 0 {
+		// Nobody wanted to hear of pauses until now.
+		s.last = max(s.last, s.Now())
+	}
 	s.gaps[sub] = struct{}{}
 	s.mu.Unlock()
+	s.wake()
 	return sub
 }
 
@@ -146,5 +187,9 @@
 	sub.call()
 	s.mu.Lock()
 	sub.busy = false
+	overdue := sub.next < s.Now()
 	s.mu.Unlock()
+	if overdue {
+		s.wake()
+	}
 }
--- a/internal/timer/timer_test.go
+++ b/internal/timer/timer_test.go
@@ -56,3 +56,34 @@
 	m.Advance(time.Minute)
 	require.Len(t, calls, 2)
 }
+
+// A service without gap subscribers sleeps until a call is due; what came before
+// the first subscription is no pause.
+func TestASleepIsNoPause(t *testing.T) {
+	s := NewSystem()
+	defer s.Close()
+	time.Sleep(GapThreshold + 100*time.Millisecond)
+	gaps := make(chan time.Duration, 8)
+	s.OnGap(func(gap time.Duration) { gaps <- gap })
+	time.Sleep(2 * Resolution)
+	require.Empty(t, gaps)
+}
+
+// Calls come each period, however long the service would sleep without them.
+func TestCallsComeEachPeriod(t *testing.T) {
+	s := NewSystem()
+	defer s.Close()
+	const period, calls = 20 * time.Millisecond, 10
+	called := make(chan struct{}, 2*calls)
+	sub := s.Every(period, func() { called <- struct{}{} })
+	defer sub.Cancel()
+	began := time.Now()
+	for range calls {
+		select {
+		case <-called:
+		case <-time.After(longestSleep):
+			t.Fatal("not called")
+		}
+	}
+	require.Less(t, time.Since(began), longestSleep)
+}
