--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -22,7 +22,7 @@
 	// plainCost is one call more at a plain server.
 	plainCost = 20.0
 	// zoneCost stands for the bytes of a call between zones, which are priced.
-	zoneCost = 12.0
+	zoneCost = 30.0
 	// oldCost prefers engines with the newest weights; lateCost stands for the
 	// credit lost by beginning on weights that were replaced a while ago.
 	oldCost  = 10.0
