--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -178,7 +178,7 @@
 // listTimes returns how long a call for the list of servers is held without
 // changes, and the distance between two calls: a call that is never answered
 // must be noticed while a leaving server may still get new work.
-func listTimes(leave time.Duration) (wait, rest time.Duration) { return 3 * leave / 10, leave / 5 }
+func listTimes(leave time.Duration) (wait, rest time.Duration) { return leave / 2, leave / 10 }
 
 // follow sets up the followers of the store's tables.
 func (g *Gateway) follow() {
