Give engines that get no order back to callers at once

Now an orderer that gives up before its order takes the announcement back, and an announcement without a sign of its end is believed for 3 s in place of 6, since engines no longer wait for their running calls. TestEnginesThatAreNotOrderedTakeCallsAgain covers it.

--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -14,8 +14,9 @@
 	// peerLife is how long the load that another VM told is believed.
 	peerLife = 3 * time.Second
 	// reloadLife is how long an announced order is believed without a sign of
-	// its end; it exceeds the longest wait of an engine for its running calls.
-	reloadLife = 6 * time.Second
+	// its end; it exceeds the emptying of an engine, its wait for others that
+	// load, and its own loading.
+	reloadLife = 3 * time.Second
 	// goneRest keeps a server that was found to be another one out of choice
 	// until the list has caught up.
 	goneRest = 3 * time.Second
@@ -207,6 +208,15 @@
 	}
 }
 
+// Spare takes Reload back.
+func (t *Table) Spare(id string, born int64, model string, version int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.servers[id]; r != nil && r.server.Born == born && r.awaited <= version && r.versions[model] < version {
+		r.reloading = 0
+	}
+}
+
 // Reloading reports whether a server is kept out of choice to load weights.
 func (t *Table) Reloading(id string, now time.Duration) bool {
 	t.mu.Lock()
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -118,6 +118,9 @@
 	for _, v := range m.Reloading {
 		g.reloads(v.Engine, v.Born, v.Model, v.Version)
 	}
+	for _, v := range m.Spared {
+		g.table.Spare(v.Engine, v.Born, v.Model, v.Version)
+	}
 	for _, v := range m.Versions {
 		g.table.Learn(v.Engine, v.Born, v.Model, v.Version)
 	}
@@ -196,6 +199,14 @@
 	})
 }
 
+// Spared implements weights.Announcer.
+func (a *announcer) Spared(s backend.Server, model string, version int64) {
+	a.g.table.Spare(s.ID, s.Born, model, version)
+	a.tell(func(m *gossip.Message) {
+		m.Spared = append(m.Spared, gossip.Version{Engine: s.ID, Born: s.Born, Model: model, Version: version})
+	})
+}
+
 func (a *announcer) tell(add func(*gossip.Message)) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -34,6 +34,8 @@
 	// hands it on there.
 	Digest  bool     `cbor:"13,keyasint,omitempty"`
 	Members []Member `cbor:"14,keyasint,omitempty"`
+	// Spared are engines that were to load weights and got no order.
+	Spared []Version `cbor:"15,keyasint,omitempty"`
 }
 
 // Member is another VM as the sender of a digest heard it last.
--- a/internal/weights/orderer.go
+++ b/internal/weights/orderer.go
@@ -95,6 +95,8 @@
 	Reloading(s backend.Server, model string, version int64)
 	// Reloaded tells which version an incarnation now runs.
 	Reloaded(s backend.Server, model string, version int64)
+	// Spared takes Reloading back: no order was given.
+	Spared(s backend.Server, model string, version int64)
 }
 
 // Options are what an Orderer works with.
@@ -290,13 +292,19 @@
 		return
 	}
 	o.options.Announce.Reloading(s, t.model, t.version)
+	began, announced := o.options.Now(), t.version
+	var ordered time.Duration
+	var expect int64 = -1
+	defer func() {
+		if ordered == 0 {
+			o.options.Announce.Spared(s, t.model, announced)
+		}
+	}()
 	if !timer.Sleep(ctx, notice) || !o.emptied(ctx, s, atOnce) {
 		return
 	}
 	defer o.loaded(s.Service)
-	began, announced := o.options.Now(), t.version
-	var ordered time.Duration
-	var expect int64 = -1
+	began = o.options.Now()
 	for o.options.Now()-began < patience {
 		rep, err := o.report(ctx, s)
 		if err != nil {
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -70,10 +71,10 @@
 	return *e.state[s.ID], nil
 }
 
-type duty struct{ held bool }
+type duty struct{ held atomic.Bool }
 
-func (d *duty) Keep(context.Context) (bool, error) { return d.held, nil }
-func (d *duty) Held() (int64, bool)                { return 7, d.held }
+func (d *duty) Keep(context.Context) (bool, error) { return d.held.Load(), nil }
+func (d *duty) Held() (int64, bool)                { return 7, d.held.Load() }
 
 type announcements struct {
 	mu    sync.Mutex
@@ -95,6 +96,13 @@
 	a.table.Learn(s.ID, s.Born, model, version)
 }
 
+func (a *announcements) Spared(s backend.Server, model string, version int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.told = append(a.told, "spared "+s.ID)
+	a.table.Spare(s.ID, s.Born, model, version)
+}
+
 type record struct{ rec lease.Record }
 
 func (r *record) Read(context.Context, string) (lease.Record, error) { return r.rec, nil }
@@ -123,7 +131,8 @@
 		table.Put(backend.Server{ID: id, Service: "s", Zone: id[:1], Models: map[string]int64{"m": 1}})
 		e.state[id] = &Report{Models: map[string]int64{"m": 1}}
 	}
-	s := &setup{engines: e, duty: &duty{held: true}, told: &announcements{table: table}, table: table, versions: catalog.NewHolder()}
+	s := &setup{engines: e, duty: &duty{}, told: &announcements{table: table}, table: table, versions: catalog.NewHolder()}
+	s.duty.held.Store(true)
 	began := time.Now()
 	now := func() time.Duration { return time.Since(began) }
 	s.Orderer = New(Options{
@@ -166,7 +175,7 @@
 
 func TestNothingIsOrderedWithoutTheDuty(t *testing.T) {
 	s := newSetup("a1")
-	s.duty.held = false
+	s.duty.held.Store(false)
 	s.versions.Name("m", 2, 0)
 	for range 5 {
 		s.Step(context.Background())
@@ -234,6 +243,20 @@
 	}
 }
 
+// A VM that loses the duty while engines empty gives them back to callers.
+func TestEnginesThatAreNotOrderedTakeCallsAgain(t *testing.T) {
+	s := newSetup("a1")
+	s.table.Begin("a1", 0)
+	s.versions.Name("m", 2, 0)
+	s.Step(context.Background())
+	require.Eventually(t, func() bool { return s.table.Reloading("a1", 0) }, time.Second, time.Millisecond)
+	s.duty.held.Store(false)
+	s.Wait()
+	require.Empty(t, s.engines.orders)
+	require.False(t, s.table.Reloading("a1", 0))
+	require.Equal(t, []string{"reloading a1", "spared a1"}, s.told.told)
+}
+
 func TestOldestWeightsGoFirst(t *testing.T) {
 	s := newSetup("a1", "b1", "c1")
 	s.table.Learn("a1", 0, "m", 2)
