Let servers rest that said nothing within the time of an attempt

TestSilentServersRest failed before. The cause of an attempt's end now travels with its context, also for streams that are moved.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -91,7 +91,7 @@
 	default:
 		f.runs++
 	}
-	g.learn(f, c, ans, err, ctx.Err() != nil)
+	g.learn(ctx, f, c, ans, err)
 	return ans, err
 }
 
@@ -100,9 +100,13 @@
 // unknown.
 const onceFresh = time.Second
 
+// errSilent is the cause that ends an attempt whose server says nothing.
+var errSilent = errors.New("server is silent")
+
 // learn takes in what an attempt showed of a server.
-func (g *Gateway) learn(f *flight, c choice, ans *Answer, err error, over bool) {
+func (g *Gateway) learn(ctx context.Context, f *flight, c choice, ans *Answer, err error) {
 	s := c.server
+	over := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent)
 	model := f.call.Prompt.Model
 	switch {
 	case err != nil && over:
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -30,11 +30,12 @@
 // movable is one such attempt.
 type movable struct {
 	service string
-	cancel  context.CancelFunc
-	// moved is set before cancel is called.
-	moved atomic.Bool
+	cancel  context.CancelCauseFunc
 }
 
+// errMoved is the cause that ends an attempt that is to go on elsewhere.
+var errMoved = errors.New("engine is to load weights")
+
 // add registers an attempt until the returned function is called.
 func (m *moves) add(engine string, a *movable) (remove func()) {
 	m.mu.Lock()
@@ -78,8 +79,7 @@
 			if !g.retries.Take(a.service, g.now(), moveLeaves) {
 				return
 			}
-			a.moved.Store(true)
-			a.cancel()
+			a.cancel(errMoved)
 		}
 	})
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -53,7 +53,7 @@
 		err = errors.New("answer is too long")
 	}
 	if err != nil {
-		g.learn(f, c, nil, err, ctx.Err() != nil)
+		g.learn(ctx, f, c, nil, err)
 		return false
 	}
 	g.table.Succeeded(c.server.ID)
@@ -77,7 +77,7 @@
 	if !f.route.Repeatable() || f.runs+1 >= max(1, f.route.Attempts) {
 		return context.WithCancel(ctx)
 	}
-	return context.WithTimeout(ctx, max(attemptLeast, min(f.route.Goal, left/2)))
+	return context.WithTimeoutCause(ctx, max(attemptLeast, min(f.route.Goal, left/2)), errSilent)
 }
 
 // pass sends a whole answer to the caller.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -61,8 +61,8 @@
 // streamAttempt reports whether the caller was answered or has left.
 func (g *Gateway) streamAttempt(ctx context.Context, st *streaming, c choice) bool {
 	f := st.flight
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	g.table.Begin(c.server.ID, c.missing)
 	defer g.table.End(c.server.ID)
 	readDone := func() { g.table.Read(c.server.ID, c.missing); c.missing = 0 }
@@ -70,9 +70,8 @@
 
 	quiet := g.watch(f, cancel)
 	defer quiet.stop()
-	m := &movable{service: f.service, cancel: cancel}
 	if f.mayRepeat() && f.runs+1 < f.route.Attempts {
-		defer g.moves.add(c.server.ID, m)()
+		defer g.moves.add(c.server.ID, &movable{service: f.service, cancel: cancel})()
 	}
 	ans, err := g.send(ctx, f, c, st.last)
 	if err != nil {
@@ -98,12 +97,12 @@
 	case errors.Is(err, errCaller):
 		f.outcome = "caller left"
 		return true
-	case m.moved.Load() && err != nil:
+	case err != nil && errors.Is(context.Cause(ctx), errMoved):
 		f.tried[c.server.ID], f.prepaid = true, true
 		event.StreamMoved.Log(g.log, nil, log.Fields{"request": f.call.ID, "server": c.server.ID, "last": st.last})
 		return false
 	case err != nil:
-		g.learn(f, c, nil, err, ctx.Err() != nil && !quiet.fired())
+		g.learn(ctx, f, c, nil, err)
 		return false
 	}
 	g.table.Succeeded(c.server.ID)
@@ -115,7 +114,7 @@
 func (g *Gateway) streamFailure(ctx context.Context, st *streaming, c choice, ans *Answer) bool {
 	body, err := io.ReadAll(io.LimitReader(ans.Body, answerLimit))
 	if err != nil {
-		g.learn(st.flight, c, nil, err, ctx.Err() != nil)
+		g.learn(ctx, st.flight, c, nil, err)
 		return false
 	}
 	if st.begun || (ans.Status >= http.StatusInternalServerError && st.mayRepeat()) {
@@ -226,23 +225,20 @@
 }
 
 // silence ends an attempt of a stream that may be resumed elsewhere when its
-// engine sends nothing.
+// engine sends nothing. A nil silence does nothing.
 type silence struct {
 	timer *time.Timer
 	pause time.Duration
-	over  chan struct{}
 }
 
-func (g *Gateway) watch(f *flight, cancel context.CancelFunc) *silence {
+func (g *Gateway) watch(f *flight, cancel context.CancelCauseFunc) *silence {
 	if !f.mayRepeat() || f.runs+1 >= f.route.Attempts {
 		return nil
 	}
-	s := &silence{pause: max(leastSilence, eventSilence*f.route.Gap), over: make(chan struct{})}
-	s.timer = time.AfterFunc(max(leastSilence, firstSilence*f.route.Goal), func() {
-		close(s.over)
-		cancel()
-	})
-	return s
+	return &silence{
+		pause: max(leastSilence, eventSilence*f.route.Gap),
+		timer: time.AfterFunc(max(leastSilence, firstSilence*f.route.Goal), func() { cancel(errSilent) }),
+	}
 }
 
 func (s *silence) heard() {
@@ -256,15 +252,3 @@
 		s.timer.Stop()
 	}
 }
-
-func (s *silence) fired() bool {
-	if s == nil {
-		return false
-	}
-	select {
-	case <-s.over:
-		return true
-	default:
-		return false
-	}
-}
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -64,6 +64,33 @@
 	require.Len(t, a.sent(), 2)
 }
 
+// A server that says nothing within the time of an attempt rests, and a call
+// whose caller leaves says nothing of its server.
+func TestSilentServersRest(t *testing.T) {
+	silent := func(ctx context.Context, n int, _ *Attempt) (*Answer, error) {
+		if n == 1 {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return text(200, events("1")), nil
+	}
+	for _, path := range []string{"/resumable/", "/safe/"} {
+		g, a := open(t, silent)
+		require.Equal(t, 200, ask(t, g, path, "key").status, path)
+		first := a.sent()[0].Server
+		for _, s := range g.table.Of(first.Service, g.now()) {
+			require.Equal(t, s.Server.ID == first.ID, s.Resting, path)
+		}
+	}
+	g, _ := open(t, silent)
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	g.Serve(ctx, newCall("/resumable/", "key"), &caller{})
+	for _, s := range g.table.Of("model", g.now()) {
+		require.False(t, s.Resting)
+	}
+}
+
 func TestTheSaltNamesWeightsAndWall(t *testing.T) {
 	g, a := open(t, answerWith(func() *Answer { return text(200, events("1")) }))
 	ask(t, g, "/stream/", "key")
