Notice that the store of cached parts is down or was emptied

Cause: nobody knew whether the shelf answers, so that while it was down every call was sent with it as a source (a dead one costs some hundred ms), and after its return parts that it had lost were not left there again. Now the VM that speaks for a zone asks each shelf for its events, a call that waits 400 ms, and tells the zone; a shelf that is down is neither a source nor a place to leave parts, and one with a new epoch is known to be empty. TestAShelfThatIsDownOrEmptiedIsKnown.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -144,8 +144,8 @@
 		if fresh && i < shared {
 			g.tellPart(holderOf(c.server), c.salt, p)
 		}
-		if save && i < shared && g.parts.Add(shelfHolder(f.shelf), f.shelf.Tokens, c.salt, p, now) {
-			g.tellPart(shelfHolder(f.shelf), c.salt, p)
+		if save && i < shared && g.parts.Add(shelfHolder(f.shelf.Address), f.shelf.Tokens, c.salt, p, now) {
+			g.tellPart(shelfHolder(f.shelf.Address), c.salt, p)
 		}
 	}
 }
@@ -157,7 +157,7 @@
 	for _, p := range shared {
 		total += p.Tokens
 	}
-	return total > 0 && g.parts.Held(shelfHolder(f.shelf), salt, shared, parts.Always) < total
+	return total > 0 && g.parts.Held(shelfHolder(f.shelf.Address), salt, shared, parts.Always) < total
 }
 
 // mayRepeat reports whether a call that may have run can be sent to another server.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,7 @@
 // Adapter translates between the gateway and the platform.
 type Adapter interface {
 	Servers
+	Shelves
 	weights.Engines
 	// Declarations and List read the rows of what operators declare and of the
 	// backend servers; DecodeDeclaration and DecodeServer read their values.
@@ -110,8 +111,9 @@
 	history      *weights.History
 	news         news
 	// round counts the timer calls of tell.
-	round int
-	mates mates
+	round   int
+	mates   mates
+	shelves shelves
 	// inflow is what this VM sends into the engines caches.
 	inflow parts.Flow
 	moves  moves
@@ -219,7 +221,7 @@
 	g.subs = append(g.subs,
 		g.clock.Every(tellPeriod, g.tell),
 		g.clock.Every(orderPeriod, func() { g.orders(ctx) }),
-		g.clock.Every(tidyPeriod, g.tidy),
+		g.clock.Every(tidyPeriod, func() { g.tidy(ctx) }),
 	)
 }
 
@@ -273,7 +275,8 @@
 // missing keeps a server that a full reading lacked in use for a while.
 func (g *Gateway) missing(id string) { g.table.Miss(id, g.now()) }
 
-func (g *Gateway) tidy() {
+func (g *Gateway) tidy(ctx context.Context) {
+	g.watchShelves(ctx)
 	g.peers.Sweep()
 	for _, id := range g.table.Expire(g.now(), listGrace) {
 		g.parts.Forget(id)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -66,6 +66,14 @@
 func (a *fake) Order(context.Context, backend.Server, weights.Order) error {
 	return errors.New("no orders here")
 }
+func (a *fake) Events(ctx context.Context, address string, since int64, _ time.Duration) (Events, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.events == nil {
+		return Events{Epoch: 1}, nil
+	}
+	return a.events(address, since)
+}
 func (a *fake) Store() Store              { return a.store }
 func (a *fake) Declarations() feed.Source { return quietFeed{} }
 func (a *fake) List() feed.Source         { return quietFeed{} }
@@ -76,6 +84,7 @@
 
 	mu       sync.Mutex
 	attempts []*Attempt
+	events   func(address string, since int64) (Events, error)
 	answer   func(ctx context.Context, n int, a *Attempt) (*Answer, error)
 }
 
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -53,6 +53,7 @@
 	if g.round%every == 0 {
 		m := g.news.near()
 		g.describe(m, g.table.Loads())
+		m.Shelves = g.shelves.list(g.now())
 		g.post(m, gossip.Near)
 	}
 	digest := g.news.far()
@@ -115,6 +116,9 @@
 	for _, x := range m.Members {
 		g.quota.Hear(x.VM, x.Epoch, x.Usage, now)
 	}
+	for _, x := range m.Shelves {
+		g.observe(x, nil)
+	}
 	for _, v := range m.Reloading {
 		g.reloads(v.Engine, v.Born, v.Model, v.Version)
 	}
@@ -162,7 +166,7 @@
 		}
 	}
 	for _, s := range c.Services() {
-		if s.Shelf != nil && shelfHolder(s.Shelf).ID == id {
+		if s.Shelf != nil && shelfHolder(s.Shelf.Address).ID == id {
 			return s.Shelf.Tokens
 		}
 	}
--- a/internal/gateway/survey.go
+++ b/internal/gateway/survey.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/marjoramrock/marjoramrock/internal/backend"
-	"github.com/marjoramrock/marjoramrock/internal/catalog"
 	"github.com/marjoramrock/marjoramrock/internal/parts"
 )
 
@@ -74,7 +73,7 @@
 	}
 	if f.shelf != nil {
 		for version, salt := range v.salts {
-			if n := g.parts.Held(shelfHolder(f.shelf), salt, shared, parts.Always); n > 0 {
+			if n := g.parts.Held(shelfHolder(f.shelf.Address), salt, shared, parts.Always); n > 0 {
 				v.sources = append(v.sources, source{
 					server: -1, version: version, tokens: n, address: f.shelf.Address, zone: f.shelf.Zone,
 				})
@@ -155,5 +154,3 @@
 }
 
 func holderOf(s backend.Server) parts.Holder { return parts.Holder{ID: s.ID, Born: s.Born} }
-
-func shelfHolder(s *catalog.Shelf) parts.Holder { return parts.Holder{ID: "shelf/" + s.Address} }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -36,6 +36,17 @@
 	Members []Member `cbor:"14,keyasint,omitempty"`
 	// Spared are engines that were to load weights and got no order.
 	Spared []Version `cbor:"15,keyasint,omitempty"`
+	// Shelves are the shelves as the VM that speaks for the zone sees them.
+	Shelves []Shelf `cbor:"16,keyasint,omitempty"`
+}
+
+// Shelf is the state of a store of cached parts.
+type Shelf struct {
+	_       struct{} `cbor:",toarray"`
+	Address string
+	// Epoch changes when the shelf has lost all that it held.
+	Epoch int64
+	Down  bool
 }
 
 // Member is another VM as the sender of a digest heard it last.
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -106,7 +106,7 @@
 			continue
 		}
 		if fresh, take := n.hear(m); take {
-			if m.Digest && m.Zone != n.options.Zone && from.String() == m.Address && n.leads() {
+			if m.Digest && m.Zone != n.options.Zone && from.String() == m.Address && n.Leads() {
 				n.send(buf[:size], n.near())
 			}
 			n.options.Handle(m, fresh)
@@ -228,8 +228,8 @@
 	return address, other
 }
 
-// leads reports whether this VM speaks for its zone.
-func (n *Node) leads() bool {
+// Leads reports whether this VM speaks for its zone.
+func (n *Node) Leads() bool {
 	_, other := n.Leader()
 	return !other
 }
