Tell other VMs of servers that do not answer

Now a server that does not answer, or fails again and again, rests at all VMs, a little longer than where it failed, with one row of failures for all; one that answers again is told too. A VM that just had an answer believes itself more.

--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -11,6 +11,9 @@
 	// minimumRest and maximumRest bound how long a failing server is passed over.
 	minimumRest = 250 * time.Millisecond
 	maximumRest = 4 * time.Second
+	// trusted is for how long an answer to this VM outweighs the failures that
+	// others tell of; some servers fail only some VMs.
+	trusted = 500 * time.Millisecond
 	// peerLife is how long the load that another VM told is believed.
 	peerLife = 3 * time.Second
 	// reloadLife is how long an announced order is believed without a sign of
@@ -52,6 +55,8 @@
 	// failures counts failures in a row; the server rests until restUntil.
 	failures  int
 	restUntil time.Duration
+	// answered is when it last answered this VM well.
+	answered time.Duration
 	// reloading is until when an announced order keeps it out of choice, and
 	// awaited what it will run then.
 	reloading time.Duration
@@ -253,22 +258,55 @@
 	}
 }
 
-// Succeeded ends a row of failures.
-func (t *Table) Succeeded(id string) {
+// Succeeded ends a row of failures, and reports whether there was one.
+func (t *Table) Succeeded(id string, now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.servers[id]; r != nil {
-		r.failures, r.restUntil = 0, 0
+	r := t.servers[id]
+	if r == nil {
+		return false
 	}
+	failed := r.failures > 0
+	r.failures, r.restUntil, r.answered = 0, 0, now
+	return failed
 }
 
-// Failed makes a server rest, longer for each failure in a row.
-func (t *Table) Failed(id string, now time.Duration) {
+// Failed makes a server rest, longer for each failure in a row. It returns the
+// number of failures in a row, and for how long the server rests.
+func (t *Table) Failed(id string, now time.Duration) (failures int, rest time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.servers[id]; r != nil {
-		r.failures++
-		r.restUntil = now + min(minimumRest<<min(r.failures-1, 8), maximumRest)
+	r := t.servers[id]
+	if r == nil {
+		return 0, 0
+	}
+	r.failures++
+	rest = min(minimumRest<<min(r.failures-1, 8), maximumRest)
+	r.restUntil = now + rest
+	return r.failures, rest
+}
+
+// FailedElsewhere takes in that an incarnation failed another VM. It rests a
+// little longer here, so that not all VMs try it again at once, unless it has
+// just answered this one.
+func (t *Table) FailedElsewhere(id string, born int64, failures int, rest, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.servers[id]
+	if r == nil || r.server.Born != born || r.answered != 0 && now-r.answered < trusted {
+		return
+	}
+	r.failures = max(r.failures, failures)
+	r.restUntil = max(r.restUntil, now+min(rest, maximumRest)*3/2)
+}
+
+// SucceededElsewhere takes in that an incarnation that had failed answered
+// another VM.
+func (t *Table) SucceededElsewhere(id string, born int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.servers[id]; r != nil && r.server.Born == born {
+		r.failures, r.restUntil = 0, 0
 	}
 }
 
--- a/internal/backend/table_test.go
+++ b/internal/backend/table_test.go
@@ -85,7 +85,7 @@
 		table.Failed("e", 0)
 	}
 	require.False(t, only(t, table, maximumRest).Resting)
-	table.Succeeded("e")
+	table.Succeeded("e", 0)
 	require.False(t, only(t, table, 0).Resting)
 }
 
@@ -113,3 +113,48 @@
 	require.Equal(t, []string{"e"}, table.Expire(3*time.Second, 2*time.Second))
 	require.Empty(t, table.Of("s", 0))
 }
+
+func TestFailuresThatOthersTellOf(t *testing.T) {
+	const rest = time.Second
+	tests := []struct {
+		name string
+		do   func(*Table)
+		at   time.Duration
+		want bool
+	}{
+		{"told", func(table *Table) { table.FailedElsewhere("e", 1, 3, rest, 0) }, rest, true},
+		{"a little longer than there, and no more", func(table *Table) { table.FailedElsewhere("e", 1, 3, rest, 0) }, 3 * rest / 2, false},
+		{"a former incarnation", func(table *Table) { table.FailedElsewhere("e", 0, 3, rest, 0) }, 0, false},
+		{"it has just answered here", func(table *Table) {
+			table.Succeeded("e", 1)
+			table.FailedElsewhere("e", 1, 3, rest, trusted)
+		}, trusted, false},
+		{"it answered here a while ago", func(table *Table) {
+			table.Succeeded("e", 1)
+			table.FailedElsewhere("e", 1, 3, rest, 2*trusted)
+		}, 2 * trusted, true},
+		{"it answers others again", func(table *Table) {
+			table.FailedElsewhere("e", 1, 3, rest, 0)
+			table.SucceededElsewhere("e", 1)
+		}, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			table := NewTable()
+			table.Put(engineAt(1))
+			tt.do(table)
+			require.Equal(t, tt.want, only(t, table, tt.at).Resting)
+		})
+	}
+}
+
+func TestARowOfFailuresIsOneForAllVMs(t *testing.T) {
+	table := NewTable()
+	table.Put(engineAt(1))
+	table.FailedElsewhere("e", 1, 3, time.Second, 0)
+	failures, rest := table.Failed("e", 2*time.Second)
+	require.Equal(t, 4, failures)
+	require.Equal(t, 8*minimumRest, rest)
+	require.True(t, table.Succeeded("e", 0), "it had failed")
+	require.False(t, table.Succeeded("e", 0))
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -112,7 +112,7 @@
 	case err != nil && over:
 		// The call's time is over or its caller has left: no fault of the server.
 	case err != nil:
-		g.table.Failed(s.ID, g.now())
+		g.failed(s, ctx.Err() != nil || errors.Is(err, upstream.ErrUnsent))
 	case ans.Other:
 		g.table.Gone(s.ID, g.now())
 	case ans.Version > 0 && model != "":
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -37,11 +37,27 @@
 	n.zone.Versions = append(n.zone.Versions, v)
 }
 
+func (n *news) failed(f gossip.Failure) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.own.Failed = append(n.own.Failed, f)
+	n.zone.Failed = append(n.zone.Failed, f)
+}
+
+func (n *news) sound(s gossip.Server) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.own.Sound = append(n.own.Sound, s)
+	n.zone.Sound = append(n.zone.Sound, s)
+}
+
 // pass takes in what a VM of the zone told, for the other zones.
 func (n *news) pass(m *gossip.Message) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.zone.Versions = append(n.zone.Versions, m.Versions...)
+	n.zone.Failed = append(n.zone.Failed, m.Failed...)
+	n.zone.Sound = append(n.zone.Sound, m.Sound...)
 	n.zone.Parts = append(n.zone.Parts, m.Parts[:min(len(m.Parts), max(0, newsLimit-len(n.zone.Parts)))]...)
 }
 
@@ -54,9 +70,9 @@
 func (n *news) take(from *gossip.Message) *gossip.Message {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	m := &gossip.Message{Parts: from.Parts, Versions: from.Versions}
-	from.Parts, from.Versions = nil, nil
-	return m
+	m := *from
+	*from = gossip.Message{}
+	return &m
 }
 
 // wholeEvery is how often a digest names all charges of the zone's VMs, in
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -56,7 +56,7 @@
 		g.learn(ctx, f, c, nil, err)
 		return false
 	}
-	g.table.Succeeded(c.server.ID)
+	g.succeeded(c.server)
 	if ans.Status >= http.StatusInternalServerError && f.mayRepeat() {
 		f.tried[c.server.ID] = true
 		if next, ok := g.choose(f, f.service); ok && next.server.ID != "" && g.ahead(f) {
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -29,6 +29,21 @@
 	g.news.part(gossip.Part{Engine: h.ID, Born: h.Born, Salt: salt, ID: p.ID, Tokens: p.Tokens})
 }
 
+// failed makes a server rest. The other VMs are told where it does not answer
+// or fails again and again; a single spoilt answer says little.
+func (g *Gateway) failed(s backend.Server, unanswered bool) {
+	failures, rest := g.table.Failed(s.ID, g.now())
+	if failures > 1 || failures > 0 && unanswered {
+		g.news.failed(gossip.Failure{Server: gossip.Server{ID: s.ID, Born: s.Born}, Failures: failures, Rest: rest.Milliseconds()})
+	}
+}
+
+func (g *Gateway) succeeded(s backend.Server) {
+	if g.table.Succeeded(s.ID, g.now()) {
+		g.news.sound(gossip.Server{ID: s.ID, Born: s.Born})
+	}
+}
+
 func (g *Gateway) tellVersion(s backend.Server, model string, version int64) {
 	g.news.version(gossip.Version{Engine: s.ID, Born: s.Born, Model: model, Version: version})
 }
@@ -119,6 +134,12 @@
 	for _, x := range m.Shelves {
 		g.observe(x, nil)
 	}
+	for _, x := range m.Failed {
+		g.table.FailedElsewhere(x.Server.ID, x.Server.Born, x.Failures, time.Duration(x.Rest)*time.Millisecond, now)
+	}
+	for _, x := range m.Sound {
+		g.table.SucceededElsewhere(x.ID, x.Born)
+	}
 	for _, v := range m.Reloading {
 		g.reloads(v.Engine, v.Born, v.Model, v.Version)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -105,7 +105,7 @@
 		g.learn(ctx, f, c, nil, err)
 		return false
 	}
-	g.table.Succeeded(c.server.ID)
+	g.succeeded(c.server)
 	f.status, f.outcome = ans.Status, outcomeAnswered
 	return true
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -38,6 +38,26 @@
 	Spared []Version `cbor:"15,keyasint,omitempty"`
 	// Shelves are the shelves as the VM that speaks for the zone sees them.
 	Shelves []Shelf `cbor:"16,keyasint,omitempty"`
+	// Failed are servers that did not answer, and Sound those that answered
+	// again.
+	Failed []Failure `cbor:"17,keyasint,omitempty"`
+	Sound  []Server  `cbor:"18,keyasint,omitempty"`
+}
+
+// Server names an incarnation of a backend server.
+type Server struct {
+	_    struct{} `cbor:",toarray"`
+	ID   string
+	Born int64
+}
+
+// Failure is a row of failures of a backend server.
+type Failure struct {
+	_        struct{} `cbor:",toarray"`
+	Server   Server
+	Failures int
+	// Rest is for how long the sender leaves it alone, in milliseconds.
+	Rest int64
 }
 
 // Shelf is the state of a store of cached parts.
