Count a shared part as a source only once it is read

Cause: right after engines load new weights many calls with the same first parts arrive within the 150 ms that an engine needs to read them. TestPartsThatAreBeingReadAreNoSource.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -138,18 +138,34 @@
 	}
 	now := g.now()
 	g.inflow.Add(c.missing+c.moved, now)
+	ready := now + time.Duration(readMargin*float64(c.missing+c.pending)/readRate*float64(time.Millisecond))
 	shared := len(f.call.Prompt.Shared())
 	for i, p := range f.call.Prompt.Parts {
-		fresh := g.parts.Add(holderOf(c.server), f.engine.Capacity, c.salt, p, now)
+		fresh := g.parts.Add(holderOf(c.server), f.engine.Capacity, c.salt, p, now, ready)
 		if fresh && i < shared {
-			g.tellPart(holderOf(c.server), c.salt, p)
+			g.tellPart(holderOf(c.server), c.salt, p, ready-now)
 		}
-		if save && i < shared && g.parts.Add(shelfHolder(f.shelf.Address), f.shelf.Tokens, c.salt, p, now) {
-			g.tellPart(shelfHolder(f.shelf.Address), c.salt, p)
+		if save && i < shared && g.parts.Add(shelfHolder(f.shelf.Address), f.shelf.Tokens, c.salt, p, now, ready+saveTime) {
+			g.tellPart(shelfHolder(f.shelf.Address), c.salt, p, ready+saveTime-now)
 		}
 	}
 }
 
+const (
+	// readMargin is how much longer than at readRate an engine may take to read a
+	// prompt beside its other calls.
+	readMargin = 2.0
+	// saveTime is the way of a part to the shelf once it is read.
+	saveTime = 50 * time.Millisecond
+)
+
+// ready records that an engine has read the shared parts of a call's prompt.
+func (g *Gateway) ready(f *flight, c choice) {
+	if c.salt != "" {
+		g.parts.Ready(holderOf(c.server), c.salt, f.call.Prompt.Shared(), g.now())
+	}
+}
+
 // unsaved reports whether the shelf is not known to hold all shared parts.
 func (g *Gateway) unsaved(f *flight, salt string) bool {
 	shared := f.call.Prompt.Shared()
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -23,6 +23,9 @@
 	plainCost = 20.0
 	// zoneCost stands for the bytes of a call between zones, which are priced.
 	zoneCost = 30.0
+	// againCost is a token of a shared part that is read although another engine
+	// has read it: what users pay for it, beside the delay.
+	againCost = 0.1
 	// oldCost prefers engines with the newest weights; lateCost stands for the
 	// credit lost by beginning on weights that were replaced a while ago.
 	oldCost  = 10.0
@@ -69,6 +72,9 @@
 	// missing are the prompt tokens that the engine is expected to read; pending
 	// and load are what it had to do for other calls.
 	missing int
+	// again are those of the missing tokens that another engine has read, or is
+	// reading, for the same weights.
+	again int
 	// moved are the tokens that fetch is expected to bring.
 	moved   int
 	pending int
@@ -141,6 +147,7 @@
 	c.salt = v.salts[c.version]
 	c.shelved = f.shelf != nil && v.reached(s.Server.Zone, f.shelf.Zone)
 	delay := v.source(&c, f, i) + float64(c.missing+s.Pending)/readRate + callCost*float64(s.Load)
+	cost += againCost * float64(c.again)
 	return c, cost + delay + tardyRate*max(0, delay-tardyPart*float64(f.route.Goal.Milliseconds())), true
 }
 
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -25,8 +25,8 @@
 	return quota.Limits{Rate: t.Rate, Burst: t.Burst, Spare: sparePart * told * over}
 }
 
-func (g *Gateway) tellPart(h parts.Holder, salt string, p parts.Part) {
-	g.news.part(gossip.Part{Engine: h.ID, Born: h.Born, Salt: salt, ID: p.ID, Tokens: p.Tokens})
+func (g *Gateway) tellPart(h parts.Holder, salt string, p parts.Part, ready time.Duration) {
+	g.news.part(gossip.Part{Engine: h.ID, Born: h.Born, Salt: salt, ID: p.ID, Tokens: p.Tokens, Ready: ready.Milliseconds()})
 }
 
 // failed makes a server rest. The other VMs are told where it does not answer
@@ -150,7 +150,8 @@
 		g.table.Learn(v.Engine, v.Born, v.Model, v.Version)
 	}
 	for _, p := range m.Parts {
-		g.parts.Add(parts.Holder{ID: p.Engine, Born: p.Born}, g.capacity(p.Engine), p.Salt, parts.Part{ID: p.ID, Tokens: p.Tokens}, now)
+		g.parts.Add(parts.Holder{ID: p.Engine, Born: p.Born}, g.capacity(p.Engine), p.Salt, parts.Part{ID: p.ID, Tokens: p.Tokens}, now,
+			now+time.Duration(p.Ready)*time.Millisecond)
 	}
 	if near && !m.Brief {
 		g.news.pass(m)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -91,6 +91,7 @@
 		quiet.heard()
 		if f.first == 0 {
 			f.first = g.now()
+			g.ready(f, c)
 		}
 	})
 	switch {
--- a/internal/gateway/survey.go
+++ b/internal/gateway/survey.go
@@ -20,6 +20,9 @@
 	salts map[int64]string
 	// held are the tokens of shared parts that each server is believed to hold.
 	held []int
+	// known are the tokens of shared parts under each salt that some holder has
+	// or is about to have.
+	known map[string]int
 	// sources hold some of the shared parts, the most first.
 	sources []source
 }
@@ -28,7 +31,7 @@
 type source struct {
 	// server is the index in statuses, or -1 for the shelf.
 	server  int
-	version int64
+	salt    string
 	tokens  int
 	address string
 	zone    string
@@ -49,36 +52,45 @@
 // surveyParts finds out who holds the shared parts of a call's prompt.
 func (g *Gateway) surveyParts(f *flight, v *survey) {
 	model, shared := f.call.Prompt.Model, f.call.Prompt.Shared()
+	since := v.now - g.residence(f, len(v.statuses))
 	v.salts = make(map[int64]string)
-	v.held = make([]int, len(v.statuses))
+	v.held, v.known = make([]int, len(v.statuses)), make(map[string]int)
 	holdings := make([]parts.Holding, len(v.statuses))
 	for i, s := range v.statuses {
 		version := s.Versions[model]
 		if _, ok := v.salts[version]; !ok {
 			v.salts[version] = saltOf(model, version, f.team)
 		}
-		holdings[i] = parts.Holding{Holder: holderOf(s.Server), Salt: v.salts[version]}
+		holdings[i] = parts.Holding{Holder: holderOf(s.Server), Salt: v.salts[version], Since: since}
 	}
 	if len(shared) == 0 {
 		return
 	}
-	g.parts.Holdings(holdings, shared, v.now-g.residence(f, len(v.statuses)))
-	for i, s := range v.statuses {
-		v.held[i] = holdings[i].Tokens
-		if v.held[i] > 0 && !s.Resting {
-			v.sources = append(v.sources, source{
-				server: i, version: s.Versions[model], tokens: v.held[i], address: s.Server.Address, zone: s.Server.Zone,
-			})
+	if f.shelf != nil {
+		for _, salt := range v.salts {
+			holdings = append(holdings, parts.Holding{Holder: shelfHolder(f.shelf.Address), Salt: salt, Since: parts.Always})
 		}
 	}
-	if f.shelf != nil {
-		for version, salt := range v.salts {
-			if n := g.parts.Held(shelfHolder(f.shelf.Address), salt, shared, parts.Always); n > 0 {
-				v.sources = append(v.sources, source{
-					server: -1, version: version, tokens: n, address: f.shelf.Address, zone: f.shelf.Zone,
-				})
+	g.parts.Holdings(holdings, shared, v.now)
+	for i, h := range holdings {
+		v.known[h.Salt] = max(v.known[h.Salt], h.Held)
+		if i < len(v.statuses) {
+			v.held[i] = h.Held
+		}
+		if h.Read == 0 {
+			continue
+		}
+		o := source{server: -1, salt: h.Salt, tokens: h.Read}
+		if i < len(v.statuses) {
+			s := v.statuses[i]
+			if s.Resting {
+				continue
 			}
+			o.server, o.address, o.zone = i, s.Server.Address, s.Server.Zone
+		} else {
+			o.address, o.zone = f.shelf.Address, f.shelf.Zone
 		}
+		v.sources = append(v.sources, o)
 	}
 	slices.SortStableFunc(v.sources, func(a, b source) int { return b.tokens - a.tokens })
 }
@@ -89,7 +101,7 @@
 
 // best returns the source with the most parts beyond what a server holds, of
 // equal ones one in its zone.
-func (v *survey) best(server int, version int64) (source, bool) {
+func (v *survey) best(server int, salt string) (source, bool) {
 	var best source
 	found := false
 	zone := v.statuses[server].Server.Zone
@@ -97,7 +109,7 @@
 		switch {
 		case o.tokens <= v.held[server]+fetchLeast, found && o.tokens < best.tokens:
 			return best, found
-		case o.server == server, o.version != version, !v.reached(zone, o.zone):
+		case o.server == server, o.salt != salt, !v.reached(zone, o.zone):
 		case !found || (best.zone != zone && o.zone == zone):
 			best, found = o, true
 		}
@@ -110,9 +122,9 @@
 func (v *survey) source(c *choice, f *flight, server int) float64 {
 	prompt := f.call.Prompt
 	own, zone := v.held[server], c.server.Zone
-	o, ok := v.best(server, c.version)
+	o, ok := v.best(server, c.salt)
 	if !ok {
-		c.missing = max(0, prompt.Input-own)
+		c.missing, c.again = max(0, prompt.Input-own), max(0, v.known[c.salt]-own)
 		if c.shelved && len(prompt.Shared()) > 0 {
 			// The engine may have dropped what it held, and this VM may not have
 			// heard of what the shelf holds. Nothing moves that the engine has.
@@ -122,7 +134,7 @@
 	}
 	c.fetch = o.address
 	c.moved = o.tokens - own
-	c.missing = max(0, prompt.Input-o.tokens)
+	c.missing, c.again = max(0, prompt.Input-o.tokens), max(0, v.known[c.salt]-o.tokens)
 	if f.engine == nil || f.engine.LinkMbps <= 0 {
 		return 0
 	}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -105,6 +105,8 @@
 	Salt   string
 	ID     string
 	Tokens int
+	// Ready is in how many milliseconds the engine should have read it.
+	Ready int64
 }
 
 func encode(m *Message) ([]byte, error) {
--- a/internal/parts/directory.go
+++ b/internal/parts/directory.go
@@ -45,6 +45,8 @@
 	key    key
 	tokens int
 	used   time.Duration
+	// ready is when the engine has read it, as far as that is known.
+	ready time.Duration
 	// told is when Add last reported it as news.
 	told time.Duration
 }
@@ -73,10 +75,10 @@
 // forget parts that are not used.
 const retell = time.Second
 
-// Add records that an engine reads a part now. Capacity is the size of its
-// memory in tokens; what was used least recently yields. It reports whether
-// that is news to others.
-func (d *Directory) Add(h Holder, capacity int, salt string, p Part, now time.Duration) (news bool) {
+// Add records that an engine reads a part, and will have read it at an instant.
+// Capacity is the size of its memory in tokens; what was used least recently
+// yields. It reports whether that is news to others.
+func (d *Directory) Add(h Holder, capacity int, salt string, p Part, now, ready time.Duration) (news bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.shelves[h.ID]
@@ -88,14 +90,14 @@
 	k := key{salt, p.ID}
 	if e := s.entries[k]; e != nil {
 		item := e.Value.(*entry)
-		item.used = now
+		item.used, item.ready = now, min(item.ready, ready)
 		s.order.MoveToFront(e)
 		if news = now-item.told >= retell; news {
 			item.told = now
 		}
 		return news
 	}
-	s.entries[k] = s.order.PushFront(&entry{key: k, tokens: p.Tokens, used: now, told: now})
+	s.entries[k] = s.order.PushFront(&entry{key: k, tokens: p.Tokens, used: now, ready: ready, told: now})
 	s.tokens += p.Tokens
 	for s.tokens > s.capacity && s.order.Len() > 1 {
 		s.drop(s.order.Back())
@@ -110,6 +112,22 @@
 	s.tokens -= item.tokens
 }
 
+// Ready records that an engine has read parts.
+func (d *Directory) Ready(h Holder, salt string, parts []Part, now time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.shelves[h.ID]
+	if s == nil || s.holder.Born != h.Born {
+		return
+	}
+	for _, p := range parts {
+		if e := s.entries[key{salt, p.ID}]; e != nil {
+			item := e.Value.(*entry)
+			item.ready = min(item.ready, now)
+		}
+	}
+}
+
 // Drop records that an engine no longer holds a part.
 func (d *Directory) Drop(id, salt, part string) {
 	d.mu.Lock()
@@ -136,23 +154,28 @@
 func (d *Directory) Held(h Holder, salt string, parts []Part, since time.Duration) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.held(h, salt, parts, since)
+	held, _ := d.held(h, salt, parts, since, Always)
+	return held
 }
 
-func (d *Directory) held(h Holder, salt string, parts []Part, since time.Duration) int {
+// held returns also how many of these tokens are read at an instant.
+func (d *Directory) held(h Holder, salt string, parts []Part, since, now time.Duration) (held, read int) {
 	s := d.shelves[h.ID]
 	if s == nil || s.holder.Born != h.Born {
-		return 0
+		return 0, 0
 	}
-	n := 0
+	reading := false
 	for _, p := range parts {
 		e := s.entries[key{salt, p.ID}]
 		if e == nil || e.Value.(*entry).used < since {
 			break
 		}
-		n += p.Tokens
+		held += p.Tokens
+		if reading = reading || e.Value.(*entry).ready > now; !reading {
+			read += p.Tokens
+		}
 	}
-	return n
+	return held, read
 }
 
 // Keep forgets every engine that is not in ids.
--- a/internal/parts/directory_test.go
+++ b/internal/parts/directory_test.go
@@ -11,9 +11,9 @@
 	d := NewDirectory()
 	h := Holder{ID: "e", Born: 1}
 	prompt := []Part{{"a", 100}, {"b", 50}, {"c", 20}}
-	require.True(t, d.Add(h, 1000, "m@1", prompt[0], 0))
-	require.False(t, d.Add(h, 1000, "m@1", prompt[0], 0))
-	d.Add(h, 1000, "m@1", prompt[2], 0)
+	require.True(t, d.Add(h, 1000, "m@1", prompt[0], 0, 0))
+	require.False(t, d.Add(h, 1000, "m@1", prompt[0], 0, 0))
+	d.Add(h, 1000, "m@1", prompt[2], 0, 0)
 	tests := []struct {
 		name   string
 		holder Holder
@@ -33,10 +33,10 @@
 func TestLeastRecentlyUsedPartsYield(t *testing.T) {
 	d := NewDirectory()
 	h := Holder{ID: "e", Born: 1}
-	d.Add(h, 100, "s", Part{"a", 40}, 0)
-	d.Add(h, 100, "s", Part{"b", 40}, 0)
-	d.Add(h, 100, "s", Part{"a", 40}, 0)
-	d.Add(h, 100, "s", Part{"c", 40}, 0)
+	d.Add(h, 100, "s", Part{"a", 40}, 0, 0)
+	d.Add(h, 100, "s", Part{"b", 40}, 0, 0)
+	d.Add(h, 100, "s", Part{"a", 40}, 0, 0)
+	d.Add(h, 100, "s", Part{"c", 40}, 0, 0)
 	require.Equal(t, 40, d.Held(h, "s", []Part{{"a", 40}}, Always))
 	require.Zero(t, d.Held(h, "s", []Part{{"b", 40}}, Always))
 	require.Equal(t, 2, d.Len())
@@ -47,7 +47,7 @@
 	h := Holder{ID: "e", Born: 1}
 	parts := []Part{{"a", 40}, {"b", 40}}
 	for i, p := range parts {
-		d.Add(h, 100, "s", p, time.Duration(2-i)*time.Second)
+		d.Add(h, 100, "s", p, time.Duration(2-i)*time.Second, time.Duration(2-i)*time.Second)
 	}
 	require.Equal(t, 80, d.Held(h, "s", parts, time.Second))
 	require.Equal(t, 40, d.Held(h, "s", parts, 1500*time.Millisecond))
@@ -62,7 +62,7 @@
 		want bool
 	}{{0, true}, {retell / 2, false}, {retell, true}, {retell + 1, false}, {2 * retell, true}}
 	for _, s := range steps {
-		require.Equal(t, s.want, d.Add(h, 100, "s", Part{"a", 40}, s.at), s.at)
+		require.Equal(t, s.want, d.Add(h, 100, "s", Part{"a", 40}, s.at, s.at), s.at)
 	}
 }
 
@@ -77,9 +77,33 @@
 
 func TestNewIncarnationHoldsNothing(t *testing.T) {
 	d := NewDirectory()
-	d.Add(Holder{ID: "e", Born: 1}, 100, "s", Part{"a", 40}, 0)
-	d.Add(Holder{ID: "e", Born: 2}, 100, "s", Part{"b", 40}, 0)
+	d.Add(Holder{ID: "e", Born: 1}, 100, "s", Part{"a", 40}, 0, 0)
+	d.Add(Holder{ID: "e", Born: 2}, 100, "s", Part{"b", 40}, 0, 0)
 	require.Zero(t, d.Held(Holder{ID: "e", Born: 2}, "s", []Part{{"a", 40}}, Always))
 	d.Forget("e")
 	require.Zero(t, d.Len())
 }
+
+func TestPartsThatAreBeingReadAreNoSource(t *testing.T) {
+	d := NewDirectory()
+	h := Holder{ID: "e", Born: 1}
+	prompt := []Part{{"a", 40}, {"b", 20}, {"c", 10}}
+	for i, p := range prompt {
+		d.Add(h, 100, "s", p, 0, time.Duration(i)*time.Second)
+	}
+	at := func(now time.Duration) Holding {
+		holdings := []Holding{{Holder: h, Salt: "s", Since: Always}}
+		d.Holdings(holdings, prompt, now)
+		return holdings[0]
+	}
+	require.Equal(t, 70, at(0).Held)
+	require.Equal(t, 40, at(0).Read)
+	require.Equal(t, 70, at(2*time.Second).Read)
+	// A later call for the parts does not make them less ready, and a first event
+	// shows that they are.
+	d.Add(h, 100, "s", prompt[0], time.Second, 9*time.Second)
+	require.Equal(t, 60, at(time.Second).Read)
+	d.Ready(h, "s", prompt, 0)
+	require.Equal(t, 70, at(0).Read)
+	d.Ready(Holder{ID: "e", Born: 2}, "s", prompt, 0)
+}
--- a/internal/parts/holdings.go
+++ b/internal/parts/holdings.go
@@ -6,17 +6,20 @@
 type Holding struct {
 	Holder Holder
 	Salt   string
-	// Tokens is the answer: those of the opening parts that are held.
-	Tokens int
+	// Since is the oldest use of a part that counts.
+	Since time.Duration
+	// Held and Read are the answer: the tokens of the opening parts that are
+	// held or about to be, and of those the ones that are there to be fetched.
+	Held int
+	Read int
 }
 
-// Holdings answers for several holders at once, counting parts that were used
-// since an instant.
-func (d *Directory) Holdings(holdings []Holding, parts []Part, since time.Duration) {
+// Holdings answers for several holders at once.
+func (d *Directory) Holdings(holdings []Holding, parts []Part, now time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for i := range holdings {
 		h := &holdings[i]
-		h.Tokens = d.held(h.Holder, h.Salt, parts, since)
+		h.Held, h.Read = d.held(h.Holder, h.Salt, parts, h.Since, now)
 	}
 }
