--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -164,17 +164,11 @@
 // TeamOf returns the team that holds a key, or nil.
 func (c *Catalog) TeamOf(key string) *Team { return c.keys[sha256.Sum256([]byte(key))] }
 
-// Team returns a team by name, or nil.
-func (c *Catalog) Team(name string) *Team { return c.teams[name] }
-
 // Service returns a service by name, or nil.
 func (c *Catalog) Service(name string) *Service { return c.services[name] }
 
 // Services returns all services by name.
 func (c *Catalog) Services() map[string]*Service { return c.services }
 
-// Teams returns all teams by name.
-func (c *Catalog) Teams() map[string]*Team { return c.teams }
-
 // Shelves returns the stores of cached parts, by address.
 func (c *Catalog) Shelves() []*Shelf { return c.shelves }
--- a/internal/event/async.go
+++ b/internal/event/async.go
@@ -80,9 +80,6 @@
 	return nil
 }
 
-// Dropped returns how many lines were dropped.
-func (a *Writer) Dropped() int64 { return a.dropped.Load() }
-
 // Close writes the lines that wait and ends the Writer.
 func (a *Writer) Close() {
 	a.once.Do(func() { close(a.closing) })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -343,9 +343,6 @@
 	event.Draining.Log(g.log, nil, log.Fields{"calls": g.inFlight.Load()})
 }
 
-// Calls returns how many calls are in progress.
-func (g *Gateway) Calls() int64 { return g.inFlight.Load() }
-
 // Close ends the gateway's own work and gives back what it holds.
 func (g *Gateway) Close() {
 	for _, sub := range g.subs {
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -194,59 +193,3 @@
 	}
 	return 0
 }
-
-// announcer tells this VM and the others of orders. What comes within gather
-// goes in one message.
-type announcer struct {
-	g *Gateway
-
-	mu      sync.Mutex // guards the field below
-	waiting *gossip.Message
-}
-
-// gather is how long an announcement waits for others; it is well below the
-// time that passes between an announcement and its order.
-const gather = 15 * time.Millisecond
-
-// Reloading implements weights.Announcer.
-func (a *announcer) Reloading(s backend.Server, model string, version int64) {
-	a.g.reloads(s.ID, s.Born, model, version)
-	a.tell(func(m *gossip.Message) {
-		m.Reloading = append(m.Reloading, gossip.Version{Engine: s.ID, Born: s.Born, Model: model, Version: version})
-	})
-}
-
-// Reloaded implements weights.Announcer.
-func (a *announcer) Reloaded(s backend.Server, model string, version int64) {
-	a.g.table.Learn(s.ID, s.Born, model, version)
-	event.EngineReloaded.Log(a.g.log, nil, log.Fields{"engine": s.ID, "model": model, "version": version})
-	a.tell(func(m *gossip.Message) {
-		m.Versions = append(m.Versions, gossip.Version{Engine: s.ID, Born: s.Born, Model: model, Version: version})
-	})
-}
-
-// Spared implements weights.Announcer.
-func (a *announcer) Spared(s backend.Server, model string, version int64) {
-	a.g.table.Spare(s.ID, s.Born, model, version)
-	a.tell(func(m *gossip.Message) {
-		m.Spared = append(m.Spared, gossip.Version{Engine: s.ID, Born: s.Born, Model: model, Version: version})
-	})
-}
-
-func (a *announcer) tell(add func(*gossip.Message)) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.waiting == nil {
-		a.waiting = &gossip.Message{}
-		time.AfterFunc(gather, a.send)
-	}
-	add(a.waiting)
-}
-
-func (a *announcer) send() {
-	a.mu.Lock()
-	m := a.waiting
-	a.waiting = nil
-	a.mu.Unlock()
-	a.g.broadcast(m)
-}
--- a/internal/parts/directory.go
+++ b/internal/parts/directory.go
@@ -178,17 +178,6 @@
 	return held, read
 }
 
-// Keep forgets every engine that is not in ids.
-func (d *Directory) Keep(ids map[string]bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for id := range d.shelves {
-		if !ids[id] {
-			delete(d.shelves, id)
-		}
-	}
-}
-
 // Len returns how many parts are known of all engines.
 func (d *Directory) Len() int {
 	d.mu.Lock()
--- a/internal/weights/orderer.go
+++ b/internal/weights/orderer.go
@@ -292,7 +292,7 @@
 		return
 	}
 	o.options.Announce.Reloading(s, t.model, t.version)
-	began, announced := o.options.Now(), t.version
+	announced := t.version
 	var ordered time.Duration
 	var expect int64 = -1
 	defer func() {
@@ -304,7 +304,7 @@
 		return
 	}
 	defer o.loaded(s.Service)
-	began = o.options.Now()
+	began := o.options.Now()
 	for o.options.Now()-began < patience {
 		rep, err := o.report(ctx, s)
 		if err != nil {
