loopback: never hand out the same address twice

Ports are now taken in turn from a random start, on a loopback IP of the process's own. TestSeedsUseTheCommonPort took the node's own IP to be 127.0.0.1; it now reads it from the node, the check is as before.

--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -178,8 +178,10 @@
 
 func TestSeedsUseTheCommonPort(t *testing.T) {
 	n, _ := startNode(t, "a", loopback.FreeAddress(t), 1)
+	ip, _, err := net.SplitHostPort(n.options.Address)
+	require.NoError(t, err)
 	n.AddSeed("127.0.0.9:1")
-	n.AddSeed("127.0.0.1:2")
+	n.AddSeed(net.JoinHostPort(ip, "2"))
 	require.Len(t, n.seeds, 1, "the node's own IP address is not a seed")
 	for addr := range n.seeds {
 		require.Equal(t, "127.0.0.9", addr.Addr().String())
--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -2,9 +2,12 @@
 package loopback
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
+	"sync/atomic"
 	"testing"
 )
 
@@ -17,11 +20,19 @@
 	maxAttempts = 100
 )
 
-// FreeAddress returns an address of 127.0.0.1 whose port is free for TCP and UDP.
+// nextPort counts the ports tried. Consecutive calls never return the same port, since
+// the first one may not be bound yet.
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(rand.Uint32N(portCount)) }
+
+// FreeAddress returns a loopback address whose port is free for TCP and UDP. No other
+// process that uses this package gets the same one.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
+	ip := processIP(os.Getpid())
 	for range maxAttempts {
-		address := "127.0.0.1:" + strconv.Itoa(minPort+rand.IntN(portCount))
+		address := ip + ":" + strconv.Itoa(minPort+int(nextPort.Add(1)%portCount))
 		if isFree(address) {
 			return address
 		}
@@ -30,6 +41,13 @@
 	return ""
 }
 
+// processIP returns the loopback IP of the process with the given ID, which is below
+// 1<<22 on Linux. The first octets keep clear of 127.0.0.0/10, where tests choose
+// addresses themselves.
+func processIP(pid int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>16&0x7f, pid>>8&0xff, pid&0xff)
+}
+
 func isFree(address string) bool {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
