Bound what is read from a peer, and accept responses only from the right call

Responses to control calls shared connections with calls. Now: 64 KB a head, 256 KB an event, one budget of bytes for all bodies and events (15 % of the process's memory), 30 s to read a body; ids are required on used connections, a server that sends none gets one call a connection; control calls have connections of their own; lease calls use new ones; comments and repeated events no longer count as progress.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -74,6 +74,8 @@
 	if !f.route.Repeatable() {
 		a.MaxConnIdle = atMostOnceMaxConnIdle
 	}
+	a.NewConn = f.sentTo[c.server.ID]
+	f.sentTo[c.server.ID] = true
 	if c.kvStoreReachable && c.cacheSalt != "" && g.needsSaving(f, c.cacheSalt) {
 		a.SaveTo = f.kvStore.Address
 	}
@@ -113,6 +115,8 @@
 	switch {
 	case err != nil && callEnded:
 		// The call timed out or its caller left, which is no failure of the server.
+	case errors.Is(err, ErrBuffersFull):
+		// This VM has no room for the response.
 	case err != nil:
 		g.recordFailure(s, ctx.Err() != nil || errors.Is(err, upstream.ErrUnsent))
 	case resp.WrongServer:
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -56,6 +56,9 @@
 	// MaxConnIdle bounds how long a reused connection may have been idle; zero means
 	// no bound.
 	MaxConnIdle time.Duration
+	// NewConn is set if the server has had an attempt of this call before, whose
+	// response may arrive a second time on the connection that carried it.
+	NewConn bool
 }
 
 // Response is the response of a backend server. Its body must be closed.
--- /dev/null
+++ b/internal/gateway/event_reader_test.go
@@ -0,0 +1,137 @@
+package gateway
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/marjoramrock/marjoramrock/internal/upstream"
+	"github.com/stretchr/testify/require"
+)
+
+func TestReadEvent(t *testing.T) {
+	tests := []struct {
+		name, in, raw, id string
+		err               error
+	}{
+		{"complete event", "id: 7\ndata: x\n\nid: 8", "id: 7\ndata: x\n\n", "7", nil},
+		{"carriage returns", "id: 7\r\n\r\n", "id: 7\r\n\r\n", "7", nil},
+		{"no id", "data: x\n\n", "data: x\n\n", "", nil},
+		{"end of stream", "", "", "", io.EOF},
+		{"incomplete event", "id: 7\nda", "id: 7\nda", "7", io.ErrUnexpectedEOF},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newEventReader(strings.NewReader(tt.in), newBufferBudget(0))
+			e, err := r.next()
+			require.Equal(t, tt.raw, string(e.raw))
+			require.Equal(t, tt.id, e.id)
+			require.Equal(t, tt.err, err)
+		})
+	}
+}
+
+// endlessReader repeats a text without end and counts what was read.
+type endlessReader struct {
+	text string
+	read int
+}
+
+func (r *endlessReader) Read(p []byte) (int, error) {
+	n := 0
+	for n < len(p) {
+		i := (r.read + n) % len(r.text)
+		n += copy(p[n:], r.text[i:])
+	}
+	r.read += n
+	return n, nil
+}
+
+func TestEventsWithoutEnd(t *testing.T) {
+	tests := []struct{ name, text string }{
+		{"a line without end", "x"},
+		{"an event without end", "data: x\n"},
+		{"a comment without end", ": x\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			source, budget := &endlessReader{text: tt.text}, newBufferBudget(0)
+			r := newEventReader(source, budget)
+			_, err := r.next()
+			require.ErrorIs(t, err, upstream.ErrTooLarge)
+			require.LessOrEqual(t, source.read, 2*maxEventBytes)
+			r.release()
+			require.Zero(t, budget.used.Load())
+		})
+	}
+}
+
+func TestBuffersOfAllCallsAreBounded(t *testing.T) {
+	budget := newBufferBudget(10)
+	var held []*buffer
+	for {
+		b := &buffer{budget: budget, limit: maxResponseBytes}
+		held = append(held, b)
+		if err := b.readAll(io.LimitReader(&endlessReader{text: "x"}, 100<<10)); err != nil {
+			require.ErrorIs(t, err, ErrBuffersFull)
+			break
+		}
+		require.Len(t, b.bytes, 100<<10)
+	}
+	require.Greater(t, len(held), 5)
+	total := 0
+	for _, b := range held {
+		total += cap(b.bytes)
+	}
+	require.LessOrEqual(t, total, 3<<20)
+	for _, b := range held {
+		b.release()
+	}
+	require.Zero(t, budget.used.Load())
+}
+
+func TestBodiesAtTheSizeLimit(t *testing.T) {
+	tests := []struct {
+		size int
+		err  error
+	}{{0, nil}, {1, nil}, {minBufferBytes, nil}, {20000, nil}, {20001, upstream.ErrTooLarge}, {1 << 20, upstream.ErrTooLarge}}
+	for _, tt := range tests {
+		b := &buffer{budget: newBufferBudget(0), limit: 20000}
+		err := b.readAll(bytes.NewReader(make([]byte, tt.size)))
+		if tt.err != nil {
+			require.ErrorIs(t, err, tt.err)
+			continue
+		}
+		require.NoError(t, err)
+		require.Len(t, b.bytes, tt.size)
+	}
+	b := &buffer{budget: newBufferBudget(0), limit: 20000}
+	require.ErrorIs(t, b.readAll(failingReader{}), io.ErrUnexpectedEOF)
+}
+
+func FuzzEventReader(f *testing.F) {
+	f.Add("id: 7\ndata: x\n\nid: 8")
+	f.Add(": comment\r\n\r\n")
+	f.Add("\n\ndata")
+	f.Fuzz(func(t *testing.T, stream string) {
+		budget := newBufferBudget(0)
+		r := newEventReader(strings.NewReader(stream), budget)
+		defer r.release()
+		var got strings.Builder
+		for {
+			e, err := r.next()
+			got.Write(e.raw)
+			if err != nil {
+				if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, upstream.ErrTooLarge) {
+					t.Fatal(err)
+				}
+				break
+			}
+		}
+		if len(stream) < maxEventBytes && strings.TrimSpace(got.String()) != strings.TrimSpace(stream) {
+			t.Fatalf("events %q of stream %q", got.String(), stream)
+		}
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,6 +120,7 @@
 	// engines.
 	promptThroughput parts.ThroughputMeter
 	movableStreams   movableStreams
+	buffers          *bufferBudget
 
 	draining      atomic.Bool
 	inFlight      atomic.Int64
@@ -133,7 +134,7 @@
 	g := &Gateway{
 		settings: s, log: logger.WithField("vm", s.VM), clock: timer.NewSystemClock(), adapter: a, serverClient: a,
 		metrics: newGatewayMetrics(), catalog: catalog.NewTracker(), table: backend.NewTable(), parts: parts.NewDirectory(),
-		quota: quota.NewEstimator(s.FirstStart),
+		quota: quota.NewEstimator(s.FirstStart), buffers: newBufferBudget(s.MemoryLimitMB),
 	}
 	g.retries = quota.NewRetryBudget(s.Bounds.RetryRatio*retryBudgetShare, time.Duration(s.Bounds.RetryWindow), func() float64 {
 		return s.Bounds.RetryAllowance * retryBudgetShare / float64(g.node.MemberCount()+1)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"time"
 )
@@ -48,11 +46,9 @@
 	if resp.NotRun || resp.WrongServer {
 		return false
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errors.New("response exceeds the size limit")
-	}
-	if err != nil {
+	body := &buffer{budget: g.buffers, limit: maxResponseBytes}
+	defer body.release()
+	if err := body.readAll(resp.Body); err != nil {
 		g.recordAttempt(ctx, f, c, nil, err)
 		return false
 	}
@@ -63,7 +59,7 @@
 			return false
 		}
 	}
-	g.sendResponse(f, resp, body)
+	g.sendResponse(f, resp, body.bytes)
 	return true
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -25,6 +25,8 @@
 	deadline  time.Duration
 	// excluded holds the IDs of the servers that must not be selected again.
 	excluded map[string]bool
+	// sentTo holds the IDs of the servers that have had an attempt.
+	sentTo   map[string]bool
 	attempts int
 	// headerSent is set once the header of a response has been passed on.
 	headerSent bool
@@ -53,7 +55,7 @@
 func (g *Gateway) Serve(ctx context.Context, call *Call, writer ResponseWriter) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	f := &forwardedCall{call: call, writer: writer, startedAt: g.now(), excluded: make(map[string]bool)}
+	f := &forwardedCall{call: call, writer: writer, startedAt: g.now(), excluded: make(map[string]bool), sentTo: make(map[string]bool)}
 	if r := g.admit(f); r != nil {
 		g.refuse(f, *r)
 		g.recordOutcome(f)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,13 +1,10 @@
 package gateway
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/apex/log"
@@ -15,10 +12,6 @@
 )
 
 const (
-	// maxEventBytes bounds the size of an event.
-	maxEventBytes = 1 << 20
-	// eventBufferBytes is large enough for several events.
-	eventBufferBytes = 8 << 10
 	// latencyGoalFactor and eventGapGoalFactor are the multiples of the goals for the
 	// first event and for the gap between events after which a resumable stream
 	// leaves a silent engine. minSilenceTimeout is the minimum of both times.
@@ -87,7 +80,7 @@
 	if resp.Status != http.StatusOK {
 		return g.handleNonStream(ctx, st, c, resp)
 	}
-	err = st.copyEvents(resp, func() {
+	err = st.copyEvents(resp, g.buffers, func() {
 		promptRead()
 		silence.reset()
 		if f.firstByteAt == 0 {
@@ -114,8 +107,9 @@
 
 // handleNonStream handles a response of an engine that is not a stream.
 func (g *Gateway) handleNonStream(ctx context.Context, st *streamState, c serverChoice, resp *Response) bool {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
-	if err != nil {
+	body := &buffer{budget: g.buffers, limit: maxResponseBytes}
+	defer body.release()
+	if err := body.readAll(resp.Body); err != nil {
 		g.recordAttempt(ctx, st.forwardedCall, c, nil, err)
 		return false
 	}
@@ -123,7 +117,7 @@
 		st.excluded[c.server.ID] = true
 		return false
 	}
-	g.sendResponse(st.forwardedCall, resp, body)
+	g.sendResponse(st.forwardedCall, resp, body.bytes)
 	return true
 }
 
@@ -138,12 +132,14 @@
 var errCallerLeft = errors.New("caller left")
 
 // copyEvents passes on the complete events of a response. It skips events that the
-// caller has from an earlier attempt.
-func (st *streamState) copyEvents(resp *Response, onEvent func()) error {
-	events := bufio.NewReaderSize(resp.Body, eventBufferBytes)
+// caller has from an earlier attempt. It calls onProgress for each new event with data;
+// comments and repeated events show no progress of the call.
+func (st *streamState) copyEvents(resp *Response, budget *bufferBudget, onProgress func()) error {
+	events := newEventReader(resp.Body, budget)
+	defer events.release()
 	for {
-		raw, id, err := readEvent(events)
-		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(raw)) == 0 {
+		e, err := events.next()
+		if errors.Is(err, io.EOF) {
 			if !st.headerSent {
 				return st.writeHeader(resp)
 			}
@@ -152,18 +148,20 @@
 		if err != nil {
 			return err
 		}
-		onEvent()
-		if id != "" && !isNewerEvent(id, st.lastEventID) {
+		if e.id != "" && !isNewerEvent(e.id, st.lastEventID) {
 			continue
 		}
+		if e.hasData {
+			onProgress()
+		}
 		if err := st.writeHeader(resp); err != nil {
 			return err
 		}
-		if err := st.writer.Write(raw); err != nil {
+		if err := st.writer.Write(e.raw); err != nil {
 			return errCallerLeft
 		}
-		if id != "" {
-			st.lastEventID = id
+		if e.id != "" {
+			st.lastEventID = e.id
 		}
 	}
 }
@@ -184,49 +182,6 @@
 	return nil
 }
 
-// readEvent reads up to and including the empty line that ends an event. At the end
-// of the stream it returns io.EOF, or io.ErrUnexpectedEOF after an incomplete event,
-// together with what was read.
-func readEvent(r *bufio.Reader) (raw []byte, id string, err error) {
-	for {
-		line, err := r.ReadBytes('\n')
-		raw = append(raw, line...)
-		if err != nil {
-			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(raw)) > 0 {
-				err = io.ErrUnexpectedEOF
-			}
-			return raw, id, err
-		}
-		if len(raw) > maxEventBytes {
-			return raw, id, errors.New("event exceeds the size limit")
-		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
-			return raw, id, nil
-		}
-		if v, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(v))
-		}
-	}
-}
-
-// isNewerEvent reports whether an event follows the one with the last ID. IDs are
-// numbers; events with other IDs always count as newer.
-func isNewerEvent(id, lastID string) bool {
-	if lastID == "" {
-		return true
-	}
-	a, err := strconv.ParseInt(id, 10, 64)
-	if err != nil {
-		return true
-	}
-	b, err := strconv.ParseInt(lastID, 10, 64)
-	if err != nil {
-		return true
-	}
-	return a > b
-}
-
 // silenceTimer cancels an attempt of a resumable stream if its engine sends nothing.
 // A nil silenceTimer does nothing.
 type silenceTimer struct {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net/http"
@@ -239,24 +238,3 @@
 	s, _ := g.table.Get(id)
 	require.Zero(t, g.parts.HeldTokens(engineHolder(s), "m@1/isolated", newCall("/stream/", "isolated-key").Prompt.SharedParts(), parts.NoAgeLimit))
 }
-
-func TestReadEvent(t *testing.T) {
-	tests := []struct {
-		name, in, raw, id string
-		err               error
-	}{
-		{"complete event", "id: 7\ndata: x\n\nid: 8", "id: 7\ndata: x\n\n", "7", nil},
-		{"carriage returns", "id: 7\r\n\r\n", "id: 7\r\n\r\n", "7", nil},
-		{"no id", "data: x\n\n", "data: x\n\n", "", nil},
-		{"end of stream", "", "", "", io.EOF},
-		{"incomplete event", "id: 7\nda", "id: 7\nda", "7", io.ErrUnexpectedEOF},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			raw, id, err := readEvent(bufio.NewReader(strings.NewReader(tt.in)))
-			require.Equal(t, tt.raw, string(raw))
-			require.Equal(t, tt.id, id)
-			require.Equal(t, tt.err, err)
-		})
-	}
-}
--- a/internal/gossip/relay.go
+++ b/internal/gossip/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -123,7 +122,7 @@
 		return page, fmt.Errorf("gossip: relay: %w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxRelayResponseBytes))
+	raw, err := upstream.ReadAll(resp.Body, maxRelayResponseBytes)
 	if err != nil {
 		return page, fmt.Errorf("gossip: relay: %w", err)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -25,9 +25,15 @@
 // calls.
 var ErrMismatchedResponse = errors.New("response to another call")
 
+// ErrTooLarge means that a response, or its head, exceeds its size limit.
+var ErrTooLarge = errors.New("response exceeds the size limit")
+
 const (
 	// readBufferBytes fits the head of a response and several events of a stream.
 	readBufferBytes = 8 << 10
+	// maxHeadBytes bounds the head of a response. It is the largest head that callers
+	// may send, too.
+	maxHeadBytes = 64 << 10
 	// maxInlineWriteBytes bounds a call that is written before its response is
 	// read. It fits a socket's send buffer, so that the write doesn't block.
 	maxInlineWriteBytes = 4 << 10
@@ -97,8 +103,12 @@
 	// MaxConnIdle bounds the idle time of a pooled connection that the call may
 	// use; zero means no bound.
 	MaxConnIdle time.Duration
-	// Matches reports whether a response belongs to the call; nil accepts any.
-	Matches func(http.Header) bool
+	// Matches reports whether a response belongs to the call; nil accepts any. It is
+	// told whether the connection has carried an earlier call, whose response may have
+	// been sent twice.
+	Matches func(h http.Header, reused bool) bool
+	// NewConn makes the call on a new connection.
+	NewConn bool
 }
 
 // Response is the head of a response. Its body must be closed.
@@ -112,15 +122,19 @@
 
 type conn struct {
 	net.Conn
-	reader   *bufio.Reader
+	reader *bufio.Reader
+	// limit bounds what reader reads while it reads a head.
+	limit    *limitedReader
 	lastUsed time.Time
+	// reused is set once the connection has carried a call.
+	reused bool
 	// idleTimeout is how long the connection may stay idle.
 	idleTimeout time.Duration
 }
 
 // Do makes a call. After any error other than ErrUnsent, the call may have run.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Response, error) {
-	c, err := p.acquire(ctx, address, r.MaxConnIdle)
+	c, err := p.acquire(ctx, address, r)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
 	}
@@ -138,14 +152,14 @@
 }
 
 // acquire returns a pooled connection that is still reusable, or a new one.
-func (p *Pool) acquire(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
-	for {
+func (p *Pool) acquire(ctx context.Context, address string, r *Request) (*conn, error) {
+	for !r.NewConn {
 		c := p.pop(address)
 		if c == nil {
 			break
 		}
 		idle := time.Since(c.lastUsed)
-		if idle < c.idleTimeout && (maxIdle == 0 || idle < maxIdle) && c.reusable() {
+		if idle < c.idleTimeout && (r.MaxConnIdle == 0 || idle < r.MaxConnIdle) && c.reusable() {
 			return c, nil
 		}
 		_ = c.Close()
@@ -154,7 +168,42 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), idleTimeout: p.options.IdleTimeout}, nil
+	limit := &limitedReader{r: nc}
+	return &conn{Conn: nc, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, idleTimeout: p.options.IdleTimeout}, nil
+}
+
+// limitedReader reads from r. While it is limited, it fails with ErrTooLarge once left
+// bytes have been read.
+type limitedReader struct {
+	r       io.Reader
+	limited bool
+	left    int
+}
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.r.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, fmt.Errorf("%w: head", ErrTooLarge)
+	}
+	n, err := l.r.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
+// ReadAll reads a body of at most limit bytes to its end. It returns ErrTooLarge for a
+// longer one, never a part of it.
+func ReadAll(body io.Reader, limit int) ([]byte, error) {
+	raw, err := io.ReadAll(io.LimitReader(body, int64(limit)+1))
+	if err == nil && len(raw) > limit {
+		err = fmt.Errorf("%w: more than %d bytes", ErrTooLarge, limit)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return raw, nil
 }
 
 func (p *Pool) pop(address string) *conn {
@@ -171,7 +220,7 @@
 
 // put returns a connection to the pool.
 func (p *Pool) put(address string, c *conn) {
-	c.lastUsed = time.Now()
+	c.lastUsed, c.reused = time.Now(), true
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
@@ -285,30 +334,47 @@
 
 func (x *exchange) read(r *Request) (*Response, error) {
 	for range maxMismatchedResponses {
+		x.conn.limit.limited, x.conn.limit.left = true, maxHeadBytes
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, err
 		}
+		x.conn.limit.limited = false
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
-		if r.Matches == nil || r.Matches(resp.Header) {
+		if r.Matches == nil || r.Matches(resp.Header, x.conn.reused || x.mismatched) {
 			return &Response{
 				Status: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength,
-				Body: &body{ReadCloser: resp.Body, x: x, reusable: x.canReuse(resp)},
+				Body: &body{ReadCloser: resp.Body, x: x, reusable: x.canReuse(r, resp)},
 			}, nil
 		}
 		x.mismatched = true
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxMismatchedBodyBytes)); err != nil {
+		// What follows an incomplete body would be read as a head.
+		if err := discardBody(resp.Body); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrMismatchedResponse, err)
 		}
 	}
 	return nil, ErrMismatchedResponse
 }
 
+// discardBody reads a body of at most maxMismatchedBodyBytes to its end.
+func discardBody(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxMismatchedBodyBytes+1))
+	if err == nil && n > maxMismatchedBodyBytes {
+		err = ErrTooLarge
+	}
+	return err
+}
+
 // canReuse reports whether the connection may carry another call after a response,
 // and sets its idle timeout.
-func (x *exchange) canReuse(resp *http.Response) bool {
+func (x *exchange) canReuse(r *Request, resp *http.Response) bool {
+	// The responses of a server that sends no IDs cannot be told apart on a used
+	// connection.
+	if r.Matches != nil && !r.Matches(resp.Header, true) {
+		return false
+	}
 	if resp.Close || x.mismatched || (resp.ContentLength < 0 && len(resp.TransferEncoding) == 0) {
 		return false
 	}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -85,7 +85,7 @@
 func get(id string) *Request {
 	return &Request{
 		Method: http.MethodGet, Target: "/a?b=c", Host: "h.example", Header: http.Header{"Id": {id}},
-		Matches: func(h http.Header) bool { return h.Get("Id") == id },
+		Matches: func(h http.Header, _ bool) bool { return h.Get("Id") == id },
 	}
 }
 
