placement: decisions of the gateway as a package of their own; copies cost; rates are learned

Copies take room from other parts, which are read or copied again. 90 prompt tokens a millisecond were assumed of every engine (these read 38). Change: internal/placement decides without network, clock or goroutine; a fetched token costs twice its processing; the random spread a VM falls from 0.6 to 0.2 ms; the rate of a service is the 0.8 quantile of what its answers show, bounded, 60 until known.

--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -94,11 +94,13 @@
 	mu      sync.Mutex // guards the fields below
 	servers map[string]*record
 	peers   map[string]*peerReport
+	// prefill holds the prefill rates by service.
+	prefill map[string]*prefillRate
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{servers: make(map[string]*record), peers: make(map[string]*peerReport)}
+	return &Table{servers: make(map[string]*record), peers: make(map[string]*peerReport), prefill: make(map[string]*prefillRate)}
 }
 
 // Put adds or updates the listing of one server. It reports whether the server is
@@ -407,13 +409,16 @@
 type Status struct {
 	Server Server `json:"server"`
 	// Versions is shared and must not be modified.
-	Versions  map[string]int64 `json:"versions,omitempty"`
-	InFlight  int              `json:"inflight"`
-	Load      int              `json:"load"`
-	Pending   int              `json:"pending"`
-	InBackoff bool             `json:"resting"`
-	Reloading bool             `json:"reloading"`
-	Failures  int              `json:"failures"`
+	Versions map[string]int64 `json:"versions,omitempty"`
+	InFlight int              `json:"inflight"`
+	Load     int              `json:"load"`
+	Pending  int              `json:"pending"`
+	// TokensPerMilli is the number of prompt tokens that the server processes in a
+	// millisecond.
+	TokensPerMilli float64 `json:"rate"`
+	InBackoff      bool    `json:"resting"`
+	Reloading      bool    `json:"reloading"`
+	Failures       int     `json:"failures"`
 }
 
 // Statuses returns the state of all servers of a service, in no particular order. An
@@ -425,7 +430,9 @@
 	out := make([]Status, 0, len(t.servers))
 	for _, r := range t.servers {
 		if service == "" || r.server.Service == service {
-			out = append(out, r.status(now))
+			s := r.status(now)
+			s.TokensPerMilli = t.prefill[r.server.Service].tokens()
+			out = append(out, s)
 		}
 	}
 	return out
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -66,7 +66,7 @@
 func (g *Gateway) send(ctx context.Context, f *forwardedCall, c serverChoice, lastEventID string) (*Response, error) {
 	a := &Attempt{
 		Call: f.call, Server: c.server, TimeLeft: f.deadline - g.now(), Version: c.version, CacheSalt: c.cacheSalt,
-		FetchFrom: c.fetchFrom, Priority: f.priority(), LastEventID: lastEventID,
+		FetchFrom: c.FetchFrom, Priority: f.priority(), LastEventID: lastEventID,
 	}
 	if f.team != nil {
 		a.Team = f.team.Name
@@ -76,7 +76,7 @@
 	}
 	a.NewConn = f.sentTo[c.server.ID]
 	f.sentTo[c.server.ID] = true
-	if c.kvStoreReachable && c.cacheSalt != "" && g.needsSaving(f, c.cacheSalt) {
+	if c.StoreReachable && c.cacheSalt != "" && g.needsSaving(f, c.cacheSalt) {
 		a.SaveTo = f.kvStore.Address
 	}
 	if f.attempts == 0 {
@@ -143,8 +143,8 @@
 		return
 	}
 	now := g.now()
-	g.promptThroughput.Add(c.uncachedTokens+c.fetchedTokens, now)
-	readyAt := now + time.Duration(prefillTimeFactor*float64(c.uncachedTokens+c.pendingTokens)/prefillTokensPerMilli*float64(time.Millisecond))
+	g.promptThroughput.Add(c.UncachedTokens+c.FetchedTokens, now)
+	readyAt := now + time.Duration(prefillTimeFactor*float64(c.UncachedTokens+c.pendingTokens)/c.tokensPerMilli*float64(time.Millisecond))
 	shared := len(f.call.Prompt.SharedParts())
 	for i, p := range f.call.Prompt.Parts {
 		announce := g.parts.Add(engineHolder(c.server), f.engine.CapacityTokens, c.cacheSalt, p, now, readyAt)
@@ -158,7 +158,7 @@
 }
 
 const (
-	// prefillTimeFactor is how many times as long as at prefillTokensPerMilli the
+	// prefillTimeFactor is how many times as long as expected the
 	// processing of a prompt may take, since the engine serves other calls too.
 	prefillTimeFactor = 2.0
 	// partSaveTime is how long a processed part takes to reach the KV cache store.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -68,8 +68,8 @@
 		g.metrics.observeDuration("call_us", duration)
 	}
 	if f.call.Prompt.Model != "" && f.attempts > 0 {
-		fields["version"], fields["missing"], fields["pending"] = f.lastChoice.version, f.lastChoice.uncachedTokens, f.lastChoice.pendingTokens
-		fields["load"], fields["fetch"] = f.lastChoice.calls, f.lastChoice.fetchFrom
+		fields["version"], fields["missing"], fields["pending"] = f.lastChoice.version, f.lastChoice.UncachedTokens, f.lastChoice.pendingTokens
+		fields["load"], fields["fetch"] = f.lastChoice.calls, f.lastChoice.FetchFrom
 	}
 	fields["generation"], fields["proof"] = f.generation, f.proofAge.Milliseconds()
 	if f.outcome != outcomeAnswered && f.detail != "" {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -57,10 +57,12 @@
 	f := st.forwardedCall
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	g.table.Begin(c.server.ID, c.uncachedTokens)
+	pendingTokens := c.UncachedTokens
+	g.table.Begin(c.server.ID, pendingTokens)
 	defer g.table.End(c.server.ID)
-	promptRead := func() { g.table.PromptRead(c.server.ID, c.uncachedTokens); c.uncachedTokens = 0 }
+	promptRead := func() { g.table.PromptRead(c.server.ID, pendingTokens); pendingTokens = 0 }
 	defer promptRead()
+	sentAt := g.now()
 
 	silence := g.startSilenceTimer(f, cancel)
 	defer silence.stop()
@@ -81,6 +83,9 @@
 		return g.handleNonStream(ctx, st, c, resp)
 	}
 	err = st.copyEvents(resp, g.buffers, func() {
+		if pendingTokens > 0 {
+			g.table.RecordPrefill(c.server.Service, c.UncachedTokens+c.pendingTokens, g.now()-sentAt)
+		}
 		promptRead()
 		silence.reset()
 		if f.firstByteAt == 0 {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/marjoramrock/marjoramrock/internal/backend"
 	"github.com/marjoramrock/marjoramrock/internal/parts"
+	"github.com/marjoramrock/marjoramrock/internal/placement"
 	"github.com/stretchr/testify/require"
 )
 
@@ -132,10 +133,10 @@
 // A call must not go to an engine where it would wait until the weights are too old.
 func TestQueueDelayCountsTowardVersionAge(t *testing.T) {
 	g, a := newTestGateway(t, respondWith(func() *Response { return newResponse(200, eventStream("1")) }))
-	g.catalog.MergeTargetVersion("m", 2, g.now()-time.Duration(testBounds.OutdatedVersion)+outdatedVersionMargin+time.Second)
+	g.catalog.MergeTargetVersion("m", 2, g.now()-time.Duration(testBounds.OutdatedVersion)+placement.OutdatedVersionMargin+time.Second)
 	require.Equal(t, 200, serveCall(t, g, "/stream/", "isolated-key").status)
 	for _, id := range []string{"e1", "e2"} {
-		for range 8 + int(time.Second.Milliseconds()/queuedCallCostMillis) {
+		for range 8 + int(time.Second.Milliseconds()/placement.QueuedCallCostMillis) {
 			g.table.Begin(id, 0)
 		}
 	}
--- a/internal/gateway/survey.go
+++ b/internal/gateway/survey.go
@@ -6,147 +6,90 @@
 
 	"github.com/marjoramrock/marjoramrock/internal/backend"
 	"github.com/marjoramrock/marjoramrock/internal/parts"
+	"github.com/marjoramrock/marjoramrock/internal/placement"
 )
 
-// serverView is a snapshot of what the selection of a server depends on.
-type serverView struct {
-	now      time.Duration
-	statuses []backend.Status
-	// silentZones holds the zones that seem to be partitioned.
-	silentZones map[string]bool
-	// maxJitterMillis is the maximum random addition to the cost of a server.
-	maxJitterMillis float64
-	// cacheSalts maps each version of the call's model that some server runs to its
-	// cache salt.
-	cacheSalts map[int64]string
-	// heldTokens is the number of tokens of shared parts that each server is believed
-	// to have cached.
-	heldTokens []int
-	// knownTokens is the number of tokens of shared parts that some holder has cached,
-	// or is about to have cached, under each salt.
-	knownTokens map[string]int
-	// partSources lists holders of shared parts, sorted by descending readyTokens.
-	partSources []partSource
-}
-
-// partSource is an engine or KV cache store from which other engines can fetch
-// parts.
-type partSource struct {
-	// serverIndex is the index in statuses, or -1 for the KV cache store.
-	serverIndex int
-	cacheSalt   string
-	readyTokens int
-	address     string
-	zone        string
-}
-
-func (g *Gateway) viewServers(f *forwardedCall, service string) *serverView {
+// viewServers returns the servers of a service, and what the placement of a call
+// depends on of each.
+func (g *Gateway) viewServers(f *forwardedCall, service string) ([]backend.Status, *placement.View) {
 	now := g.now()
-	v := &serverView{
-		now: now, statuses: g.table.Statuses(service, now), silentZones: g.node.SilentZones(zoneSilenceTimeout),
-		maxJitterMillis: min(maxJitterMillis, jitterMillisPerVM*float64(g.node.MemberCount()+1)),
+	statuses := g.table.Statuses(service, now)
+	v := &placement.View{
+		Zone: g.settings.Zone, SilentZones: g.node.SilentZones(zoneSilenceTimeout), VMs: g.node.MemberCount() + 1,
+		Servers: make([]placement.Server, len(statuses)), MaxOutdated: time.Duration(g.settings.Bounds.OutdatedVersion),
+	}
+	for i, s := range statuses {
+		v.Servers[i] = placement.Server{
+			Zone: s.Server.Zone, Load: s.Load, Slots: s.Server.Slots, PendingTokens: s.Pending, TokensPerMilli: s.TokensPerMilli,
+			Excluded: s.Server.Draining || f.excluded[s.Server.ID], InBackoff: s.InBackoff, Reloading: s.Reloading,
+		}
 	}
 	if f.call.Prompt.Model != "" {
-		g.viewParts(f, v)
+		g.viewVersions(f, statuses, v, now)
+		g.viewParts(f, statuses, v, now)
 	}
-	return v
+	return statuses, v
 }
 
-// viewParts looks up which holders have the shared parts of a call's prompt cached.
-func (g *Gateway) viewParts(f *forwardedCall, v *serverView) {
-	model, shared := f.call.Prompt.Model, f.call.Prompt.SharedParts()
-	since := v.now - g.cacheResidence(f, len(v.statuses))
-	v.cacheSalts = make(map[int64]string)
-	v.heldTokens, v.knownTokens = make([]int, len(v.statuses)), make(map[string]int)
-	lookups := make([]parts.CacheLookup, len(v.statuses))
-	for i, s := range v.statuses {
-		version := s.Versions[model]
-		if _, ok := v.cacheSalts[version]; !ok {
-			v.cacheSalts[version] = cacheSaltFor(model, version, f.team)
+// viewVersions fills in the versions of the call's model that servers run.
+func (g *Gateway) viewVersions(f *forwardedCall, statuses []backend.Status, v *placement.View, now time.Duration) {
+	model := f.call.Prompt.Model
+	known := make(map[int64]placement.Server)
+	for i := range v.Servers {
+		version := statuses[i].Versions[model]
+		x, ok := known[version]
+		if !ok {
+			x.CacheSalt, x.OutdatedFor = cacheSaltFor(model, version, f.team), -1
+			if since, outdated := g.catalog.OutdatedSince(model, version); outdated {
+				x.OutdatedFor = now - since
+			}
+			known[version] = x
 		}
-		lookups[i] = parts.CacheLookup{Holder: engineHolder(s.Server), Salt: v.cacheSalts[version], Since: since}
+		s := &v.Servers[i]
+		s.Version, s.CacheSalt, s.OutdatedFor = version, x.CacheSalt, x.OutdatedFor
 	}
+}
+
+// viewParts fills in which holders have the shared parts of a call's prompt cached.
+func (g *Gateway) viewParts(f *forwardedCall, statuses []backend.Status, v *placement.View, now time.Duration) {
+	shared := f.call.Prompt.SharedParts()
+	if f.kvStore != nil {
+		v.StoreAddress, v.StoreZone = f.kvStore.Address, f.kvStore.Zone
+	}
+	v.KnownTokens = make(map[string]int)
 	if len(shared) == 0 {
 		return
 	}
+	since := now - g.cacheResidence(f, len(statuses))
+	lookups := make([]parts.CacheLookup, len(statuses), len(statuses)+1)
+	salts := make(map[string]bool)
+	for i, s := range statuses {
+		salt := v.Servers[i].CacheSalt
+		salts[salt] = true
+		lookups[i] = parts.CacheLookup{Holder: engineHolder(s.Server), Salt: salt, Since: since}
+	}
 	if f.kvStore != nil {
-		for _, salt := range v.cacheSalts {
+		for salt := range salts {
 			lookups = append(lookups, parts.CacheLookup{Holder: kvStoreHolder(f.kvStore.Address), Salt: salt, Since: parts.NoAgeLimit})
 		}
 	}
-	g.parts.Lookup(lookups, shared, v.now)
+	g.parts.Lookup(lookups, shared, now)
 	for i, l := range lookups {
-		v.knownTokens[l.Salt] = max(v.knownTokens[l.Salt], l.HeldTokens)
-		if i < len(v.statuses) {
-			v.heldTokens[i] = l.HeldTokens
-		}
-		if l.ReadyTokens == 0 {
-			continue
-		}
-		source := partSource{serverIndex: -1, cacheSalt: l.Salt, readyTokens: l.ReadyTokens}
-		if i < len(v.statuses) {
-			s := v.statuses[i]
+		v.KnownTokens[l.Salt] = max(v.KnownTokens[l.Salt], l.HeldTokens)
+		source := placement.Source{Server: -1, CacheSalt: l.Salt, ReadyTokens: l.ReadyTokens, Address: v.StoreAddress, Zone: v.StoreZone}
+		if i < len(statuses) {
+			s := &statuses[i]
+			v.Servers[i].HeldTokens = l.HeldTokens
 			if s.InBackoff {
 				continue
 			}
-			source.serverIndex, source.address, source.zone = i, s.Server.Address, s.Server.Zone
-		} else {
-			source.address, source.zone = f.kvStore.Address, f.kvStore.Zone
-		}
-		v.partSources = append(v.partSources, source)
-	}
-	slices.SortStableFunc(v.partSources, func(a, b partSource) int { return b.readyTokens - a.readyTokens })
-}
-
-// zoneReachable reports whether an engine in one zone can reach another zone. A
-// fetch from an unreachable source costs more than processing the tokens.
-func (v *serverView) zoneReachable(from, to string) bool { return from == to || !v.silentZones[to] }
-
-// bestSource returns the source with the most tokens beyond those that a server has
-// cached, preferring sources in its zone among equals.
-func (v *serverView) bestSource(serverIndex int, salt string) (partSource, bool) {
-	var best partSource
-	found := false
-	zone := v.statuses[serverIndex].Server.Zone
-	for _, source := range v.partSources {
-		switch {
-		case source.readyTokens <= v.heldTokens[serverIndex]+minFetchTokens, found && source.readyTokens < best.readyTokens:
-			return best, found
-		case source.serverIndex == serverIndex, source.cacheSalt != salt, !v.zoneReachable(zone, source.zone):
-		case !found || (best.zone != zone && source.zone == zone):
-			best, found = source, true
+			source.Server, source.Address, source.Zone = i, s.Server.Address, s.Server.Zone
 		}
-	}
-	return best, found
-}
-
-// setPartSource sets where a server fetches the shared parts of a prompt from and how
-// many tokens remain for it to process. It returns the time of the transfer in
-// milliseconds.
-func (v *serverView) setPartSource(c *serverChoice, f *forwardedCall, serverIndex int) float64 {
-	prompt := f.call.Prompt
-	held, zone := v.heldTokens[serverIndex], c.server.Zone
-	source, ok := v.bestSource(serverIndex, c.cacheSalt)
-	if !ok {
-		c.uncachedTokens, c.recomputedTokens = max(0, prompt.InputTokens-held), max(0, v.knownTokens[c.cacheSalt]-held)
-		if c.kvStoreReachable && len(prompt.SharedParts()) > 0 {
-			// The engine may have evicted what it held, and this VM may not know yet what
-			// the store holds. Parts that the engine has cached are not transferred.
-			c.fetchFrom = f.kvStore.Address
+		if l.ReadyTokens > 0 {
+			v.Sources = append(v.Sources, source)
 		}
-		return 0
 	}
-	c.fetchFrom = source.address
-	c.fetchedTokens = source.readyTokens - held
-	c.uncachedTokens, c.recomputedTokens = max(0, prompt.InputTokens-source.readyTokens), max(0, v.knownTokens[c.cacheSalt]-source.readyTokens)
-	if f.engine == nil || f.engine.LinkMbps <= 0 {
-		return 0
-	}
-	transfer := float64(c.fetchedTokens) * f.engine.BytesPerToken * 8 / (f.engine.LinkMbps * 1000)
-	if source.zone != zone {
-		transfer *= 2
-	}
-	return transfer
+	slices.SortStableFunc(v.Sources, func(a, b placement.Source) int { return b.ReadyTokens - a.ReadyTokens })
 }
 
 const (
@@ -168,5 +111,3 @@
 	seconds := cacheMemoryShare * float64(f.engine.CapacityTokens*engines) / rate
 	return min(max(time.Duration(seconds*float64(time.Second)), minResidence), maxResidence)
 }
-
-func engineHolder(s backend.Server) parts.Holder { return parts.Holder{ID: s.ID, Born: s.Born} }
--- /dev/null
+++ b/internal/placement/choose_test.go
@@ -0,0 +1,114 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// noJitter is a random source that adds nothing to any cost.
+func noJitter() float64 { return 0 }
+
+func modelCall() *Call {
+	return &Call{Model: "m", InputTokens: 9000, SharedTokens: 6000, LatencyGoal: time.Second, BytesPerToken: 131072, LinkMbps: 550000}
+}
+
+// engines returns idle engines in the zone of the VM.
+func engines(n int) *View {
+	v := &View{Zone: "a", VMs: 9, KnownTokens: map[string]int{}, MaxOutdated: 8 * time.Second}
+	for range n {
+		v.Servers = append(v.Servers, Server{Zone: "a", Slots: 128, TokensPerMilli: 40, Version: 1, OutdatedFor: -1, CacheSalt: "m@1"})
+	}
+	return v
+}
+
+func (v *View) hold(server, tokens int) {
+	v.Servers[server].HeldTokens = tokens
+	v.Sources = append(v.Sources, Source{Server: server, CacheSalt: "m@1", ReadyTokens: tokens, Address: "e", Zone: v.Servers[server].Zone})
+	v.KnownTokens["m@1"] = max(v.KnownTokens["m@1"], tokens)
+}
+
+func TestChoose(t *testing.T) {
+	tests := []struct {
+		name  string
+		setUp func(v *View)
+		want  int
+	}{
+		{"the least loaded engine", func(v *View) { v.Servers[0].Load, v.Servers[2].Load = 5, 5 }, 1},
+		{"the holder of the shared parts", func(v *View) { v.hold(2, 6000); v.Servers[2].Load = 10 }, 2},
+		{"the holder in another zone", func(v *View) { v.Servers[2].Zone = "b"; v.hold(2, 6000) }, 2},
+		{"not a holder that others have filled", func(v *View) { v.hold(2, 6000); v.Servers[2].PendingTokens = 40000 }, 0},
+		{"not a holder in a silent zone", func(v *View) {
+			v.Servers[2].Zone = "b"
+			v.hold(2, 6000)
+			v.SilentZones = map[string]bool{"b": true}
+		}, 0},
+		{"not an engine in backoff", func(v *View) { v.hold(0, 6000); v.Servers[0].InBackoff = true }, 1},
+		{"an engine in backoff if there is no other", func(v *View) {
+			v.Servers[0].InBackoff, v.Servers[1].Excluded, v.Servers[2].Version = true, true, 0
+		}, 0},
+		{"not an engine that loads weights", func(v *View) { v.hold(0, 6000); v.Servers[0].Reloading = true }, 1},
+		{"newer weights", func(v *View) { v.Servers[0].OutdatedFor, v.Servers[1].OutdatedFor = 2*time.Second, 2*time.Second }, 2},
+		{"no weights that are too old", func(v *View) { v.hold(0, 6000); v.Servers[0].OutdatedFor = 7 * time.Second }, 1},
+		{"an engine with a free slot", func(v *View) {
+			v.Servers[0].Slots, v.Servers[0].Load = 4, 4
+			v.Servers[1].Load, v.Servers[2].Load = 30, 20
+		}, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			v := engines(3)
+			tt.setUp(v)
+			choice, ok := Choose(modelCall(), v, noJitter)
+			require.True(t, ok)
+			require.Equal(t, tt.want, choice.Server)
+		})
+	}
+}
+
+func TestChooseWithoutServers(t *testing.T) {
+	v := engines(2)
+	v.Servers[0].Excluded, v.Servers[1].Version = true, 0
+	_, ok := Choose(modelCall(), v, noJitter)
+	require.False(t, ok)
+	_, ok = Choose(&Call{}, &View{}, noJitter)
+	require.False(t, ok)
+}
+
+func TestSourceOfParts(t *testing.T) {
+	tests := []struct {
+		name                          string
+		setUp                         func(v *View)
+		from                          string
+		uncached, fetched, recomputed int
+	}{
+		{"nothing is known", func(*View) {}, "", 9000, 0, 0},
+		{"the store, in case it has more", func(v *View) { v.StoreAddress, v.StoreZone = "s", "a" }, "s", 9000, 0, 0},
+		{"another engine", func(v *View) { v.hold(1, 6000) }, "e", 3000, 6000, 0},
+		{"the engine in the same zone", func(v *View) {
+			v.Servers[1].Zone = "b"
+			v.hold(1, 6000)
+			v.Sources = append(v.Sources, Source{Server: 2, CacheSalt: "m@1", ReadyTokens: 6000, Address: "near", Zone: "a"})
+		}, "near", 3000, 6000, 0},
+		{"not an engine with other weights", func(v *View) { v.hold(1, 6000); v.Sources[0].CacheSalt = "m@0" }, "", 9000, 0, 6000},
+		{"not an engine in a silent zone", func(v *View) {
+			v.Servers[1].Zone = "b"
+			v.hold(1, 6000)
+			v.SilentZones = map[string]bool{"b": true}
+		}, "", 9000, 0, 6000},
+		{"not for a few tokens", func(v *View) { v.Servers[0].HeldTokens = 6000 - minFetchTokens; v.hold(1, 6000) }, "", 3000 + minFetchTokens, 0, minFetchTokens},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			v := engines(3)
+			tt.setUp(v)
+			choice, _, ok := attemptCost(modelCall(), v, 0, noJitter)
+			require.True(t, ok)
+			require.Equal(t, tt.from, choice.FetchFrom)
+			require.Equal(t, tt.uncached, choice.UncachedTokens)
+			require.Equal(t, tt.fetched, choice.FetchedTokens)
+			require.Equal(t, tt.recomputed, choice.RecomputedTokens)
+		})
+	}
+}
