gateway: save a call to the KV cache store only if the store gains

An engine saves all parts of a call, so its own part comes along. Change: a call is saved only if the shared parts that the store lacks outweigh its own part. The test fails without the change (the third case is saved).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -172,15 +172,17 @@
 	}
 }
 
-// needsSaving reports whether the KV cache store is not known to hold all shared
-// parts of a prompt.
+// needsSaving reports whether a call is worth saving to the KV cache store: the store is
+// not known to hold all its shared parts, and those that it lacks outweigh the call's
+// own part, which is saved with them and takes their room.
 func (g *Gateway) needsSaving(f *forwardedCall, salt string) bool {
 	shared := f.call.Prompt.SharedParts()
 	total := 0
 	for _, p := range shared {
 		total += p.Tokens
 	}
-	return total > 0 && g.parts.HeldTokens(kvStoreHolder(f.kvStore.Address), salt, shared, parts.NoAgeLimit) < total
+	held := g.parts.HeldTokens(kvStoreHolder(f.kvStore.Address), salt, shared, parts.NoAgeLimit)
+	return total > held && total-held >= f.call.Prompt.InputTokens-total
 }
 
 // canRetry reports whether a call that may have run may be sent to another server.
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -117,6 +117,25 @@
 	require.Empty(t, second.SaveTo)
 }
 
+// Saving a call saves its own part, too, which takes the room of shared ones.
+func TestCallsAreSavedOnlyIfTheStoreGains(t *testing.T) {
+	tests := []struct {
+		name        string
+		shared, own int
+		saved       bool
+	}{{"more shared than own", 300, 100, true}, {"as much", 200, 200, true}, {"less", 100, 300, false}, {"nothing shared", 0, 300, false}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g, a := newTestGateway(t, respondWith(func() *Response { return newResponse(200, eventStream("1")) }))
+			call := newCall("/stream/", "isolated-key")
+			call.Prompt.InputTokens = tt.shared + tt.own
+			call.Prompt.Parts = []parts.Part{{ID: "a", Tokens: tt.shared}, {ID: "own", Tokens: tt.own}}
+			g.Serve(context.Background(), call, &responseRecorder{})
+			require.Equal(t, tt.saved, a.sentAttempts()[0].SaveTo != "")
+		})
+	}
+}
+
 func TestOutdatedEnginesGetNoCalls(t *testing.T) {
 	g, a := newTestGateway(t, respondWith(func() *Response { return newResponse(200, eventStream("1")) }))
 	g.catalog.MergeTargetVersion("m", 2, g.now()-time.Duration(testBounds.OutdatedVersion))
