Check calls and orders again right before they are written

A call whose key was withdrawn between two attempts went on. Change: the connection pool asks for permission as the last step before the first byte; a call is permitted while its decision is at most 0.7 s old, time is left, the server is listed and not draining, and the key still belongs to the call's team by a proof that is young enough; an order while the lease is held with its fencing token. What is not written counts as not sent. The fake engines of the weights tests ask for the permission; the comparison of orders is as before without it.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -66,18 +66,40 @@
 
 // authenticate finds the team of the call's key.
 func (g *Gateway) authenticate(c *catalog.Catalog, f *forwardedCall) *Refusal {
+	team, r := g.keyTeam(c, f)
+	f.team = team
+	return r
+}
+
+// keyTeam returns the team that the call's key belongs to now, or nil for a call that
+// needs no key.
+func (g *Gateway) keyTeam(c *catalog.Catalog, f *forwardedCall) (*catalog.Team, *Refusal) {
 	if !c.RequiresKeys() || f.route.Public {
-		return nil
+		return nil, nil
 	}
 	age, ok := g.catalog.ProofAge(g.now())
 	if f.proofAge = age; !ok || age > g.maxProofAge() {
 		f.detail = "proof of the configuration is too old"
-		return &Refusal{Reason: ReasonUnavailable, RetryAfter: defaultRetryAfter}
+		return nil, &Refusal{Reason: ReasonUnavailable, RetryAfter: defaultRetryAfter}
 	}
-	if f.team = c.TeamByKey(f.call.Key); f.team == nil {
-		return &Refusal{Reason: ReasonUnknownKey}
+	team := c.TeamByKey(f.call.Key)
+	if team == nil {
+		return nil, &Refusal{Reason: ReasonUnknownKey}
 	}
-	return nil
+	return team, nil
+}
+
+// stillAuthorized reports whether the call's key still belongs to the team that the
+// call was admitted for. It returns the refusal of the call otherwise.
+func (g *Gateway) stillAuthorized(f *forwardedCall) (bool, *Refusal) {
+	team, r := g.keyTeam(g.catalog.Current(), f)
+	switch {
+	case r != nil:
+		return false, r
+	case (team == nil) != (f.team == nil) || team != nil && team.Name != f.team.Name:
+		return false, &Refusal{Reason: ReasonUnavailable, RetryAfter: defaultRetryAfter}
+	}
+	return true, nil
 }
 
 // maxProofAge is the age beyond which the proof of the catalog no longer admits
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -66,7 +66,7 @@
 func (g *Gateway) send(ctx context.Context, f *forwardedCall, c serverChoice, lastEventID string) (*Response, error) {
 	a := &Attempt{
 		Call: f.call, Server: c.server, TimeLeft: f.deadline - g.now(), Version: c.version, CacheSalt: c.cacheSalt,
-		FetchFrom: c.FetchFrom, Priority: f.priority(), LastEventID: lastEventID,
+		FetchFrom: c.FetchFrom, Priority: f.priority(), LastEventID: lastEventID, Permit: g.permit(f, c, g.now()),
 	}
 	if f.team != nil {
 		a.Team = f.team.Name
@@ -98,6 +98,27 @@
 	return resp, err
 }
 
+// maxDecisionAge is the age beyond which the choice of a server and a retry taken from
+// the budget are void. It covers the opening of a connection.
+const maxDecisionAge = 700 * time.Millisecond
+
+// permit returns a function that reports whether an attempt that was decided at a time
+// may still be written: the process has not been paused for long since, the key has not
+// been withdrawn, its proof is young enough, time is left, and the server has not left.
+func (g *Gateway) permit(f *forwardedCall, c serverChoice, decidedAt time.Duration) func() bool {
+	return func() bool {
+		now := g.now()
+		if now-decidedAt > maxDecisionAge || now >= f.deadline {
+			return false
+		}
+		if s, listed := g.table.Get(c.server.ID); !listed || s.Draining || s.Born != c.server.Born {
+			return false
+		}
+		ok, _ := g.stillAuthorized(f)
+		return ok
+	}
+}
+
 // atMostOnceMaxConnIdle bounds how long a reused connection may have been idle
 // before a call that must not run twice: if the server closes the connection at that
 // moment, it is unknown whether the call ran.
@@ -115,8 +136,8 @@
 	switch {
 	case err != nil && callEnded:
 		// The call timed out or its caller left, which is no failure of the server.
-	case errors.Is(err, ErrBuffersFull):
-		// This VM has no room for the response.
+	case errors.Is(err, ErrBuffersFull), errors.Is(err, upstream.ErrNotPermitted):
+		// The cause lies with this VM.
 	case err != nil:
 		g.recordFailure(s, ctx.Err() != nil || errors.Is(err, upstream.ErrUnsent))
 	case resp.WrongServer:
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -59,6 +59,9 @@
 	// NewConn is set if the server has had an attempt of this call before, whose
 	// response may arrive a second time on the connection that carried it.
 	NewConn bool
+	// Permit must be called right before the attempt is written, which it then allows or
+	// not.
+	Permit func() bool
 }
 
 // Response is the response of a backend server. Its body must be closed.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -28,6 +28,9 @@
 		if f.possibleRuns > 0 && !f.canRetry() {
 			break
 		}
+		if ok, _ := g.stillAuthorized(f); !ok {
+			break
+		}
 	}
 	g.refuseUnserved(ctx, f)
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -84,7 +84,10 @@
 
 // refuseUnserved refuses a call that no attempt served.
 func (g *Gateway) refuseUnserved(ctx context.Context, f *forwardedCall) {
+	_, withdrawn := g.stillAuthorized(f)
 	switch {
+	case f.possibleRuns == 0 && withdrawn != nil:
+		g.refuse(f, *withdrawn)
 	case f.possibleRuns == 0:
 		g.refuse(f, Refusal{Reason: ReasonUnavailable, RetryAfter: defaultRetryAfter})
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -42,6 +42,9 @@
 		if f.possibleRuns > 0 && !f.canRetry() {
 			break
 		}
+		if ok, _ := g.stillAuthorized(f); !ok {
+			break
+		}
 	}
 	if st.headerSent {
 		f.outcome = "broken"
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -21,6 +21,9 @@
 // ErrUnsent means that no byte of a call was written, so that it cannot have run.
 var ErrUnsent = errors.New("call was not sent")
 
+// ErrNotPermitted means that Request.Permit returned false.
+var ErrNotPermitted = errors.New("call is no longer permitted")
+
 // ErrMismatchedResponse means that a connection carried only responses to other
 // calls.
 var ErrMismatchedResponse = errors.New("response to another call")
@@ -109,6 +112,10 @@
 	Matches func(h http.Header, reused bool) bool
 	// NewConn makes the call on a new connection.
 	NewConn bool
+	// Permit is called right before the call is written, and must return true: the
+	// process may have been paused since the call was decided, or the connection may
+	// have taken long to open. Nil permits the call.
+	Permit func() bool
 }
 
 // Response is the head of a response. Its body must be closed.
@@ -306,6 +313,10 @@
 func (x *exchange) run(r *Request) (*Response, error) {
 	head := encode(r)
 	x.writeDone = make(chan struct{})
+	if r.Permit != nil && !r.Permit() {
+		close(x.writeDone)
+		return nil, fmt.Errorf("%w: %w", ErrUnsent, ErrNotPermitted)
+	}
 	if len(head)+len(r.Body) <= maxInlineWriteBytes {
 		n, err := x.conn.Write(append(head, r.Body...))
 		x.writeComplete = err == nil
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -251,3 +251,18 @@
 	p.CloseExpired()
 	require.Empty(t, p.idle)
 }
+
+// The look at the permission is the last thing before the call is written.
+func TestCallsAreNotWrittenWithoutPermission(t *testing.T) {
+	read := make(chan string, 1)
+	b := serve(t, func(_ net.Conn, r *bufio.Reader) {
+		line, _ := r.ReadString('\n')
+		read <- line
+	})
+	r := get("1")
+	r.Permit = func() bool { return false }
+	_, err := call(t, pool(t), b.address, r)
+	require.ErrorIs(t, err, ErrUnsent)
+	require.ErrorIs(t, err, ErrNotPermitted)
+	require.Empty(t, <-read, "the connection is closed without a byte")
+}
--- a/internal/weights/updater.go
+++ b/internal/weights/updater.go
@@ -76,6 +76,9 @@
 	// KeepRunningCalls lets running calls continue under the new weights.
 	// Otherwise the engine waits for them to end.
 	KeepRunningCalls bool
+	// Permit must be called right before the order is written, which it then allows or
+	// not: the lease may have ended since the order was decided.
+	Permit func() bool
 }
 
 // Report is the state that an engine reports.
@@ -350,7 +353,7 @@
 				announced = target.Version
 			}
 			expectedOrders, lastOrderAt = rep.AcceptedOrders, u.options.Now()
-			if err := u.sendOrder(ctx, s, Order{Model: t.model, Version: target.Version, Holder: u.options.Holder, Fence: fence, ExpectedOrders: expectedOrders, KeepRunningCalls: true}); err != nil {
+			if err := u.sendOrder(ctx, s, Order{Model: t.model, Version: target.Version, Holder: u.options.Holder, Fence: fence, ExpectedOrders: expectedOrders, KeepRunningCalls: true, Permit: u.holdsLease(fence)}); err != nil {
 				if errors.Is(err, ErrWrongEngine) || errors.Is(err, ErrRefused) {
 					u.recordFailure(s, "order", err)
 					return
@@ -365,6 +368,15 @@
 	u.recordFailure(s, "load", context.DeadlineExceeded)
 }
 
+// holdsLease returns a function that reports whether the lease is still held with the
+// given fencing token.
+func (u *Updater) holdsLease(fence int64) func() bool {
+	return func() bool {
+		current, held := u.options.Lease.Held()
+		return held && current == fence
+	}
+}
+
 // waitDrained waits until an engine has no running calls or drainTimeout has
 // passed, and then until it acquires a load slot. It reports false if the lease or
 // the context ended first.
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -13,6 +13,7 @@
 	"github.com/marjoramrock/marjoramrock/internal/backend"
 	"github.com/marjoramrock/marjoramrock/internal/catalog"
 	"github.com/marjoramrock/marjoramrock/internal/lease"
+	"github.com/marjoramrock/marjoramrock/internal/upstream"
 	"github.com/stretchr/testify/require"
 )
 
@@ -36,6 +37,11 @@
 func (e *fakeEngines) Order(_ context.Context, s backend.Server, o Order) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if !o.Permit() {
+		return upstream.ErrUnsent
+	}
+	// Functions cannot be compared.
+	o.Permit = nil
 	r := e.reports[s.ID]
 	if r.Busy || o.ExpectedOrders != r.AcceptedOrders {
 		return ErrBusy
@@ -186,6 +192,20 @@
 	require.Empty(t, s.engines.orders)
 }
 
+// The lease may end while the connection to an engine opens.
+func TestOrdersAreCheckedAgainBeforeTheyAreWritten(t *testing.T) {
+	s := newSetup("a1")
+	s.catalog.SetTargetVersion("m", 2, 0)
+	s.stepUntil(t, s.allRun(2))
+	require.Len(t, s.engines.orders, 1, "the order was permitted")
+	u := s.Updater
+	permit := u.holdsLease(7)
+	require.True(t, permit())
+	require.False(t, u.holdsLease(6)(), "another lease than the one of the order")
+	s.lease.held.Store(false)
+	require.False(t, permit())
+}
+
 func TestSupersededVersionsAreSkipped(t *testing.T) {
 	s := newSetup("a1")
 	s.catalog.SetTargetVersion("m", 2, 0)
