inbound: a planned stop answers every request that has arrived

Change: while a process stops, responses end their connections as before; the listener first accepts its backlog, and only connections without an unread or running request are closed.

--- /dev/null
+++ b/internal/inbound/listener.go
@@ -0,0 +1,168 @@
+package inbound
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// backlogTimeout is how long a listener that is being closed waits for another
+	// connection. Those in the backlog of the kernel are accepted without delay.
+	backlogTimeout = 20 * time.Millisecond
+	// stopCheckPeriod is the interval between two looks at the connections that are
+	// left.
+	stopCheckPeriod = 10 * time.Millisecond
+	// maxSilentTime is how long a new connection may stay without a request while the
+	// process stops.
+	maxSilentTime = time.Second
+)
+
+// Listener is a listener of an http.Server, whose hook Track must be set. Its method
+// Stop takes the place of http.Server.Shutdown, which closes connections whose request
+// it has just read, and leaves those that only the kernel has accepted to be reset.
+type Listener struct {
+	*net.TCPListener
+	closing atomic.Bool
+	// done is set once nothing is accepted any more.
+	done atomic.Bool
+
+	mu    sync.Mutex // guards the field below
+	conns map[*conn]struct{}
+}
+
+// conn is a connection of a caller.
+type conn struct {
+	*net.TCPConn
+	listener   *Listener
+	acceptedAt time.Time
+	state      atomic.Int32
+}
+
+// Listen listens on a TCP address.
+func Listen(address string) (*Listener, error) {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("inbound: %w", err)
+	}
+	return &Listener{TCPListener: l.(*net.TCPListener), conns: make(map[*conn]struct{})}, nil
+}
+
+// Accept implements net.Listener. After Stop it returns net.ErrClosed once the backlog
+// is empty.
+func (l *Listener) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	if err != nil {
+		if l.closing.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+			defer l.done.Store(true)
+			return nil, errors.Join(net.ErrClosed, l.Close())
+		}
+		return nil, err
+	}
+	if l.closing.Load() {
+		if err := l.SetDeadline(time.Now().Add(backlogTimeout)); err != nil {
+			return nil, errors.Join(err, c.Close())
+		}
+	}
+	accepted := &conn{TCPConn: c, listener: l, acceptedAt: time.Now()}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[accepted] = struct{}{}
+	return accepted, nil
+}
+
+// Track is the ConnState hook of the server.
+func Track(c net.Conn, s http.ConnState) {
+	if c, ok := c.(*conn); ok {
+		c.state.Store(int32(s))
+	}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.conns, c)
+	c.listener.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+// Stop accepts the connections in the backlog, closes the listener, and waits until
+// all connections have ended or ctx is done. It closes those that carry no request. The
+// server must end a connection with the response to its request. Stop reports whether
+// all connections have ended.
+func (l *Listener) Stop(ctx context.Context) bool {
+	l.closing.Store(true)
+	// An error means that the listener is closed already.
+	_ = l.SetDeadline(time.Now().Add(backlogTimeout))
+	ticker := time.NewTicker(stopCheckPeriod)
+	defer ticker.Stop()
+	for quiet := 0; quiet < 2; {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+		// A connection may have been accepted since the listener was looked at last.
+		if quiet++; l.closeUnused() > 0 || !l.done.Load() {
+			quiet = 0
+		}
+	}
+	return true
+}
+
+// closeUnused closes the connections that carry no request, and returns the number of
+// the others.
+func (l *Listener) closeUnused() int {
+	l.mu.Lock()
+	var unused []*conn
+	used := 0
+	for c := range l.conns {
+		if c.unused() {
+			unused = append(unused, c)
+		} else {
+			used++
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range unused {
+		// The caller may have closed it, too.
+		_ = c.Close()
+	}
+	return used
+}
+
+// unused reports whether a connection carries no request, not even an unread one.
+func (c *conn) unused() bool {
+	switch http.ConnState(c.state.Load()) {
+	case http.StateIdle:
+		return !c.hasUnread()
+	case http.StateNew:
+		return time.Since(c.acceptedAt) > maxSilentTime && !c.hasUnread()
+	}
+	return false
+}
+
+// hasUnread reports whether bytes have arrived that nobody has read.
+func (c *conn) hasUnread() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	if err := raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = err == nil && n > 0
+	}); err != nil {
+		return false
+	}
+	return unread
+}
