gateway: a response that has begun is not cut for its key

Change: the key is checked only until the response has begun; age of the decision, deadline and server are checked as before.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -90,8 +90,12 @@
 }
 
 // stillAuthorized reports whether the call's key still belongs to the team that the
-// call was admitted for. It returns the refusal of the call otherwise.
+// call was admitted for. It returns the refusal of the call otherwise. A response that
+// has begun is not cut for its key: the call was made while the key was valid.
 func (g *Gateway) stillAuthorized(f *forwardedCall) (bool, *Refusal) {
+	if f.headerSent {
+		return true, nil
+	}
 	team, r := g.keyTeam(g.catalog.Current(), f)
 	switch {
 	case r != nil:
