--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/marjoramrock/marjoramrock/internal/socket"
 )
 
 const (
@@ -151,18 +151,4 @@
 }
 
 // hasUnread reports whether bytes have arrived that nobody has read.
-func (c *conn) hasUnread() bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	unread := false
-	if err := raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		unread = err == nil && n > 0
-	}); err != nil {
-		return false
-	}
-	return unread
-}
+func (c *conn) hasUnread() bool { return socket.Peek(c) == socket.Unread }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/marjoramrock/marjoramrock/internal/socket"
 	"golang.org/x/sys/unix"
 )
 
@@ -281,19 +282,7 @@
 	if !ok {
 		return true
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	if err := raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = errors.Is(err, unix.EAGAIN)
-	}); err != nil {
-		return false
-	}
-	return quiet
+	return socket.Peek(sc) == socket.Quiet
 }
 
 // exchange is one call on one connection.
