--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -47,7 +47,7 @@
 	if !ok {
 		return serverChoice{}, false
 	}
-	s, seen := &statuses[choice.Server], &v.Servers[choice.Server]
+	s, seen := &statuses[choice.Index], &v.Servers[choice.Index]
 	return serverChoice{
 		Choice: choice, server: s.Server, version: seen.Version, cacheSalt: seen.CacheSalt,
 		pendingTokens: s.Pending, calls: s.Load, tokensPerMilli: s.TokensPerMilli,
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -60,8 +60,8 @@
 
 // Choice is a server for an attempt.
 type Choice struct {
-	// Server is the server's index in the view.
-	Server int
+	// Index is the server's index in the view.
+	Index int
 	// FetchFrom is the address to fetch cached parts from, or empty.
 	FetchFrom string
 	// UncachedTokens is the number of prompt tokens that the engine is expected to
@@ -100,7 +100,7 @@
 // the server cannot take the call.
 func attemptCost(c *Call, v *View, i int, random func() float64) (Choice, float64, bool) {
 	s := &v.Servers[i]
-	choice := Choice{Server: i}
+	choice := Choice{Index: i}
 	cost := random()*min(maxJitterMillis, jitterMillisPerVM*float64(v.VMs)) + QueuedCallCostMillis*float64(s.callsOverSlots())
 	if s.Zone != v.Zone {
 		cost += crossZoneCostMillis
@@ -173,9 +173,9 @@
 // and how many tokens remain for it to process. It returns the time of the transfer in
 // milliseconds.
 func (v *View) setSource(choice *Choice, c *Call) float64 {
-	s := &v.Servers[choice.Server]
+	s := &v.Servers[choice.Index]
 	known := v.KnownTokens[s.CacheSalt]
-	source, ok := v.bestSource(choice.Server)
+	source, ok := v.bestSource(choice.Index)
 	if !ok {
 		choice.UncachedTokens, choice.RecomputedTokens = max(0, c.InputTokens-s.HeldTokens), max(0, known-s.HeldTokens)
 		if choice.StoreReachable && c.SharedTokens > 0 {
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -62,7 +62,7 @@
 			tt.setUp(v)
 			choice, ok := Choose(modelCall(), v, noJitter)
 			require.True(t, ok)
-			require.Equal(t, tt.want, choice.Server)
+			require.Equal(t, tt.want, choice.Index)
 		})
 	}
 }
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -165,7 +165,7 @@
 	if !ok {
 		return now + time.Hour
 	}
-	e := engines[choice.Server]
+	e := engines[choice.Index]
 	millis := float64(l.ownTokens) / l.tokensPerMilli
 	if hit := e.use(shared, l.capacityTokens, now); !hit {
 		source, err := strconv.Atoi(choice.FetchFrom)
@@ -185,7 +185,7 @@
 	first := max(now, e.freeAt) + time.Duration(millis*float64(time.Millisecond))
 	e.freeAt = first
 	e.running = append(e.running, run{firstAt: first, endsAt: first + l.generates, tokens: l.ownTokens})
-	holder := parts.Holder{ID: strconv.Itoa(choice.Server)}
+	holder := parts.Holder{ID: strconv.Itoa(choice.Index)}
 	directory.Add(holder, l.capacityTokens, "", shared, now, first)
 	directory.Add(holder, l.capacityTokens, "", own, now, first)
 	return first
