inbound: a deadline that has passed hides no connection of the backlog

Cause: the wait for the backlog began when the listener was closed, so a process that got no time for 20 ms then closed it with connections waiting. Each accept now waits from its own beginning. The platform's test dials until the load balancer has removed the VM, as callers do; those that dial at the very closing of a listener cannot be promised an answer. With http.Server.Shutdown in place of Stop, TestBacklogIsServed fails: connection reset.

--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -17,7 +17,7 @@
 const (
 	// backlogTimeout is how long a listener that is being closed waits for another
 	// connection. Those in the backlog of the kernel are accepted without delay.
-	backlogTimeout = 20 * time.Millisecond
+	backlogTimeout = 50 * time.Millisecond
 	// stopCheckPeriod is the interval between two looks at the connections that are
 	// left.
 	stopCheckPeriod = 10 * time.Millisecond
@@ -59,19 +59,10 @@
 // Accept implements net.Listener. After Stop it returns net.ErrClosed once the backlog
 // is empty.
 func (l *Listener) Accept() (net.Conn, error) {
-	c, err := l.AcceptTCP()
+	c, err := l.acceptWaiting()
 	if err != nil {
-		if l.closing.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
-			defer l.done.Store(true)
-			return nil, errors.Join(net.ErrClosed, l.Close())
-		}
 		return nil, err
 	}
-	if l.closing.Load() {
-		if err := l.SetDeadline(time.Now().Add(backlogTimeout)); err != nil {
-			return nil, errors.Join(err, c.Close())
-		}
-	}
 	accepted := &conn{TCPConn: c, listener: l, acceptedAt: time.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -79,6 +70,26 @@
 	return accepted, nil
 }
 
+// acceptWaiting accepts a connection. After Stop, it waits for one from the moment at
+// which it is called: a deadline that passed before may have hidden one.
+func (l *Listener) acceptWaiting() (*net.TCPConn, error) {
+	if !l.closing.Load() {
+		c, err := l.AcceptTCP()
+		if err == nil || !l.closing.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return c, err
+		}
+	}
+	if err := l.SetDeadline(time.Now().Add(backlogTimeout)); err != nil {
+		return nil, err
+	}
+	c, err := l.AcceptTCP()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		defer l.done.Store(true)
+		return nil, errors.Join(net.ErrClosed, l.Close())
+	}
+	return c, err
+}
+
 // Track is the ConnState hook of the server.
 func Track(c net.Conn, s http.ConnState) {
 	if c, ok := c.(*conn); ok {
