--- a/internal/gateway/event_reader_test.go
+++ b/internal/gateway/event_reader_test.go
@@ -37,14 +37,15 @@
 type endlessReader struct {
 	text string
 	read int
+	// block is the text, repeated. A read per repetition would take long.
+	block string
 }
 
 func (r *endlessReader) Read(p []byte) (int, error) {
-	n := 0
-	for n < len(p) {
-		i := (r.read + n) % len(r.text)
-		n += copy(p[n:], r.text[i:])
+	if r.block == "" {
+		r.block = strings.Repeat(r.text, 64<<10/len(r.text))
 	}
+	n := copy(p, r.block[r.read%len(r.text):])
 	r.read += n
 	return n, nil
 }
