gateway: a silent server keeps its call until another one can take over

Callers saw: a begun stream cut, or a 502, after its engine had sent nothing for some 0.6 to 0.75 s, though the engine went on half a second later.

Cause: the timers for silence, and the move of streams away from an engine that loads weights, canceled the running attempt first and looked for another server afterwards. Where the retry budget was used up, or no other server was sound, nothing was left, and a begun stream was aborted. An engine that pauses for a second, or several at once, was enough.

Change: runningAttempt.handOver cancels an attempt only if a sound server can take the call and the next attempt has been taken from the retry budget. Streams, whole responses and moved streams share it. placement.Choice says whether a server is a last resort (failed, loading weights, or in a silent zone), which is no reason to leave one that may still answer.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -124,10 +124,6 @@
 // moment, it is unknown whether the call ran.
 const atMostOnceMaxConnIdle = time.Second
 
-// errServerSilent is the cancellation cause of an attempt whose server sends
-// nothing.
-var errServerSilent = errors.New("server sent nothing in time")
-
 // recordAttempt updates the state of a server after an attempt.
 func (g *Gateway) recordAttempt(ctx context.Context, f *forwardedCall, c serverChoice, resp *Response, err error) {
 	s := c.server
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"context"
-	"errors"
 	"sync"
 	"time"
 )
@@ -24,27 +22,18 @@
 // another engine. It is safe for concurrent use; the zero value is ready to use.
 type movableStreams struct {
 	mu      sync.Mutex // guards the field below
-	engines map[string]map[*movableStream]struct{}
+	engines map[string]map[*runningAttempt]struct{}
 }
 
-// movableStream is an attempt that can be canceled and resumed elsewhere.
-type movableStream struct {
-	service string
-	cancel  context.CancelCauseFunc
-}
-
-// errStreamMoved is the cancellation cause of an attempt that is resumed elsewhere.
-var errStreamMoved = errors.New("engine is about to load weights")
-
 // add registers an attempt until the returned function is called.
-func (m *movableStreams) add(engine string, a *movableStream) (remove func()) {
+func (m *movableStreams) add(engine string, a *runningAttempt) (remove func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.engines == nil {
-		m.engines = make(map[string]map[*movableStream]struct{})
+		m.engines = make(map[string]map[*runningAttempt]struct{})
 	}
 	if m.engines[engine] == nil {
-		m.engines[engine] = make(map[*movableStream]struct{})
+		m.engines[engine] = make(map[*runningAttempt]struct{})
 	}
 	m.engines[engine][a] = struct{}{}
 	return func() {
@@ -57,10 +46,10 @@
 	}
 }
 
-func (m *movableStreams) onEngine(engine string) []*movableStream {
+func (m *movableStreams) onEngine(engine string) []*runningAttempt {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []*movableStream
+	var out []*runningAttempt
 	for a := range m.engines[engine] {
 		out = append(out, a)
 	}
@@ -76,10 +65,7 @@
 			return
 		}
 		for _, a := range g.movableStreams.onEngine(id) {
-			if !g.retries.Take(a.service, g.now(), moveReserve) {
-				return
-			}
-			a.cancel(errStreamMoved)
+			a.handOver(errStreamMoved, moveReserve)
 		}
 	})
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -9,7 +9,7 @@
 const (
 	// maxResponseBytes bounds a response that is buffered until it is complete.
 	maxResponseBytes = 8 << 20
-	// minAttemptTimeout is the minimum timeout of an attempt that another one may
+	// minAttemptTimeout is the minimum time that an attempt gets before another one may
 	// follow.
 	minAttemptTimeout = 150 * time.Millisecond
 )
@@ -37,11 +37,16 @@
 
 // tryWhole makes one attempt. It reports whether the caller got a response.
 func (g *Gateway) tryWhole(ctx context.Context, f *forwardedCall, c serverChoice) bool {
-	ctx, cancel := g.attemptContext(ctx, f)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if f.route.Repeatable() && f.possibleRuns+1 < f.route.MaxAttempts {
+		timeout := max(minAttemptTimeout, min(f.route.LatencyGoal, (f.deadline-g.now())/2))
+		defer newSilenceTimer(g.newRunningAttempt(f, c, cancel), timeout, timeout).stop()
+	}
 	g.table.Begin(c.server.ID, 0)
 	defer g.table.End(c.server.ID)
 	resp, err := g.send(ctx, f, c, "")
+	f.retryReserved = err != nil && isHandover(ctx)
 	if err != nil {
 		return false
 	}
@@ -52,6 +57,7 @@
 	body := &buffer{budget: g.buffers, limit: maxResponseBytes}
 	defer body.release()
 	if err := body.readAll(resp.Body); err != nil {
+		f.retryReserved = isHandover(ctx)
 		g.recordAttempt(ctx, f, c, nil, err)
 		return false
 	}
@@ -71,16 +77,6 @@
 	return f.deadline-g.now() > minAttemptTimeout
 }
 
-// attemptContext limits an attempt that another one may follow, so that a silent
-// server does not use up the whole timeout of the call.
-func (g *Gateway) attemptContext(ctx context.Context, f *forwardedCall) (context.Context, context.CancelFunc) {
-	left := f.deadline - g.now()
-	if !f.route.Repeatable() || f.possibleRuns+1 >= max(1, f.route.MaxAttempts) {
-		return context.WithCancel(ctx)
-	}
-	return context.WithTimeoutCause(ctx, max(minAttemptTimeout, min(f.route.LatencyGoal, left/2)), errServerSilent)
-}
-
 // sendResponse passes a complete response on to the caller.
 func (g *Gateway) sendResponse(f *forwardedCall, resp *Response, body []byte) {
 	f.status, f.firstByteAt, f.outcome = resp.Status, g.now(), outcomeAnswered
--- /dev/null
+++ b/internal/gateway/silence_test.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// pausingStream returns a stream that pauses between its two events.
+func pausingStream(ctx context.Context, pause time.Duration) *Response {
+	r, w := io.Pipe()
+	go func() {
+		_, _ = io.WriteString(w, eventStream("1"))
+		select {
+		case <-ctx.Done():
+			_ = w.CloseWithError(ctx.Err())
+		case <-time.After(pause):
+			_, _ = io.WriteString(w, eventStream("2"))
+			_ = w.Close()
+		}
+	}()
+	return &Response{Status: http.StatusOK, Header: http.Header{}, ContentLength: -1, Body: r}
+}
+
+func TestSilentEngineKeepsStreamThatNoOtherEngineCanTake(t *testing.T) {
+	tests := []struct {
+		name    string
+		prevent func(g *Gateway, other string)
+	}{
+		{"retry budget exhausted", func(g *Gateway, _ string) {
+			for g.retries.Take("model", g.now(), 0) {
+			}
+		}},
+		{"no other engine", func(g *Gateway, other string) { g.removeServer(other) }},
+		{"other engine failed", func(g *Gateway, other string) { g.table.RecordPeerFailure(other, 0, 3, time.Minute, g.now()) }},
+		{"other engine loads weights", func(g *Gateway, other string) { g.table.BeginReload(other, 0, "m", 2, g.now()) }},
+		{"other engine leaves", func(g *Gateway, other string) {
+			s, _ := g.table.Get(other)
+			s.Draining = true
+			g.table.Put(s)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var g *Gateway
+			g, a := newTestGateway(t, func(ctx context.Context, n int, a *Attempt) (*Response, error) {
+				if n > 1 {
+					return notRunResponse(http.StatusServiceUnavailable), nil
+				}
+				for _, s := range g.table.Statuses("model", g.now()) {
+					if s.Server.ID != a.Server.ID {
+						tt.prevent(g, s.Server.ID)
+					}
+				}
+				return pausingStream(ctx, 2*minSilenceTimeout), nil
+			})
+			c := serveCall(t, g, "/resumable/", "isolated-key")
+			require.False(t, c.aborted)
+			require.Equal(t, eventStream("1", "2"), c.body.String())
+			require.Len(t, a.sentAttempts(), 1)
+		})
+	}
+}
+
+func TestSilentServerKeepsCallThatNoOtherServerCanTake(t *testing.T) {
+	var g *Gateway
+	g, a := newTestGateway(t, func(ctx context.Context, n int, a *Attempt) (*Response, error) {
+		if n == 1 {
+			for _, s := range g.table.Statuses("plain", g.now()) {
+				if s.Server.ID != a.Server.ID {
+					g.removeServer(s.Server.ID)
+				}
+			}
+			select {
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			case <-time.After(2 * minAttemptTimeout):
+			}
+		}
+		return newResponse(http.StatusOK, "ok"), nil
+	})
+	c := serveCall(t, g, "/idempotent/", "isolated-key")
+	require.Nil(t, c.refusal)
+	require.Equal(t, http.StatusOK, c.status)
+	require.Len(t, a.sentAttempts(), 1)
+}
+
+func TestStreamIsNotMovedWithoutAnotherEngine(t *testing.T) {
+	var g *Gateway
+	g, a := newTestGateway(t, func(ctx context.Context, _ int, a *Attempt) (*Response, error) {
+		for _, s := range g.table.Statuses("model", g.now()) {
+			if s.Server.ID != a.Server.ID {
+				g.removeServer(s.Server.ID)
+			}
+		}
+		g.beginReload(a.Server.ID, 0, "m", 2)
+		return pausingStream(ctx, 2*streamMoveDelay), nil
+	})
+	// The latency goals of this route are too long for the silence timer to fire.
+	c := serveCall(t, g, "/long-goals/", "isolated-key")
+	require.False(t, c.aborted)
+	require.Equal(t, eventStream("1", "2"), c.body.String())
+	require.Len(t, a.sentAttempts(), 1)
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -67,12 +67,15 @@
 	defer promptRead()
 	sentAt := g.now()
 
-	silence := g.startSilenceTimer(f, cancel)
-	defer silence.stop()
+	var silence *silenceTimer
 	if f.canRetry() && f.possibleRuns+1 < f.route.MaxAttempts {
-		defer g.movableStreams.add(c.server.ID, &movableStream{service: f.service, cancel: cancel})()
+		attempt := g.newRunningAttempt(f, c, cancel)
+		silence = newSilenceTimer(attempt, max(minSilenceTimeout, latencyGoalFactor*f.route.LatencyGoal), max(minSilenceTimeout, eventGapGoalFactor*f.route.EventGapGoal))
+		defer silence.stop()
+		defer g.movableStreams.add(c.server.ID, attempt)()
 	}
 	resp, err := g.send(ctx, f, c, st.lastEventID)
+	f.retryReserved = err != nil && isHandover(ctx)
 	if err != nil {
 		g.removeParts(f, c)
 		return false
@@ -96,12 +99,13 @@
 			g.markPartsReady(f, c)
 		}
 	})
+	f.retryReserved = err != nil && isHandover(ctx)
 	switch {
 	case errors.Is(err, errCallerLeft):
 		f.outcome = "caller left"
 		return true
 	case err != nil && errors.Is(context.Cause(ctx), errStreamMoved):
-		f.excluded[c.server.ID], f.retryReserved = true, true
+		f.excluded[c.server.ID] = true
 		event.StreamMoved.Log(g.log, nil, log.Fields{"request": f.call.ID, "server": c.server.ID, "last": st.lastEventID})
 		return false
 	case err != nil:
@@ -189,32 +193,3 @@
 	}
 	return nil
 }
-
-// silenceTimer cancels an attempt of a resumable stream if its engine sends nothing.
-// A nil silenceTimer does nothing.
-type silenceTimer struct {
-	timer   *time.Timer
-	timeout time.Duration
-}
-
-func (g *Gateway) startSilenceTimer(f *forwardedCall, cancel context.CancelCauseFunc) *silenceTimer {
-	if !f.canRetry() || f.possibleRuns+1 >= f.route.MaxAttempts {
-		return nil
-	}
-	return &silenceTimer{
-		timeout: max(minSilenceTimeout, eventGapGoalFactor*f.route.EventGapGoal),
-		timer:   time.AfterFunc(max(minSilenceTimeout, latencyGoalFactor*f.route.LatencyGoal), func() { cancel(errServerSilent) }),
-	}
-}
-
-func (s *silenceTimer) reset() {
-	if s != nil && s.timer.Stop() {
-		s.timer.Reset(s.timeout)
-	}
-}
-
-func (s *silenceTimer) stop() {
-	if s != nil {
-		s.timer.Stop()
-	}
-}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -73,6 +73,9 @@
 	FetchedTokens int
 	// StoreReachable is set if the server can reach the call's KV cache store.
 	StoreReachable bool
+	// LastResort is set if the server has failed, is loading weights or is in a zone that
+	// seems to be partitioned.
+	LastResort bool
 }
 
 // Choose returns the server on which an attempt has the lowest expected cost. It
@@ -100,7 +103,7 @@
 // the server cannot take the call.
 func attemptCost(c *Call, v *View, i int, random func() float64) (Choice, float64, bool) {
 	s := &v.Servers[i]
-	choice := Choice{Index: i}
+	choice := Choice{Index: i, LastResort: s.InBackoff || s.Reloading || s.Zone != v.Zone && v.SilentZones[s.Zone]}
 	cost := random()*min(maxJitterMillis, jitterMillisPerVM*float64(v.VMs)) + QueuedCallCostMillis*float64(s.callsOverSlots())
 	if s.Zone != v.Zone {
 		cost += crossZoneCostMillis
