inbound: a stop never closes a connection whose request is being read

Callers saw: during a planned stop, a connection reset or closed without an answer, though the process had read their request, in part or whole.

Cause: a kept connection was closed as unused if the server called it idle and the kernel held no unread byte. Both are true between the read of a request and its last header line: for as long as a request that comes in two segments takes, and for the time that the process waits for its processor after the read. New connections older than a second were closed in the same way.

Change: a connection remembers that bytes were read since its last response. It is closed only by claiming it while none were; after the claim it delivers no bytes, so that a request that arrives at that moment is not passed on.

Evidence: TestRequestThatIsBeingReadIsNotCutByAStop (new and kept connection, "unexpected EOF" before) and TestConnectionThatIsClosedAsUnusedPassesNoRequestOn failed on the code before and pass.

--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -45,8 +45,21 @@
 	listener   *Listener
 	acceptedAt time.Time
 	state      atomic.Int32
+	// usage is unread until bytes of a request have been read, and again once its
+	// response is complete. It never leaves claimed.
+	usage atomic.Int32
 }
 
+// Values of conn.usage.
+const (
+	// unread connections have delivered no byte of a request.
+	unread int32 = iota
+	// inUse connections have.
+	inUse
+	// claimed connections are about to be closed as unused. They deliver no bytes.
+	claimed
+)
+
 // Listen listens on a TCP address.
 func Listen(address string) (*Listener, error) {
 	l, err := net.Listen("tcp4", address)
@@ -94,9 +107,21 @@
 func Track(c net.Conn, s http.ConnState) {
 	if c, ok := c.(*conn); ok {
 		c.state.Store(int32(s))
+		if s == http.StateIdle {
+			c.usage.CompareAndSwap(inUse, unread)
+		}
 	}
 }
 
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && !c.usage.CompareAndSwap(unread, inUse) && c.usage.Load() == claimed {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.listener.mu.Lock()
@@ -136,7 +161,7 @@
 	var unused []*conn
 	used := 0
 	for c := range l.conns {
-		if c.unused() {
+		if c.claimUnused() {
 			unused = append(unused, c)
 		} else {
 			used++
@@ -150,15 +175,19 @@
 	return used
 }
 
-// unused reports whether a connection carries no request, not even an unread one.
-func (c *conn) unused() bool {
+// claimUnused reports whether a connection carries no request, not even an unread or
+// half-read one. From then on, it delivers no bytes.
+func (c *conn) claimUnused() bool {
 	switch http.ConnState(c.state.Load()) {
 	case http.StateIdle:
-		return !c.hasUnread()
 	case http.StateNew:
-		return time.Since(c.acceptedAt) > maxSilentTime && !c.hasUnread()
+		if time.Since(c.acceptedAt) <= maxSilentTime {
+			return false
+		}
+	default:
+		return false
 	}
-	return false
+	return !c.hasUnread() && c.usage.CompareAndSwap(unread, claimed)
 }
 
 // hasUnread reports whether bytes have arrived that nobody has read.
--- a/internal/inbound/listener_test.go
+++ b/internal/inbound/listener_test.go
@@ -120,14 +120,58 @@
 	accepted, err := l.Accept()
 	require.NoError(t, err)
 	Track(accepted, http.StateIdle)
-	require.True(t, accepted.(*conn).unused())
+	require.False(t, accepted.(*conn).hasUnread())
 	_, err = io.WriteString(client, request)
 	require.NoError(t, err)
 	require.Eventually(t, accepted.(*conn).hasUnread, time.Second, time.Millisecond)
-	require.False(t, accepted.(*conn).unused())
+	require.False(t, accepted.(*conn).claimUnused())
 	require.Equal(t, 1, l.closeUnused())
 }
 
+func TestRequestThatIsBeingReadIsNotCutByAStop(t *testing.T) {
+	const firstHalf = len(request) / 2
+	tests := []struct {
+		name string
+		kept bool
+	}{{"new connection", false}, {"kept connection", true}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := listen(t)
+			var closing atomic.Bool
+			startServer(t, l, 0, &closing)
+			c := dial(t, l)
+			reader := bufio.NewReader(c)
+			if tt.kept {
+				_, err := io.WriteString(c, request)
+				require.NoError(t, err)
+				_, err = http.ReadResponse(reader, nil)
+				require.NoError(t, err)
+			}
+			_, err := io.WriteString(c, request[:firstHalf])
+			require.NoError(t, err)
+			closing.Store(true)
+			time.AfterFunc(maxSilentTime+200*time.Millisecond, func() { _, _ = io.WriteString(c, request[firstHalf:]) })
+			stop(t, l)
+			resp, err := http.ReadResponse(reader, nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, resp.StatusCode)
+		})
+	}
+}
+
+func TestConnectionThatIsClosedAsUnusedPassesNoRequestOn(t *testing.T) {
+	l := listen(t)
+	client := dial(t, l)
+	accepted, err := l.Accept()
+	require.NoError(t, err)
+	Track(accepted, http.StateIdle)
+	require.True(t, accepted.(*conn).claimUnused())
+	_, err = io.WriteString(client, request)
+	require.NoError(t, err)
+	_, err = accepted.Read(make([]byte, len(request)))
+	require.ErrorIs(t, err, net.ErrClosed)
+}
+
 func TestStopEndsWithItsContext(t *testing.T) {
 	l := listen(t)
 	var closing atomic.Bool
