gateway: a running attempt ends only once another server has accepted the call

Callers saw: a stream closed in its middle, without an end or an error, right after its engine had been told to load weights, or had paused, though that engine would have gone on.

Cause: the running attempt was canceled first, and the next one made afterwards. A refusal, a failure or the silence of the next server then ended the call, and the move had used up the stream's second run.

Change: the next attempt is made while the first one runs. Its server has 250 ms to begin to answer; only then is the first attempt canceled, and a stream continues after the last event that was passed on. If the next server refuses, fails or, for streams that are moved from a sound engine, says nothing, the first attempt stays. A silent server that sends something meanwhile stays, too. Event 510 says that a call was not taken over.

Evidence: "other engine refuses" of TestSilentEngineKeepsStreamThatNoOtherEngineCanTake and four of the five cases of TestStreamIsNotMovedUnlessAnotherEngineTakesIt failed on the commit before and pass; TestStreamIsResumedAfterTheLastEventThatWasPassedOn guards the new wait.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -57,6 +57,7 @@
 	RequestEnded          = add(507, log.InfoLevel, "request ended")
 	AttemptFailed         = add(508, log.InfoLevel, "attempt at a backend server failed")
 	StreamMoved           = add(509, log.InfoLevel, "stream moved from an engine that is about to load other weights")
+	HandoverFailed        = add(510, log.InfoLevel, "no other server took a running call over; it stays")
 	EngineLoadReadFailed  = add(600, log.DebugLevel, "engine load could not be read")
 	EngineRestarted       = add(601, log.WarnLevel, "engine has a new incarnation")
 	OrderSent             = add(602, log.InfoLevel, "order sent to engine")
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -28,9 +28,12 @@
 	errRetryBudget = errors.New("retry budget exhausted")
 )
 
-// nextServer selects the server of the next attempt. If none can take the call, it
+// nextServer returns the server of the next attempt. If none can take the call, it
 // waits for one for up to half the latency goal.
 func (g *Gateway) nextServer(ctx context.Context, f *forwardedCall) (serverChoice, error) {
+	if f.takeover != nil {
+		return f.takeover.choice, nil
+	}
 	waitUntil := g.now() + f.route.LatencyGoal/2
 	for {
 		if c, ok := g.chooseServer(f, f.service); ok {
@@ -51,8 +54,7 @@
 
 // takeRetry takes an attempt other than the first from the retry budget.
 func (g *Gateway) takeRetry(f *forwardedCall) bool {
-	if f.attempts == 0 || f.retryReserved {
-		f.retryReserved = false
+	if f.attempts == 0 {
 		return true
 	}
 	reserve := startReserve
@@ -62,8 +64,33 @@
 	return g.retries.Take(f.service, g.now(), reserve)
 }
 
-// send makes one attempt. It counts it in possibleRuns if the call may have run.
+// send makes one attempt, or waits for the response if it has been made. It counts it in
+// possibleRuns if the call may have run.
 func (g *Gateway) send(ctx context.Context, f *forwardedCall, c serverChoice, lastEventID string) (*Response, error) {
+	var resp *Response
+	var err error
+	if t := f.takeover; t != nil {
+		f.takeover, f.lastChoice = nil, c
+		context.AfterFunc(ctx, t.cancel)
+		<-t.done
+		resp, err = t.resp, t.err
+	} else {
+		resp, err = g.serverClient.Send(ctx, g.newAttempt(f, c, lastEventID))
+	}
+	switch {
+	case errors.Is(err, upstream.ErrUnsent):
+	case err != nil:
+		f.possibleRuns++
+	case resp.NotRun || resp.WrongServer:
+	default:
+		f.possibleRuns++
+	}
+	g.recordAttempt(ctx, f, c, resp, err)
+	return resp, err
+}
+
+// newAttempt returns an attempt that is about to be made, and counts it.
+func (g *Gateway) newAttempt(f *forwardedCall, c serverChoice, lastEventID string) *Attempt {
 	a := &Attempt{
 		Call: f.call, Server: c.server, TimeLeft: f.deadline - g.now(), Version: c.version, CacheSalt: c.cacheSalt,
 		FetchFrom: c.FetchFrom, Priority: f.priority(), LastEventID: lastEventID, Permit: g.permit(f, c, g.now()),
@@ -85,17 +112,7 @@
 	f.attempts++
 	f.lastChoice = c
 	g.recordPrefill(f, c, a.SaveTo != "")
-	resp, err := g.serverClient.Send(ctx, a)
-	switch {
-	case errors.Is(err, upstream.ErrUnsent):
-	case err != nil:
-		f.possibleRuns++
-	case resp.NotRun || resp.WrongServer:
-	default:
-		f.possibleRuns++
-	}
-	g.recordAttempt(ctx, f, c, resp, err)
-	return resp, err
+	return a
 }
 
 // maxDecisionAge is the age beyond which the choice of a server and a retry taken from
@@ -106,6 +123,8 @@
 // may still be written: the process has not been paused for long since, the key has not
 // been withdrawn, its proof is young enough, time is left, and the server has not left.
 func (g *Gateway) permit(f *forwardedCall, c serverChoice, decidedAt time.Duration) func() bool {
+	decided := *f
+	f = &decided
 	return func() bool {
 		now := g.now()
 		if now-decidedAt > maxDecisionAge || now >= f.deadline {
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -4,8 +4,13 @@
 	"context"
 	"errors"
 	"maps"
+	"net/http"
 	"sync"
 	"time"
+
+	"github.com/apex/log"
+	"github.com/marjoramrock/marjoramrock/internal/event"
+	"github.com/marjoramrock/marjoramrock/internal/upstream"
 )
 
 // Causes for which an attempt is canceled so that another server continues the call.
@@ -16,43 +21,143 @@
 	errStreamMoved = errors.New("engine is about to load weights")
 )
 
-// isHandover reports whether an attempt was canceled by runningAttempt.handOver.
-func isHandover(ctx context.Context) bool {
-	cause := context.Cause(ctx)
-	return errors.Is(cause, errServerSilent) || errors.Is(cause, errStreamMoved)
+// acceptTimeout is how long the server that is to continue a call may take to accept or
+// refuse it while the server before it still works on the call. It is shorter than two
+// servers may work on one call at the same time.
+const acceptTimeout = 250 * time.Millisecond
+
+// takeover is an attempt that is made while another one of the same call is running.
+type takeover struct {
+	choice serverChoice
+	// ctx is that of the attempt.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// cause is why the other attempt is to be left.
+	cause error
+	// resp and err are set before done is closed.
+	done chan struct{}
+	resp *Response
+	err  error
+	// decided is closed once the attempt is either rejected or continues the call.
+	decided chan struct{}
+}
+
+// accepted reports whether the server has begun to answer.
+func (t *takeover) accepted() bool {
+	return t.err == nil && !t.resp.NotRun && !t.resp.WrongServer && t.resp.Status == http.StatusOK
 }
 
-// runningAttempt is an attempt that can be canceled in favor of another server. It is
-// safe for concurrent use.
+// mayHaveRun reports whether the call may have run on the server.
+func (t *takeover) mayHaveRun() bool {
+	if t.err != nil {
+		return !errors.Is(t.err, upstream.ErrUnsent)
+	}
+	return !t.resp.NotRun && !t.resp.WrongServer
+}
+
+// drop cancels the attempt and closes its response.
+func (t *takeover) drop() {
+	t.cancel()
+	go func() {
+		<-t.done
+		if t.resp != nil {
+			_ = t.resp.Body.Close()
+		}
+	}()
+}
+
+// runningAttempt is an attempt from which another server may take the call over. It is
+// safe for concurrent use. A nil runningAttempt stays with its server.
 type runningAttempt struct {
 	gateway *Gateway
-	// call is a copy of the call's state that excludes the server of the attempt.
-	call   *forwardedCall
-	cancel context.CancelCauseFunc
+	server  string
+	// callCtx outlives the attempt.
+	callCtx context.Context
+	cancel  context.CancelCauseFunc
+	silence *silenceTimer
 
-	mu    sync.Mutex // guards the field below
+	mu sync.Mutex // guards the fields below
+	// call is a copy of the call's state. It excludes the server of the attempt, and
+	// counts the attempt itself and those that were made to take the call over.
+	call *forwardedCall
+	// runs is call.possibleRuns before any attempt to take the call over.
+	runs        int
+	lastEventID string
+	// next is the attempt to take the call over that is being made, or nil.
+	next  *takeover
 	ended bool
 }
 
-func (g *Gateway) newRunningAttempt(f *forwardedCall, c serverChoice, cancel context.CancelCauseFunc) *runningAttempt {
+// newRunningAttempt returns the attempt at a server that is about to be made. It is
+// handed over if the server sends nothing for firstTimeout, or for timeout after
+// something that it has sent. The caller must call finish.
+func (g *Gateway) newRunningAttempt(callCtx context.Context, cancel context.CancelCauseFunc, f *forwardedCall, c serverChoice, lastEventID string, firstTimeout, timeout time.Duration) *runningAttempt {
 	call := *f
-	call.excluded = maps.Clone(f.excluded)
-	call.excluded[c.server.ID] = true
-	return &runningAttempt{gateway: g, call: &call, cancel: cancel}
+	call.excluded, call.sentTo = maps.Clone(f.excluded), maps.Clone(f.sentTo)
+	call.excluded[c.server.ID], call.sentTo[c.server.ID] = true, true
+	call.possibleRuns++
+	if f.takeover == nil {
+		call.attempts++
+	}
+	r := &runningAttempt{gateway: g, server: c.server.ID, callCtx: callCtx, cancel: cancel, call: &call, runs: call.possibleRuns, lastEventID: lastEventID}
+	r.silence = newSilenceTimer(r, firstTimeout, timeout)
+	return r
 }
 
-// handOver cancels the attempt for the given cause and takes the next one from the
-// retry budget. It does nothing if no sound server can take the call, or if less than
-// the share reserve of the budget would be left. It reports whether the attempt has
-// ended.
+// passOn reports whether an event of the server may be passed on. If it must not, the
+// attempt has ended. While a sound server is about to be left, it waits for the decision:
+// the next one resumes after the last event that was passed on.
+func (r *runningAttempt) passOn(e streamEvent) bool {
+	if r == nil {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.next; t != nil && errors.Is(t.cause, errStreamMoved) {
+		r.mu.Unlock()
+		<-t.decided
+		r.mu.Lock()
+	}
+	if r.ended {
+		return false
+	}
+	if e.hasData {
+		r.silence.reset()
+	}
+	if e.id != "" {
+		r.lastEventID = e.id
+	}
+	return true
+}
+
+// handOver makes an attempt at another server, and cancels this one once that server has
+// accepted the call. A silent server is also given up if the other one has not refused
+// within acceptTimeout. Nothing changes if no sound server can take the call, or if less
+// than the share reserve of the retry budget would be left. It reports whether this
+// attempt has ended.
 func (r *runningAttempt) handOver(cause error, reserve float64) bool {
-	g := r.gateway
+	t, ended := r.startTakeover(cause, reserve)
+	if t == nil {
+		return ended
+	}
+	defer close(t.decided)
+	timer := time.NewTimer(acceptTimeout)
+	defer timer.Stop()
+	silent := errors.Is(cause, errServerSilent)
+	refused := false
+	select {
+	case <-t.done:
+		refused = !t.accepted()
+	case <-timer.C:
+		refused = !silent
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.ended {
 		return true
 	}
-	if next, ok := g.chooseServer(r.call, r.call.service); !ok || next.LastResort || !g.retries.Take(r.call.service, g.now(), reserve) {
+	if refused || silent && !r.silence.expired() {
+		r.reject(t)
 		return false
 	}
 	r.ended = true
@@ -60,66 +165,81 @@
 	return true
 }
 
-// end makes handOver have no effect any more.
-func (r *runningAttempt) end() {
+// startTakeover makes an attempt at another server. It returns nil if none is made, and
+// then reports whether the running attempt has ended.
+func (r *runningAttempt) startTakeover(cause error, reserve float64) (t *takeover, ended bool) {
+	g := r.gateway
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.ended = true
-}
-
-// silenceRecheckPeriod is the interval at which a server is looked for that can take
-// over from a silent one.
-const silenceRecheckPeriod = 100 * time.Millisecond
-
-// silenceTimer hands an attempt over once its server has sent nothing for some time. A
-// nil silenceTimer does nothing.
-type silenceTimer struct {
-	attempt *runningAttempt
-	// timeout is the permitted silence after a reset.
-	timeout time.Duration
-
-	mu    sync.Mutex // guards the fields below
-	timer *time.Timer
-	// expiresAt is when the permitted silence ends.
-	expiresAt time.Time
+	if r.ended || r.next != nil || !r.call.canRetry() {
+		return nil, r.ended
+	}
+	c, ok := g.chooseServer(r.call, r.call.service)
+	if !ok || c.LastResort || !g.retries.Take(r.call.service, g.now(), reserve) {
+		return nil, false
+	}
+	t = &takeover{choice: c, cause: cause, done: make(chan struct{}), decided: make(chan struct{})}
+	t.ctx, t.cancel = context.WithCancel(r.callCtx)
+	a := g.newAttempt(r.call, c, r.lastEventID)
+	g.table.Begin(c.server.ID, c.UncachedTokens)
+	r.next = t
+	go func() {
+		defer close(t.done)
+		t.resp, t.err = g.serverClient.Send(t.ctx, a)
+	}()
+	return t, false
 }
 
-// newSilenceTimer returns a timer that expires after first, and then after timeout from
-// each reset. The caller must call stop.
-func newSilenceTimer(r *runningAttempt, first, timeout time.Duration) *silenceTimer {
-	s := &silenceTimer{attempt: r, timeout: timeout, expiresAt: time.Now().Add(first)}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.timer = time.AfterFunc(first, s.expire)
-	return s
+// reject gives up an attempt that was made to take the call over.
+func (r *runningAttempt) reject(t *takeover) {
+	g := r.gateway
+	r.next = nil
+	r.call.excluded[t.choice.server.ID] = true
+	mayHaveRun := true
+	select {
+	case <-t.done:
+		mayHaveRun = t.mayHaveRun()
+		g.recordAttempt(t.ctx, r.call, t.choice, t.resp, t.err)
+	default:
+	}
+	if mayHaveRun {
+		r.call.possibleRuns++
+	} else {
+		g.removeParts(r.call, t.choice)
+	}
+	event.HandoverFailed.Log(g.log, t.cause, log.Fields{
+		"request": r.call.call.ID, "server": r.server, "next": t.choice.server.ID, "last": r.lastEventID, "runs": r.call.possibleRuns,
+	})
+	g.endTakeover(t)
+	t.drop()
 }
 
-func (s *silenceTimer) expire() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if left := time.Until(s.expiresAt); left > 0 {
-		s.timer.Reset(left)
-	} else if !s.attempt.handOver(errServerSilent, startReserve) {
-		s.timer.Reset(silenceRecheckPeriod)
-	}
+// endTakeover removes the load of an attempt that was made to take a call over.
+func (g *Gateway) endTakeover(t *takeover) {
+	g.table.PromptRead(t.choice.server.ID, t.choice.UncachedTokens)
+	g.table.End(t.choice.server.ID)
 }
 
-func (s *silenceTimer) reset() {
-	if s == nil {
+// finish ends the attempt and adds to f what was done to take the call over. Unless the
+// call has ended, an attempt that was made becomes its next one.
+func (r *runningAttempt) finish(f *forwardedCall, callEnded bool) {
+	r.silence.stop()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
+	f.attempts = r.call.attempts
+	f.possibleRuns += r.call.possibleRuns - r.runs
+	maps.Copy(f.sentTo, r.call.sentTo)
+	maps.Copy(f.excluded, r.call.excluded)
+	t := r.next
+	if t == nil {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.expiresAt = time.Now().Add(s.timeout)
-	s.timer.Reset(s.timeout)
-}
-
-func (s *silenceTimer) stop() {
-	if s == nil {
+	r.next = nil
+	r.gateway.endTakeover(t)
+	if callEnded {
+		t.drop()
 		return
 	}
-	s.attempt.end()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.timer.Stop()
+	f.takeover = t
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -36,17 +36,17 @@
 }
 
 // tryWhole makes one attempt. It reports whether the caller got a response.
-func (g *Gateway) tryWhole(ctx context.Context, f *forwardedCall, c serverChoice) bool {
-	ctx, cancel := context.WithCancelCause(ctx)
+func (g *Gateway) tryWhole(callCtx context.Context, f *forwardedCall, c serverChoice) (answered bool) {
+	ctx, cancel := context.WithCancelCause(callCtx)
 	defer cancel(nil)
 	if f.route.Repeatable() && f.possibleRuns+1 < f.route.MaxAttempts {
 		timeout := max(minAttemptTimeout, min(f.route.LatencyGoal, (f.deadline-g.now())/2))
-		defer newSilenceTimer(g.newRunningAttempt(f, c, cancel), timeout, timeout).stop()
+		running := g.newRunningAttempt(callCtx, cancel, f, c, "", timeout, timeout)
+		defer func() { running.finish(f, answered) }()
 	}
 	g.table.Begin(c.server.ID, 0)
 	defer g.table.End(c.server.ID)
 	resp, err := g.send(ctx, f, c, "")
-	f.retryReserved = err != nil && isHandover(ctx)
 	if err != nil {
 		return false
 	}
@@ -57,7 +57,6 @@
 	body := &buffer{budget: g.buffers, limit: maxResponseBytes}
 	defer body.release()
 	if err := body.readAll(resp.Body); err != nil {
-		f.retryReserved = isHandover(ctx)
 		g.recordAttempt(ctx, f, c, nil, err)
 		return false
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -30,9 +30,8 @@
 	attempts int
 	// headerSent is set once the header of a response has been passed on.
 	headerSent bool
-	// retryReserved is set if the next attempt has already been taken from the
-	// retry budget.
-	retryReserved bool
+	// takeover is the next attempt if it has already been made, or nil.
+	takeover *takeover
 	// possibleRuns counts the servers on which the call may have run.
 	possibleRuns int
 	// chargedTokens is what the team was charged.
@@ -63,6 +62,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.deadline-g.now())
 	defer cancel()
+	defer f.dropTakeover()
 	if f.route.Kind == catalog.Stream {
 		g.serveStream(ctx, f)
 	} else {
@@ -74,6 +74,14 @@
 	g.recordOutcome(f)
 }
 
+// dropTakeover cancels an attempt that has been made, if the call ends without it.
+func (f *forwardedCall) dropTakeover() {
+	if f.takeover != nil {
+		f.takeover.drop()
+		f.takeover = nil
+	}
+}
+
 // refuse ends a call with a refusal of the gateway itself.
 func (g *Gateway) refuse(f *forwardedCall, r Refusal) {
 	f.outcome = string(r.Reason)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -25,6 +25,9 @@
 	*forwardedCall
 	// lastEventID is the ID of the last event passed on.
 	lastEventID string
+	// running is the attempt that is being made if another server may take the stream
+	// over, or nil.
+	running *runningAttempt
 }
 
 // serveStream serves a call whose response is a stream of events.
@@ -56,9 +59,9 @@
 
 // tryStream makes one attempt. It reports whether the caller got a response or has
 // left.
-func (g *Gateway) tryStream(ctx context.Context, st *streamState, c serverChoice) bool {
+func (g *Gateway) tryStream(callCtx context.Context, st *streamState, c serverChoice) (ended bool) {
 	f := st.forwardedCall
-	ctx, cancel := context.WithCancelCause(ctx)
+	ctx, cancel := context.WithCancelCause(callCtx)
 	defer cancel(nil)
 	pendingTokens := c.UncachedTokens
 	g.table.Begin(c.server.ID, pendingTokens)
@@ -67,15 +70,15 @@
 	defer promptRead()
 	sentAt := g.now()
 
-	var silence *silenceTimer
+	st.running = nil
 	if f.canRetry() && f.possibleRuns+1 < f.route.MaxAttempts {
-		attempt := g.newRunningAttempt(f, c, cancel)
-		silence = newSilenceTimer(attempt, max(minSilenceTimeout, latencyGoalFactor*f.route.LatencyGoal), max(minSilenceTimeout, eventGapGoalFactor*f.route.EventGapGoal))
-		defer silence.stop()
-		defer g.movableStreams.add(c.server.ID, attempt)()
+		running := g.newRunningAttempt(callCtx, cancel, f, c, st.lastEventID,
+			max(minSilenceTimeout, latencyGoalFactor*f.route.LatencyGoal), max(minSilenceTimeout, eventGapGoalFactor*f.route.EventGapGoal))
+		defer func() { running.finish(f, ended) }()
+		defer g.movableStreams.add(c.server.ID, running)()
+		st.running = running
 	}
 	resp, err := g.send(ctx, f, c, st.lastEventID)
-	f.retryReserved = err != nil && isHandover(ctx)
 	if err != nil {
 		g.removeParts(f, c)
 		return false
@@ -93,13 +96,11 @@
 			g.table.RecordPrefill(c.server.Service, c.UncachedTokens+c.pendingTokens, g.now()-sentAt)
 		}
 		promptRead()
-		silence.reset()
 		if f.firstByteAt == 0 {
 			f.firstByteAt = g.now()
 			g.markPartsReady(f, c)
 		}
 	})
-	f.retryReserved = err != nil && isHandover(ctx)
 	switch {
 	case errors.Is(err, errCallerLeft):
 		f.outcome = "caller left"
@@ -140,8 +141,13 @@
 	}
 }
 
-// errCallerLeft means that the caller has left.
-var errCallerLeft = errors.New("caller left")
+// Errors of streamState.copyEvents.
+var (
+	// errCallerLeft means that the caller has left.
+	errCallerLeft = errors.New("caller left")
+	// errHandedOver means that another server continues the stream.
+	errHandedOver = errors.New("another server continues the stream")
+)
 
 // copyEvents passes on the complete events of a response. It skips events that the
 // caller has from an earlier attempt. It calls onProgress for each new event with data;
@@ -163,6 +169,9 @@
 		if e.id != "" && !isNewerEvent(e.id, st.lastEventID) {
 			continue
 		}
+		if !st.running.passOn(e) {
+			return errHandedOver
+		}
 		if e.hasData {
 			onProgress()
 		}
