gateway: logs tell who ended a call and why an attempt was canceled

Event 507 now has the outcome "caller left" for them, the reason in "why" and the time since the last event; event 508 has the cause of the cancellation.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -169,6 +169,9 @@
 		if resp != nil {
 			fields["status"], fields["notrun"], fields["other"], fields["runs"] = resp.Status, resp.NotRun, resp.WrongServer, resp.Version
 		}
+		if cause := context.Cause(ctx); cause != nil {
+			fields["cause"] = cause.Error()
+		}
 		event.AttemptFailed.Log(g.log, err, fields)
 	}
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -78,6 +78,9 @@
 	if f.team != nil {
 		fields["team"] = f.team.Name
 	}
+	if f.lastEventAt > 0 {
+		fields["sincelast"] = (g.now() - f.lastEventAt).Milliseconds()
+	}
 	if f.firstByteAt > 0 {
 		fields["first"] = (f.firstByteAt - f.startedAt).Milliseconds()
 		g.metrics.observeDuration("first_us", f.firstByteAt-f.startedAt)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -80,12 +80,12 @@
 func (g *Gateway) sendResponse(f *forwardedCall, resp *Response, body []byte) {
 	f.status, f.firstByteAt, f.outcome = resp.Status, g.now(), outcomeAnswered
 	if err := f.writer.WriteHeader(resp.Status, resp.Header, int64(len(body))); err != nil {
-		f.outcome = "caller left"
+		f.outcome = outcomeCallerLeft
 		return
 	}
 	if len(body) > 0 {
 		if err := f.writer.Write(body); err != nil {
-			f.outcome = "caller left"
+			f.outcome = outcomeCallerLeft
 		}
 	}
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -47,6 +47,8 @@
 	lastChoice  serverChoice
 	status      int
 	firstByteAt time.Duration
+	// lastEventAt is when the last event of a stream came.
+	lastEventAt time.Duration
 }
 
 // Serve serves a call. It returns when the response is complete or the caller has
@@ -68,6 +70,9 @@
 	} else {
 		g.serveWhole(ctx, f)
 	}
+	if f.outcome != outcomeAnswered && f.detail == "" && ctx.Err() != nil {
+		f.detail = ctx.Err().Error()
+	}
 	if f.chargedTokens > 0 && f.possibleRuns == 0 {
 		g.quota.Refund(f.team.Name, f.chargedTokens)
 	}
@@ -86,8 +91,21 @@
 func (g *Gateway) refuse(f *forwardedCall, r Refusal) {
 	f.outcome = string(r.Reason)
 	if err := f.writer.Refuse(r); err != nil {
-		f.outcome = "caller left"
+		f.outcome = outcomeCallerLeft
+	}
+}
+
+// outcomeCallerLeft is the outcome of a call whose caller left before its response was
+// complete.
+const outcomeCallerLeft = "caller left"
+
+// endedBy returns the outcome of a call that was not answered: outcomeCallerLeft if its
+// caller left, otherwise the given one.
+func endedBy(ctx context.Context, otherwise string) string {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return outcomeCallerLeft
 	}
+	return otherwise
 }
 
 // refuseUnserved refuses a call that no attempt served.
@@ -103,4 +121,5 @@
 	default:
 		g.refuse(f, Refusal{Reason: ReasonBackendFailed})
 	}
+	f.outcome = endedBy(ctx, f.outcome)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -50,7 +50,7 @@
 		}
 	}
 	if st.headerSent {
-		f.outcome = "broken"
+		f.outcome = endedBy(ctx, "broken")
 		f.writer.Abort()
 		return
 	}
@@ -100,10 +100,11 @@
 			f.firstByteAt = g.now()
 			g.markPartsReady(f, c)
 		}
+		f.lastEventAt = g.now()
 	})
 	switch {
 	case errors.Is(err, errCallerLeft):
-		f.outcome = "caller left"
+		f.outcome = outcomeCallerLeft
 		return true
 	case err != nil && errors.Is(context.Cause(ctx), errStreamMoved):
 		f.excluded[c.server.ID] = true
