gateway: a stopping VM refuses calls that would be cut by its end

The client reused it 4.1 s after the signal, within the 10 ms between two looks at idle connections, and its request was cut 3.2 s later, when the process ended.

Cause: whatever the process had read was run, though the time left was shorter than the call might take.

Shorter calls are served.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -34,6 +34,10 @@
 	if f.call.Timeout > 0 {
 		f.deadline = min(f.deadline, f.startedAt+f.call.Timeout)
 	}
+	if end := time.Duration(g.servesUntil.Load()); end > 0 && f.deadline > end {
+		f.detail = "process ends before the deadline of the call"
+		return &Refusal{Reason: ReasonUnavailable, RetryAfter: defaultRetryAfter}
+	}
 	if f.service = pickService(f.route); f.service == "" {
 		return &Refusal{Reason: ReasonUnavailable, RetryAfter: defaultRetryAfter}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -122,7 +122,9 @@
 	movableStreams   movableStreams
 	buffers          *bufferBudget
 
-	draining      atomic.Bool
+	draining atomic.Bool
+	// servesUntil is when calls that still run are aborted, as a time since boot, or 0.
+	servesUntil   atomic.Int64
 	inFlight      atomic.Int64
 	cancel        context.CancelFunc
 	background    sync.WaitGroup
@@ -350,6 +352,10 @@
 	event.Draining.Log(g.log, nil, log.Fields{"calls": g.inFlight.Load()})
 }
 
+// ServeFor refuses from now on calls that may run for longer than the given time, after
+// which the process ends.
+func (g *Gateway) ServeFor(left time.Duration) { g.servesUntil.Store(int64(g.now() + left)) }
+
 // Close stops the background work, releases the lease for orders and removes the
 // VM from the store.
 func (g *Gateway) Close() {
