gateway: a process that was held up does not take its servers for silent

Their engines were sound.

Cause: after the pause every silence timer was overdue and ran before the process had read what the engines had sent meanwhile.

Evidence: TestProcessThatWasHeldUpDoesNotTakeItsServersForSilent failed before.

--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -173,3 +173,28 @@
 	want.WriteString("id: " + strconv.Itoa(last+1) + "\ndata: second\n\n")
 	require.Equal(t, want.String(), c.body.String())
 }
+
+func TestProcessThatWasHeldUpDoesNotTakeItsServersForSilent(t *testing.T) {
+	tests := []struct {
+		name     string
+		heldUp   time.Duration
+		attempts int
+	}{{"timer in time", 0, 1}, {"process held up", time.Second, 0}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g, a := newTestGateway(t, respondWith(func() *Response { return newResponse(200, eventStream("1")) }))
+			call := newCall("/resumable/", "isolated-key")
+			f := &forwardedCall{call: call, startedAt: g.now(), excluded: make(map[string]bool), sentTo: make(map[string]bool)}
+			require.Nil(t, g.admit(f))
+			c, ok := g.chooseServer(f, f.service)
+			require.True(t, ok)
+			ctx, cancel := context.WithCancelCause(context.Background())
+			r := g.newRunningAttempt(ctx, cancel, f, c, "", time.Minute, time.Minute)
+			defer r.finish(f, true)
+			due := time.Now().Add(-tt.heldUp)
+			r.silence.expiresAt, r.silence.dueAt = due, due
+			r.silence.run()
+			require.Len(t, a.sentAttempts(), tt.attempts)
+		})
+	}
+}
