gateway: a failure that a server reported is kept until another one answers

Callers saw: a 502 of the gateway in place of a server's own complete 500, when the attempt that followed the 500 failed or could not be made.

Change: the response is kept, within the budget of buffers, and passed on if no other server answers.

Evidence: two new rows of TestRetriesByRouteKind failed before.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -55,7 +55,7 @@
 		return false
 	}
 	body := &buffer{budget: g.buffers, limit: maxResponseBytes}
-	defer body.release()
+	defer f.releaseUnlessKept(body)
 	if err := body.readAll(resp.Body); err != nil {
 		g.recordAttempt(ctx, f, c, nil, err)
 		return false
@@ -64,6 +64,7 @@
 	if resp.Status >= http.StatusInternalServerError && f.canRetry() {
 		f.excluded[c.server.ID] = true
 		if next, ok := g.chooseServer(f, f.service); ok && next.server.ID != "" && g.hasTimeForAttempt(f) {
+			f.keepFailure(resp, body)
 			return false
 		}
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -30,6 +30,9 @@
 	attempts int
 	// headerSent is set once the header of a response has been passed on.
 	headerSent bool
+	// failure is a complete response that reports a failure, kept while another server is
+	// tried, or nil.
+	failure *failureResponse
 	// takeover is the next attempt if it has already been made, or nil.
 	takeover *takeover
 	// possibleRuns counts the servers on which the call may have run.
@@ -65,6 +68,7 @@
 	ctx, cancel := context.WithTimeout(ctx, f.deadline-g.now())
 	defer cancel()
 	defer f.dropTakeover()
+	defer f.dropFailure()
 	if f.route.Kind == catalog.Stream {
 		g.serveStream(ctx, f)
 	} else {
@@ -87,6 +91,32 @@
 	}
 }
 
+// failureResponse is a complete response that reports a failure of the call.
+type failureResponse struct {
+	*Response
+	body *buffer
+}
+
+// keepFailure keeps a response for the case that no other server answers.
+func (f *forwardedCall) keepFailure(resp *Response, body *buffer) {
+	f.dropFailure()
+	f.failure = &failureResponse{Response: resp, body: body}
+}
+
+// releaseUnlessKept releases a buffer that does not hold the failure that is kept.
+func (f *forwardedCall) releaseUnlessKept(b *buffer) {
+	if f.failure == nil || f.failure.body != b {
+		b.release()
+	}
+}
+
+func (f *forwardedCall) dropFailure() {
+	if f.failure != nil {
+		f.failure.body.release()
+		f.failure = nil
+	}
+}
+
 // refuse ends a call with a refusal of the gateway itself.
 func (g *Gateway) refuse(f *forwardedCall, r Refusal) {
 	f.outcome = string(r.Reason)
@@ -108,8 +138,13 @@
 	return otherwise
 }
 
-// refuseUnserved refuses a call that no attempt served.
+// refuseUnserved ends a call that no attempt served: with the failure that a server
+// reported, or else with a refusal.
 func (g *Gateway) refuseUnserved(ctx context.Context, f *forwardedCall) {
+	if f.failure != nil {
+		g.sendResponse(f, f.failure.Response, f.failure.body.bytes)
+		return
+	}
 	_, withdrawn := g.stillAuthorized(f)
 	switch {
 	case f.possibleRuns == 0 && withdrawn != nil:
--- a/internal/gateway/serve_test.go
+++ b/internal/gateway/serve_test.go
@@ -54,6 +54,8 @@
 		{"idempotent, truncated response", "/idempotent/", []any{truncatedResponse("par"), newResponse(200, "ok")}, 200, "", 2},
 		{"idempotent, status 500", "/idempotent/", []any{newResponse(500, "no"), newResponse(200, "ok")}, 200, "", 2},
 		{"idempotent, status 500 twice", "/idempotent/", []any{newResponse(500, "no"), newResponse(500, "no")}, 500, "", 2},
+		{"idempotent, status 500, then connection reset", "/idempotent/", []any{newResponse(500, "no"), errConnReset}, 500, "", 2},
+		{"resumable stream, status 500, then connection reset", "/resumable/", []any{newResponse(500, "no"), errConnReset}, 500, "", 2},
 		{"idempotent, connection reset twice", "/idempotent/", []any{errConnReset, errConnReset, newResponse(200, "ok")}, 0, ReasonBackendFailed, 2},
 		{"stream, connection reset", "/stream/", []any{errConnReset}, 0, ReasonBackendFailed, 1},
 		{"stream, not run", "/stream/", []any{notRunResponse(503), newResponse(200, "id: 1\ndata: x\n\n")}, 200, "", 2},
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -122,13 +122,18 @@
 // handleNonStream handles a response of an engine that is not a stream.
 func (g *Gateway) handleNonStream(ctx context.Context, st *streamState, c serverChoice, resp *Response) bool {
 	body := &buffer{budget: g.buffers, limit: maxResponseBytes}
-	defer body.release()
+	defer st.releaseUnlessKept(body)
 	if err := body.readAll(resp.Body); err != nil {
 		g.recordAttempt(ctx, st.forwardedCall, c, nil, err)
 		return false
 	}
-	if st.headerSent || (resp.Status >= http.StatusInternalServerError && st.canRetry()) {
+	if st.headerSent {
+		st.excluded[c.server.ID] = true
+		return false
+	}
+	if resp.Status >= http.StatusInternalServerError && st.canRetry() {
 		st.excluded[c.server.ID] = true
+		st.keepFailure(resp, body)
 		return false
 	}
 	g.sendResponse(st.forwardedCall, resp, body.bytes)
