A stream is continued only by a response of its type and encoding

What callers would have seen: a resumable stream breaks off, the next engine answers with status 200 and a JSON error, a page or an encoded body. Its text was passed on up to the last empty line, and the response ended as if it were complete.

Cause: only the status of the next response was looked at.

Evidence: TestErrorOfTheNextEngineIsNotPartOfTheStream over TCP. On the code before, "200 and JSON", "200 and events of another type" and "200 and an encoding" failed: no error at the end of the response. The rows with status 421, 429, 500 and 503, with and without "not run", with a response that is no HTTP and with none at all passed on the code before, too: these never reached the caller's stream.

Why it works: a response with another content type or encoding than the one that the caller has counts as a failed attempt. The call goes on elsewhere or its connection is cut.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -25,6 +27,8 @@
 	*forwardedCall
 	// lastEventID is the ID of the last event passed on.
 	lastEventID string
+	// firstHeader is the header of the response that has been passed on, or nil.
+	firstHeader http.Header
 }
 
 // serveStream serves a call whose response is a stream of events.
@@ -139,12 +143,29 @@
 // errCallerLeft means that the caller has left.
 var errCallerLeft = errors.New("caller left")
 
+// errNoContinuation means that a response does not continue the one that the caller has.
+var errNoContinuation = errors.New("response does not continue the stream")
+
+// isContinuation reports whether a response has the content type and encoding of the one
+// that has been passed on.
+func (st *streamState) isContinuation(resp *Response) bool {
+	if resp.Header.Get("Content-Encoding") != st.firstHeader.Get("Content-Encoding") {
+		return false
+	}
+	first, _, _ := strings.Cut(st.firstHeader.Get("Content-Type"), ";")
+	next, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(first), strings.TrimSpace(next))
+}
+
 // copyEvents passes on the complete events of a response. It skips events that the
 // caller has from an earlier attempt. It calls onProgress for each new event with data;
 // comments and repeated events show no progress of the call.
 func (st *streamState) copyEvents(resp *Response, budget *bufferBudget, onProgress func()) error {
 	events := newEventReader(resp.Body, budget)
 	defer events.release()
+	if st.headerSent && !st.isContinuation(resp) {
+		return fmt.Errorf("%w: content type %q, encoding %q", errNoContinuation, resp.Header.Get("Content-Type"), resp.Header.Get("Content-Encoding"))
+	}
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -178,7 +199,7 @@
 	if st.headerSent {
 		return nil
 	}
-	st.headerSent = true
+	st.headerSent, st.firstHeader = true, resp.Header
 	length := resp.ContentLength
 	if st.route.Resumable {
 		// The length of the response changes if the stream is resumed.
