A byte order mark hides no event id

What callers would have seen: a stream that begins with a byte order mark breaks off after its first event; the first event came twice, with the mark in the middle of the stream.

Cause: the mark was read as part of the first field's name, so the id of the first event was not known, and the stream was resumed from its start.

Evidence: TestByteOrderMarkDoesNotRepeatEvents. On the code before, the caller got event 1 twice, the second time after another mark.

Why it works: the mark is skipped where the first line is decoded and is not passed on from a response that continues another one.

--- a/internal/gateway/event_reader.go
+++ b/internal/gateway/event_reader.go
@@ -28,8 +28,13 @@
 type eventReader struct {
 	stream  *bufio.Reader
 	current buffer
+	// begun is set once the first line has been read.
+	begun bool
 }
 
+// byteOrderMark may precede the first event of a stream.
+var byteOrderMark = []byte("\ufeff")
+
 func newEventReader(stream io.Reader, budget *bufferBudget) *eventReader {
 	return &eventReader{stream: bufio.NewReaderSize(stream, eventBufferBytes), current: buffer{budget: budget, limit: maxEventBytes}}
 }
@@ -59,6 +64,9 @@
 			return e, err
 		}
 		line := bytes.TrimRight(r.current.bytes[lineStart:], "\r\n")
+		if !r.begun {
+			line, r.begun = bytes.TrimPrefix(line, byteOrderMark), true
+		}
 		lineStart = len(r.current.bytes)
 		if len(line) == 0 {
 			e.raw = r.current.bytes
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -183,6 +184,9 @@
 		if e.hasData {
 			onProgress()
 		}
+		if st.headerSent {
+			e.raw = bytes.TrimPrefix(e.raw, byteOrderMark)
+		}
 		if err := st.writeHeader(resp); err != nil {
 			return err
 		}
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -36,6 +36,16 @@
 	require.Equal(t, "2", a.sentAttempts()[1].LastEventID)
 }
 
+func TestByteOrderMarkDoesNotRepeatEvents(t *testing.T) {
+	for _, next := range []string{eventStream("1", "2"), eventStream("2")} {
+		g, a := newTestGateway(t, respondWith(truncatedResponse("\ufeff"+eventStream("1")), newResponse(200, "\ufeff"+next)))
+		c := serveCall(t, g, "/resumable/", "key")
+		require.False(t, c.aborted)
+		require.Equal(t, "\ufeff"+eventStream("1", "2"), c.body.String())
+		require.Equal(t, "1", a.sentAttempts()[1].LastEventID)
+	}
+}
+
 func TestTruncatedStreamIsAborted(t *testing.T) {
 	g, a := newTestGateway(t, respondWith(truncatedResponse(eventStream("1"))))
 	c := serveCall(t, g, "/stream/", "key")
