A line that is no field ends a stream as broken

What callers would have seen: the head of a refusal, an error text or JSON in the middle or at the end of their stream, and a response that looked complete. It came from the next engine (status 200, the type of a stream, and text in place of events) or from the same connection: an engine wrote an earlier refusal once more behind a stream that has neither a length nor chunks, or within a stream that has.

Cause: whatever ended with an empty line was passed on as an event.

Why it works: a line must be a comment, one of the four fields of the format, or a name of letters, digits, '-', '_' and '.' with a colon. A status line, JSON, a page and prose have none of these forms.

FuzzEventReader allows the new error, for which it checks that the events before it are the beginning of the stream.

Not told apart: a header alone in the place of a field ("Not-Run: 1"), which has the form of an unknown field, and text within a line that has begun.

--- a/internal/gateway/event_reader.go
+++ b/internal/gateway/event_reader.go
@@ -39,11 +39,14 @@
 	return &eventReader{stream: bufio.NewReaderSize(stream, eventBufferBytes), current: buffer{budget: budget, limit: maxEventBytes}}
 }
 
+// errNoEvent means that a stream contains something else than events.
+var errNoEvent = errors.New("stream contains a line that is no field of an event")
+
 func (r *eventReader) release() { r.current.release() }
 
 // next reads up to and including the empty line that ends an event. At the end of the
 // stream it returns io.EOF, or io.ErrUnexpectedEOF after an incomplete event, together
-// with what was read.
+// with what was read. It returns errNoEvent if a line is neither a field nor a comment.
 func (r *eventReader) next() (streamEvent, error) {
 	r.current.reset()
 	var e streamEvent
@@ -72,10 +75,40 @@
 			e.raw = r.current.bytes
 			return e, nil
 		}
+		if !isField(line) {
+			return e, errNoEvent
+		}
 		e.addLine(line)
 	}
 }
 
+// isField reports whether a line has the form of a field or comment. Responses and error
+// texts that follow a stream on its connection do not.
+func isField(line []byte) bool {
+	name, _, hasValue := bytes.Cut(line, []byte(":"))
+	if !hasValue {
+		switch string(name) {
+		case "data", "event", "id", "retry":
+			return true
+		}
+		return false
+	}
+	for _, c := range name {
+		if !isFieldNameByte(c) {
+			return false
+		}
+	}
+	return true
+}
+
+func isFieldNameByte(c byte) bool {
+	switch {
+	case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9':
+		return true
+	}
+	return c == '-' || c == '_' || c == '.'
+}
+
 func (e *streamEvent) addLine(line []byte) {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	switch string(name) {
--- a/internal/gateway/event_reader_test.go
+++ b/internal/gateway/event_reader_test.go
@@ -33,6 +33,42 @@
 	}
 }
 
+func TestLinesOfEvents(t *testing.T) {
+	tests := []struct {
+		line string
+		want bool
+	}{
+		{"data: x", true},
+		{"data:", true},
+		{"data", true},
+		{": comment", true},
+		{":", true},
+		{"retry: 5", true},
+		{"event: error", true},
+		{"weight-versions: 3", true},
+		{"x_other.field: y", true},
+		{"HTTP/1.1 503 Service Unavailable", false},
+		{"HTTP/1.1 503 Busy: try again", false},
+		{"overloaded", false},
+		{"{\"error\": 1}", false},
+		{"<p>Error: 1</p>", false},
+		{" data: x", false},
+		{"\x00: y", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.line, func(t *testing.T) {
+			r := newEventReader(strings.NewReader("id: 1\n"+tt.line+"\n\n"), newBufferBudget(0))
+			e, err := r.next()
+			if tt.want {
+				require.NoError(t, err)
+				return
+			}
+			require.ErrorIs(t, err, errNoEvent)
+			require.Empty(t, e.raw)
+		})
+	}
+}
+
 // endlessReader repeats a text without end and counts what was read.
 type endlessReader struct {
 	text string
@@ -116,6 +152,7 @@
 	f.Add("id: 7\ndata: x\n\nid: 8")
 	f.Add(": comment\r\n\r\n")
 	f.Add("\n\ndata")
+	f.Add("id: 7\n\nHTTP/1.1 503 Service Unavailable\r\n\r\n")
 	f.Fuzz(func(t *testing.T, stream string) {
 		budget := newBufferBudget(0)
 		r := newEventReader(strings.NewReader(stream), budget)
@@ -125,6 +162,12 @@
 			e, err := r.next()
 			got.Write(e.raw)
 			if err != nil {
+				if errors.Is(err, errNoEvent) {
+					if !strings.HasPrefix(stream, got.String()) {
+						t.Fatalf("events %q of stream %q", got.String(), stream)
+					}
+					return
+				}
 				if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, upstream.ErrTooLarge) {
 					t.Fatal(err)
 				}
