An answer that ends with its connection needs an event to be a whole stream

What callers would have seen: status 200 and a stream without any event that looked complete, or a stream that broke off after some events and ended as if it were complete, because the next engine sent a head and nothing else.

Cause: the end of the connection was taken for the end of the stream where the response has neither a length nor chunks, also if the engine failed right after its head.

Evidence, over TCP: TestStreamWithoutAnEventIsNotComplete and two rows of TestErrorOfTheNextEngineIsNotPartOfTheStream failed with the check taken out.

Why it works: such a response counts as broken off unless it brought an event with data that the caller did not have. With a length or chunks an empty stream is the engine's own statement that nothing follows, and stays one: an engine that is asked to go on after the last event says so.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -167,8 +167,13 @@
 	if st.headerSent && !st.isContinuation(resp) {
 		return fmt.Errorf("%w: content type %q, encoding %q", errNoContinuation, resp.Header.Get("Content-Type"), resp.Header.Get("Content-Encoding"))
 	}
+	progressed := false
 	for {
 		e, err := events.next()
+		if errors.Is(err, io.EOF) && resp.EndsWithConn && !progressed {
+			// A server that fails after the head closes its connection, too.
+			return io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
 			if !st.headerSent {
 				return st.writeHeader(resp)
@@ -182,6 +187,7 @@
 			continue
 		}
 		if e.hasData {
+			progressed = true
 			onProgress()
 		}
 		if st.headerSent {
