A stream is not resumed past an event without an id

What callers would have seen: events twice in a resumed stream. Where events have no id, or the last one has none, the next engine was asked to go on after an older event, or to begin anew.

Why it works: once an event with data and no id has been passed on, a break cuts the response, and a silent or reloading engine is not left, since the stream could not go on elsewhere. A later event with an id makes the stream resumable again. A response that continues a stream must send ids, since its events could not be told from those that the caller has.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,6 +28,9 @@
 	*forwardedCall
 	// lastEventID is the ID of the last event passed on.
 	lastEventID string
+	// unnumbered is set if an event with data but no ID was passed on after it: the
+	// stream cannot be resumed without repeating that event.
+	unnumbered bool
 	// firstHeader is the header of the response that has been passed on, or nil.
 	firstHeader http.Header
 }
@@ -44,7 +47,7 @@
 		if g.tryStream(ctx, st, c) {
 			return
 		}
-		if f.possibleRuns > 0 && !f.canRetry() {
+		if (f.possibleRuns > 0 && !f.canRetry()) || st.unnumbered {
 			break
 		}
 		if ok, _ := g.stillAuthorized(f); !ok {
@@ -74,8 +77,10 @@
 
 	silence := g.startSilenceTimer(f, cancel)
 	defer silence.stop()
+	removeMovable := func() {}
 	if f.canRetry() && f.possibleRuns+1 < f.route.MaxAttempts {
-		defer g.movableStreams.add(c.server.ID, &movableStream{service: f.service, cancel: cancel})()
+		removeMovable = g.movableStreams.add(c.server.ID, &movableStream{service: f.service, cancel: cancel})
+		defer removeMovable()
 	}
 	resp, err := g.send(ctx, f, c, st.lastEventID)
 	if err != nil {
@@ -96,6 +101,10 @@
 		}
 		promptRead()
 		silence.reset()
+		if st.unnumbered {
+			silence.stop()
+			removeMovable()
+		}
 		if f.firstByteAt == 0 {
 			f.firstByteAt = g.now()
 			g.markPartsReady(f, c)
@@ -167,7 +176,7 @@
 	if st.headerSent && !st.isContinuation(resp) {
 		return fmt.Errorf("%w: content type %q, encoding %q", errNoContinuation, resp.Header.Get("Content-Type"), resp.Header.Get("Content-Encoding"))
 	}
-	progressed := false
+	continued, progressed := st.headerSent, false
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) && resp.EndsWithConn && !progressed {
@@ -187,7 +196,10 @@
 			continue
 		}
 		if e.hasData {
-			progressed = true
+			if continued && e.id == "" {
+				return fmt.Errorf("%w: event without ID", errNoContinuation)
+			}
+			progressed, st.unnumbered = true, e.id == ""
 			onProgress()
 		}
 		if st.headerSent {
@@ -200,7 +212,7 @@
 			return errCallerLeft
 		}
 		if e.id != "" {
-			st.lastEventID = e.id
+			st.lastEventID, st.unnumbered = e.id, false
 		}
 	}
 }
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -46,6 +46,53 @@
 	}
 }
 
+func TestEventsWithoutIDAreNotRepeated(t *testing.T) {
+	const unnumbered = "data: x\n\n"
+	tests := []struct {
+		name, first, next string
+		// want is what the caller gets before the response is cut.
+		want     string
+		attempts int
+	}{
+		{"no event has an id", unnumbered + unnumbered, unnumbered + unnumbered + unnumbered, unnumbered + unnumbered, 1},
+		{"the last event has no id", eventStream("1") + unnumbered, eventStream("2"), eventStream("1") + unnumbered, 1},
+		{"the next engine sends none", eventStream("1"), "data: x1\n\n" + eventStream("2"), eventStream("1"), 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g, a := newTestGateway(t, respondWith(truncatedResponse(tt.first), newResponse(200, tt.next)))
+			c := serveCall(t, g, "/resumable/", "key")
+			require.True(t, c.aborted)
+			require.Equal(t, tt.want, c.body.String())
+			require.Len(t, a.sentAttempts(), tt.attempts)
+		})
+	}
+}
+
+func TestStreamThatCannotResumeStaysOnASilentEngine(t *testing.T) {
+	for _, reload := range []bool{false, true} {
+		var g *Gateway
+		g, a := newTestGateway(t, func(ctx context.Context, _ int, a *Attempt) (*Response, error) {
+			r, w := io.Pipe()
+			context.AfterFunc(ctx, func() { _ = w.CloseWithError(ctx.Err()) })
+			go func() {
+				_, _ = io.WriteString(w, "data: x\n\n")
+				if reload {
+					g.beginReload(a.Server.ID, 0, "m", 2)
+				}
+				time.Sleep(minSilenceTimeout + 200*time.Millisecond)
+				_, _ = io.WriteString(w, "data: y\n\n")
+				_ = w.Close()
+			}()
+			return &Response{Status: http.StatusOK, Header: http.Header{}, ContentLength: -1, Body: r}, nil
+		})
+		c := serveCall(t, g, "/resumable/", "isolated-key")
+		require.False(t, c.aborted)
+		require.Equal(t, "data: x\n\ndata: y\n\n", c.body.String())
+		require.Len(t, a.sentAttempts(), 1)
+	}
+}
+
 func TestTruncatedStreamIsAborted(t *testing.T) {
 	g, a := newTestGateway(t, respondWith(truncatedResponse(eventStream("1"))))
 	c := serveCall(t, g, "/stream/", "key")
