A repeated event whose id is no number is skipped

What callers would have seen: the last event before a break twice, if its id is no number and the next engine begins with it.

Evidence: row "no numbers" of TestRepeatedEventIsSkipped failed on the code before. Rows with numbers and with carriage returns passed on it.

Why it works: equal ids are the same event, whatever they consist of. An older event with such an id still cannot be recognized.

--- a/internal/gateway/event_reader.go
+++ b/internal/gateway/event_reader.go
@@ -120,14 +120,14 @@
 }
 
 // isNewerEvent reports whether an event follows the one with the last ID. IDs are
-// numbers; events with other IDs always count as newer.
+// numbers; events with other IDs count as newer unless they repeat the last one.
 func isNewerEvent(id, lastID string) bool {
 	if lastID == "" {
 		return true
 	}
 	a, err := strconv.ParseInt(id, 10, 64)
 	if err != nil {
-		return true
+		return id != lastID
 	}
 	b, err := strconv.ParseInt(lastID, 10, 64)
 	if err != nil {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -93,6 +93,23 @@
 	}
 }
 
+func TestRepeatedEventIsSkipped(t *testing.T) {
+	tests := []struct{ name, first, next, want string }{
+		{"numbers", eventStream("1", "2"), eventStream("1", "2", "3"), eventStream("1", "2", "3")},
+		{"numbers of several digits", eventStream("9", "10"), eventStream("10", "11"), eventStream("9", "10", "11")},
+		{"no numbers", eventStream("a", "b"), eventStream("b", "c"), eventStream("a", "b", "c")},
+		{"carriage returns", "id: 1\r\ndata: x\r\n\r\n", "id: 1\r\ndata: x\r\n\r\n" + eventStream("2"), "id: 1\r\ndata: x\r\n\r\n" + eventStream("2")},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g, _ := newTestGateway(t, respondWith(truncatedResponse(tt.first), newResponse(200, tt.next)))
+			c := serveCall(t, g, "/resumable/", "key")
+			require.False(t, c.aborted)
+			require.Equal(t, tt.want, c.body.String())
+		})
+	}
+}
+
 func TestTruncatedStreamIsAborted(t *testing.T) {
 	g, a := newTestGateway(t, respondWith(truncatedResponse(eventStream("1"))))
 	c := serveCall(t, g, "/stream/", "key")
