No promise that an engine did not make is passed on

What callers would have seen: a call that must run once was answered 408, 429 or 503, which promises that it has not run and never will, though its engine had not stated so and may have run it. The caller tries again, and the call runs twice.

Cause: such a response was passed on like any other.

Why it works: on routes whose calls must not run twice, the caller gets 502 without the engine's headers, which promises nothing. Routes that may be repeated pass the response on as before.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -75,6 +75,9 @@
 	EndsWithConn bool
 	// NotRun is set if the server states that the call did not and will not run.
 	NotRun bool
+	// ReadAsNotRun is set if callers would read NotRun from the status, though the server
+	// does not state it.
+	ReadAsNotRun bool
 	// WrongServer is set if another server than the addressed one responded.
 	WrongServer bool
 	// Version is the version of the model that the server runs, or 0.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -81,8 +81,13 @@
 	return context.WithTimeoutCause(ctx, max(minAttemptTimeout, min(f.route.LatencyGoal, left/2)), errServerSilent)
 }
 
-// sendResponse passes a complete response on to the caller.
+// sendResponse passes a complete response on to the caller, unless the caller would read
+// from it that a call did not run which must not run twice and may have run.
 func (g *Gateway) sendResponse(f *forwardedCall, resp *Response, body []byte) {
+	if resp.ReadAsNotRun && !f.route.Repeatable() {
+		g.refuse(f, Refusal{Reason: ReasonBackendFailed})
+		return
+	}
 	f.status, f.firstByteAt, f.outcome = resp.Status, g.now(), outcomeAnswered
 	if err := f.writer.WriteHeader(resp.Status, resp.Header, int64(len(body))); err != nil {
 		f.outcome = "caller left"
