router: each service call has a connection of its own

What callers would have seen: the answer to another caller's service call. A backend server wrote an answer once more on a connection that carried another call by then; on routes whose calls may be repeated, that copy was passed on.

Cause: these calls used pooled connections, and the answers of services need not carry an id. Calls that run at most once have had connections of their own before.

Evidence, over TCP: TestCopyOfAnAnswerIsNotTakenForThatOfTheNextServiceCall failed on the code before: the second call got the first one's answer.

Why it works: a connection that carries one call carries no copy of another answer. The price is a connection for each call, as on at-most-once routes; it was not measured. Answers of engines carry an id, which is checked, and keep their pooled connections.

--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -90,7 +90,7 @@
 			break
 		}
 		resp := fasthttp.AcquireResponse()
-		err := c.send(ctx, c.r.clients.hostClient(server.Address), server, resp)
+		err := c.sendRepeatable(ctx, server, resp)
 		if err == nil {
 			c.respond(resp)
 			fasthttp.ReleaseResponse(resp)
@@ -117,6 +117,17 @@
 	return e
 }
 
+// sendRepeatable makes a call that may run more than once to one backend server. Its
+// response has no ID, and on a used connection it could be a copy of an earlier one.
+func (c *serviceCall) sendRepeatable(ctx context.Context, server config.Server, resp *fasthttp.Response) error {
+	client, err := c.r.clients.singleUse(server.Address)
+	if err != nil {
+		return err
+	}
+	defer client.CloseIdleConnections()
+	return c.send(ctx, client, server, resp)
+}
+
 // send makes the call to one backend server.
 func (c *serviceCall) send(ctx context.Context, client *fasthttp.HostClient, server config.Server, resp *fasthttp.Response) error {
 	from := &c.ctx.Request
