router: control requests have connections of their own

What would have been seen: an engine wrote an answer once more on a pooled connection, and the next control request took it for its own. An order counted as accepted after the copy of a report or of a model's answer; a report was read from the copy of something else.

Evidence, over TCP: TestCopyOfAnAnswerIsNotTakenForThatOfAControlCall failed on the code before: the report was a copy of the model call's answer.

Why it works: answers to control requests carry no id, so each request has a connection of its own. The price of these connections was not measured.

--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -166,8 +166,14 @@
 	ordersPath = "/v1/orders"
 )
 
-// exchange makes a control request to an engine and returns the response body.
+// exchange makes a control request to an engine and returns the response body. The
+// response has no ID, so the request has a connection of its own.
 func (c *clients) exchange(e config.Engine, method, path string, body []byte, timeout time.Duration) ([]byte, error) {
+	client, err := c.singleUse(e.Address)
+	if err != nil {
+		return nil, err
+	}
+	defer client.CloseIdleConnections()
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -175,7 +181,7 @@
 	req.SetRequestURI("http://" + e.Address + path)
 	c.authorize(req, e.Name)
 	req.SetBodyRaw(body)
-	if err := c.hostClient(e.Address).DoTimeout(req, resp, timeout); err != nil {
+	if err := client.DoTimeout(req, resp, timeout); err != nil {
 		return nil, fmt.Errorf("router: engine %s: %w", e.Name, err)
 	}
 	if resp.StatusCode() >= fasthttp.StatusMultipleChoices {
--- a/internal/router/copies_test.go
+++ b/internal/router/copies_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/marjoramrock/marjoramrock/internal/answer"
 	"github.com/marjoramrock/marjoramrock/internal/config"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
@@ -69,3 +70,21 @@
 		fasthttp.ReleaseResponse(resp)
 	}
 }
+
+func TestCopyOfAnAnswerIsNotTakenForThatOfAControlCall(t *testing.T) {
+	clients := newClients(nil)
+	e := config.Engine{Name: "e", Address: startCopyingServer(t)}
+	for range 3 {
+		req := fasthttp.AcquireRequest()
+		req.SetRequestURI("http://" + e.Address + pathChatCompletions)
+		req.Header.Set(answer.HeaderRequestID, "id")
+		resp, err := clients.call(e.Address, req, false, time.Now().Add(time.Second), nil)
+		require.NoError(t, err)
+		fasthttp.ReleaseResponse(resp)
+		for _, path := range []string{loadPath, ordersPath} {
+			raw, err := clients.exchange(e, fasthttp.MethodPost, path, nil, time.Second)
+			require.NoError(t, err)
+			require.Equal(t, strconv.Quote(path), string(raw))
+		}
+	}
+}
