--- a/internal/gateway/serve_test.go
+++ b/internal/gateway/serve_test.go
@@ -129,6 +129,27 @@
 	require.Empty(t, g.quota.Totals())
 }
 
+func TestChargeStandsIfCallMayHaveRun(t *testing.T) {
+	tests := []struct {
+		path   string
+		status int
+		reason Reason
+	}{{"/stream/", 0, ReasonBackendFailed}, {"/resumable/", 503, ""}}
+	for _, tt := range tests {
+		g, _ := newTestGateway(t, respondWith(func() *Response {
+			resp := newResponse(503, "")
+			resp.ReadAsNotRun = true
+			return resp
+		}))
+		c := serveCall(t, g, tt.path, "key")
+		require.Equal(t, tt.status, c.status)
+		if tt.reason != "" {
+			require.Equal(t, tt.reason, c.refusal.Reason)
+		}
+		require.NotEmpty(t, g.quota.Totals(), tt.path)
+	}
+}
+
 func TestCallsOverRateAreRefused(t *testing.T) {
 	g, a := newTestGateway(t, respondWith(func() *Response { return newResponse(200, "id: 1\n\n") }))
 	refused := 0
