The connection of a broken stream is closed

What would have been seen: an engine sent something else than events within a response that has a length or chunks. Once read to its end, the response counted as complete, and its connection went back to the pool; the next attempt could be written to it, and failed where the engine had closed it.

Evidence: found by TestResponseAfterAStreamIsNotPartOfIt, which failed in 1 of 25 runs under the race detector ("refusal within a chunk", "refusal within a stream with a length": connection reset by peer on the second attempt; both engines have one address there). TestConnectionOfABrokenStreamIsNotUsedAgain failed on the code before at once. With the change, 20 runs of the stream tests passed.

Why it works: a failed attempt is canceled before its response is closed, so that the pool closes the connection.

The stream tests use goals of a second: on a machine that pauses, an engine counted as silent after 0.6 s, and the next engine's answer came first (row 429, once in 25 runs; seen again with pauses of 0.8 s).

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -120,6 +120,8 @@
 		return false
 	case err != nil:
 		g.recordAttempt(ctx, f, c, nil, err)
+		// The connection must not be used again, even if the response was read to its end.
+		cancel(err)
 		return false
 	}
 	g.recordSuccess(c.server)
