--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -64,6 +64,14 @@
 	return g.retries.Take(f.service, g.now(), reserve)
 }
 
+// attemptContext returns the context of the next attempt, which may have been made.
+func (f *forwardedCall) attemptContext(callCtx context.Context) (context.Context, context.CancelCauseFunc) {
+	if f.takeover != nil {
+		return f.takeover.ctx, f.takeover.cancel
+	}
+	return context.WithCancelCause(callCtx)
+}
+
 // send makes one attempt, or waits for the response if it has been made. It counts it in
 // possibleRuns if the call may have run.
 func (g *Gateway) send(ctx context.Context, f *forwardedCall, c serverChoice, lastEventID string) (*Response, error) {
@@ -71,7 +79,6 @@
 	var err error
 	if t := f.takeover; t != nil {
 		f.takeover, f.lastChoice = nil, c
-		context.AfterFunc(ctx, t.cancel)
 		<-t.done
 		resp, err = t.resp, t.err
 	} else {
@@ -82,6 +89,9 @@
 	case err != nil:
 		f.possibleRuns++
 	case resp.NotRun || resp.WrongServer:
+		if !f.route.Repeatable() {
+			g.refused.add(f.call.ID)
+		}
 	default:
 		f.possibleRuns++
 	}
@@ -101,7 +111,7 @@
 	if !f.route.Repeatable() {
 		a.MaxConnIdle = atMostOnceMaxConnIdle
 	}
-	a.NewConn = f.sentTo[c.server.ID]
+	a.NewConn = f.sentTo[c.server.ID] || f.refusedBefore
 	f.sentTo[c.server.ID] = true
 	if c.StoreReachable && c.cacheSalt != "" && g.needsSaving(f, c.cacheSalt) {
 		a.SaveTo = f.kvStore.Address
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -56,8 +56,8 @@
 	// MaxConnIdle bounds how long a reused connection may have been idle; zero means
 	// no bound.
 	MaxConnIdle time.Duration
-	// NewConn is set if the server has had an attempt of this call before, whose
-	// response may arrive a second time on the connection that carried it.
+	// NewConn is set if the server may have had an attempt with this call's ID before,
+	// whose response may arrive a second time on a connection in use.
 	NewConn bool
 	// Permit must be called right before the attempt is written, which it then allows or
 	// not.
@@ -70,8 +70,14 @@
 	Header http.Header
 	// ContentLength is the size of the body in bytes, or -1 if it is not known.
 	ContentLength int64
+	// EndsWithConn is set if the body has neither a length nor chunks and ends with its
+	// connection.
+	EndsWithConn bool
 	// NotRun is set if the server states that the call did not and will not run.
 	NotRun bool
+	// ReadAsNotRun is set if callers would read NotRun from the status, though the server
+	// does not state it.
+	ReadAsNotRun bool
 	// WrongServer is set if another server than the addressed one responded.
 	WrongServer bool
 	// Version is the version of the model that the server runs, or 0.
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -31,7 +31,7 @@
 	choice serverChoice
 	// ctx is that of the attempt.
 	ctx    context.Context
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	// cause is why the other attempt is to be left.
 	cause error
 	// resp and err are set before done is closed.
@@ -57,7 +57,7 @@
 
 // drop cancels the attempt and closes its response.
 func (t *takeover) drop() {
-	t.cancel()
+	t.cancel(nil)
 	go func() {
 		<-t.done
 		if t.resp != nil {
@@ -83,6 +83,8 @@
 	// runs is call.possibleRuns before any attempt to take the call over.
 	runs        int
 	lastEventID string
+	// unnumbered is set if an event with data but no ID was passed on after it.
+	unnumbered bool
 	// next is the attempt to take the call over that is being made, or nil.
 	next  *takeover
 	ended bool
@@ -123,6 +125,7 @@
 	}
 	if e.hasData {
 		r.silence.reset()
+		r.unnumbered = e.id == ""
 	}
 	if e.id != "" {
 		r.lastEventID = e.id
@@ -171,7 +174,7 @@
 	g := r.gateway
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ended || r.next != nil || !r.call.canRetry() {
+	if r.ended || r.next != nil || r.unnumbered || !r.call.canRetry() {
 		return nil, r.ended
 	}
 	c, ok := g.chooseServer(r.call, r.call.service)
@@ -179,7 +182,7 @@
 		return nil, false
 	}
 	t = &takeover{choice: c, cause: cause, done: make(chan struct{}), decided: make(chan struct{})}
-	t.ctx, t.cancel = context.WithCancel(r.callCtx)
+	t.ctx, t.cancel = context.WithCancelCause(r.callCtx)
 	a := g.newAttempt(r.call, c, r.lastEventID)
 	g.table.Begin(c.server.ID, c.UncachedTokens)
 	r.next = t
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -37,7 +37,7 @@
 
 // tryWhole makes one attempt. It reports whether the caller got a response.
 func (g *Gateway) tryWhole(callCtx context.Context, f *forwardedCall, c serverChoice) (answered bool) {
-	ctx, cancel := context.WithCancelCause(callCtx)
+	ctx, cancel := f.attemptContext(callCtx)
 	defer cancel(nil)
 	if f.route.Repeatable() && f.possibleRuns+1 < f.route.MaxAttempts {
 		timeout := max(minAttemptTimeout, min(f.route.LatencyGoal, (f.deadline-g.now())/2))
@@ -77,8 +77,13 @@
 	return f.deadline-g.now() > minAttemptTimeout
 }
 
-// sendResponse passes a complete response on to the caller.
+// sendResponse passes a complete response on to the caller, unless the caller would read
+// from it that a call did not run which must not run twice and may have run.
 func (g *Gateway) sendResponse(f *forwardedCall, resp *Response, body []byte) {
+	if resp.ReadAsNotRun && !f.route.Repeatable() {
+		g.refuse(f, Refusal{Reason: ReasonBackendFailed})
+		return
+	}
 	f.status, f.firstByteAt, f.outcome = resp.Status, g.now(), outcomeAnswered
 	if err := f.writer.WriteHeader(resp.Status, resp.Header, int64(len(body))); err != nil {
 		f.outcome = outcomeCallerLeft
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -28,6 +31,11 @@
 	// running is the attempt that is being made if another server may take the stream
 	// over, or nil.
 	running *runningAttempt
+	// unnumbered is set if an event with data but no ID was passed on after it: the
+	// stream cannot be resumed without repeating that event.
+	unnumbered bool
+	// firstHeader is the header of the response that has been passed on, or nil.
+	firstHeader http.Header
 }
 
 // serveStream serves a call whose response is a stream of events.
@@ -42,7 +50,7 @@
 		if g.tryStream(ctx, st, c) {
 			return
 		}
-		if f.possibleRuns > 0 && !f.canRetry() {
+		if (f.possibleRuns > 0 && !f.canRetry()) || st.unnumbered {
 			break
 		}
 		if ok, _ := g.stillAuthorized(f); !ok {
@@ -61,7 +69,7 @@
 // left.
 func (g *Gateway) tryStream(callCtx context.Context, st *streamState, c serverChoice) (ended bool) {
 	f := st.forwardedCall
-	ctx, cancel := context.WithCancelCause(callCtx)
+	ctx, cancel := f.attemptContext(callCtx)
 	defer cancel(nil)
 	pendingTokens := c.UncachedTokens
 	g.table.Begin(c.server.ID, pendingTokens)
@@ -112,6 +120,8 @@
 		return false
 	case err != nil:
 		g.recordAttempt(ctx, f, c, nil, err)
+		// The connection must not be used again, even if the response was read to its end.
+		cancel(err)
 		return false
 	}
 	g.recordSuccess(c.server)
@@ -155,14 +165,36 @@
 	errHandedOver = errors.New("another server continues the stream")
 )
 
+// errNoContinuation means that a response does not continue the one that the caller has.
+var errNoContinuation = errors.New("response does not continue the stream")
+
+// isContinuation reports whether a response has the content type and encoding of the one
+// that has been passed on.
+func (st *streamState) isContinuation(resp *Response) bool {
+	if resp.Header.Get("Content-Encoding") != st.firstHeader.Get("Content-Encoding") {
+		return false
+	}
+	first, _, _ := strings.Cut(st.firstHeader.Get("Content-Type"), ";")
+	next, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(first), strings.TrimSpace(next))
+}
+
 // copyEvents passes on the complete events of a response. It skips events that the
 // caller has from an earlier attempt. It calls onProgress for each new event with data;
 // comments and repeated events show no progress of the call.
 func (st *streamState) copyEvents(resp *Response, budget *bufferBudget, onProgress func()) error {
 	events := newEventReader(resp.Body, budget)
 	defer events.release()
+	if st.headerSent && !st.isContinuation(resp) {
+		return fmt.Errorf("%w: content type %q, encoding %q", errNoContinuation, resp.Header.Get("Content-Type"), resp.Header.Get("Content-Encoding"))
+	}
+	continued, progressed := st.headerSent, false
 	for {
 		e, err := events.next()
+		if errors.Is(err, io.EOF) && resp.EndsWithConn && !progressed {
+			// A server that fails after the head closes its connection, too.
+			return io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
 			if !st.headerSent {
 				return st.writeHeader(resp)
@@ -179,8 +211,15 @@
 			return errHandedOver
 		}
 		if e.hasData {
+			if continued && e.id == "" {
+				return fmt.Errorf("%w: event without ID", errNoContinuation)
+			}
+			progressed, st.unnumbered = true, e.id == ""
 			onProgress()
 		}
+		if st.headerSent {
+			e.raw = bytes.TrimPrefix(e.raw, byteOrderMark)
+		}
 		if err := st.writeHeader(resp); err != nil {
 			return err
 		}
@@ -188,7 +227,7 @@
 			return errCallerLeft
 		}
 		if e.id != "" {
-			st.lastEventID = e.id
+			st.lastEventID, st.unnumbered = e.id, false
 		}
 	}
 }
@@ -197,7 +236,7 @@
 	if st.headerSent {
 		return nil
 	}
-	st.headerSent = true
+	st.headerSent, st.firstHeader = true, resp.Header
 	length := resp.ContentLength
 	if st.route.Resumable {
 		// The length of the response changes if the stream is resumed.
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -36,6 +36,80 @@
 	require.Equal(t, "2", a.sentAttempts()[1].LastEventID)
 }
 
+func TestByteOrderMarkDoesNotRepeatEvents(t *testing.T) {
+	for _, next := range []string{eventStream("1", "2"), eventStream("2")} {
+		g, a := newTestGateway(t, respondWith(truncatedResponse("\ufeff"+eventStream("1")), newResponse(200, "\ufeff"+next)))
+		c := serveCall(t, g, "/resumable/", "key")
+		require.False(t, c.aborted)
+		require.Equal(t, "\ufeff"+eventStream("1", "2"), c.body.String())
+		require.Equal(t, "1", a.sentAttempts()[1].LastEventID)
+	}
+}
+
+func TestEventsWithoutIDAreNotRepeated(t *testing.T) {
+	const unnumbered = "data: x\n\n"
+	tests := []struct {
+		name, first, next string
+		// want is what the caller gets before the response is cut.
+		want     string
+		attempts int
+	}{
+		{"no event has an id", unnumbered + unnumbered, unnumbered + unnumbered + unnumbered, unnumbered + unnumbered, 1},
+		{"the last event has no id", eventStream("1") + unnumbered, eventStream("2"), eventStream("1") + unnumbered, 1},
+		{"the next engine sends none", eventStream("1"), "data: x1\n\n" + eventStream("2"), eventStream("1"), 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g, a := newTestGateway(t, respondWith(truncatedResponse(tt.first), newResponse(200, tt.next)))
+			c := serveCall(t, g, "/resumable/", "key")
+			require.True(t, c.aborted)
+			require.Equal(t, tt.want, c.body.String())
+			require.Len(t, a.sentAttempts(), tt.attempts)
+		})
+	}
+}
+
+func TestStreamThatCannotResumeStaysOnASilentEngine(t *testing.T) {
+	for _, reload := range []bool{false, true} {
+		var g *Gateway
+		g, a := newTestGateway(t, func(ctx context.Context, _ int, a *Attempt) (*Response, error) {
+			r, w := io.Pipe()
+			context.AfterFunc(ctx, func() { _ = w.CloseWithError(ctx.Err()) })
+			go func() {
+				_, _ = io.WriteString(w, "data: x\n\n")
+				if reload {
+					g.beginReload(a.Server.ID, 0, "m", 2)
+				}
+				time.Sleep(minSilenceTimeout + 200*time.Millisecond)
+				_, _ = io.WriteString(w, "data: y\n\n")
+				_ = w.Close()
+			}()
+			return &Response{Status: http.StatusOK, Header: http.Header{}, ContentLength: -1, Body: r}, nil
+		})
+		c := serveCall(t, g, "/resumable/", "isolated-key")
+		require.False(t, c.aborted)
+		require.Equal(t, "data: x\n\ndata: y\n\n", c.body.String())
+		require.Len(t, a.sentAttempts(), 1)
+	}
+}
+
+func TestRepeatedEventIsSkipped(t *testing.T) {
+	tests := []struct{ name, first, next, want string }{
+		{"numbers", eventStream("1", "2"), eventStream("1", "2", "3"), eventStream("1", "2", "3")},
+		{"numbers of several digits", eventStream("9", "10"), eventStream("10", "11"), eventStream("9", "10", "11")},
+		{"no numbers", eventStream("a", "b"), eventStream("b", "c"), eventStream("a", "b", "c")},
+		{"carriage returns", "id: 1\r\ndata: x\r\n\r\n", "id: 1\r\ndata: x\r\n\r\n" + eventStream("2"), "id: 1\r\ndata: x\r\n\r\n" + eventStream("2")},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g, _ := newTestGateway(t, respondWith(truncatedResponse(tt.first), newResponse(200, tt.next)))
+			c := serveCall(t, g, "/resumable/", "key")
+			require.False(t, c.aborted)
+			require.Equal(t, tt.want, c.body.String())
+		})
+	}
+}
+
 func TestTruncatedStreamIsAborted(t *testing.T) {
 	g, a := newTestGateway(t, respondWith(truncatedResponse(eventStream("1"))))
 	c := serveCall(t, g, "/stream/", "key")
