Follow later changes of a row whose version is beyond its page

What callers would see: of a row with a version greater than that of the response that held it, no later change was applied until the process ended, so that a server that had left stayed in use. The VM that reads for its zone answered every call of the others at once with the same row: they asked again without a pause.

Cause: rows were stored with the version that they came with, and compared with the cursor, which follows the page.

Evidence: TestRowVersionBeyondItsPageIsNotServedAgainAndAgain failed before, on the second serving and on the later change.

A row's version is now at most that of its page. A row that changes while a table is read in several pages is applied once more when the change arrives, to the same effect.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -189,11 +189,11 @@
 	seen := make(map[string]bool, len(page.Rows))
 	for _, r := range page.Rows {
 		seen[r.Key] = true
-		f.applyRow(r)
+		f.applyRow(r, page.Version)
 	}
 	for _, key := range f.replica.liveKeys() {
 		if !seen[key] {
-			f.applyRow(Row{Key: key, Version: page.Version, Removed: true, Lapsed: true})
+			f.applyRow(Row{Key: key, Version: page.Version, Removed: true, Lapsed: true}, page.Version)
 		}
 	}
 	f.complete = true
@@ -207,7 +207,7 @@
 		return
 	}
 	for _, r := range page.Rows {
-		f.applyRow(r)
+		f.applyRow(r, page.Version)
 	}
 	f.advance(page.Version, askedAt, fromStore)
 }
@@ -217,7 +217,10 @@
 	f.options.OnConfirmed(askedAt)
 }
 
-func (f *Follower) applyRow(r Row) {
+// applyRow applies a row of a page. A version beyond that of the page would hide all
+// later changes of the row, and other VMs would be sent the row again and again.
+func (f *Follower) applyRow(r Row, pageVersion int64) {
+	r.Version = min(r.Version, pageVersion)
 	if r.Removed && f.hadOutage && f.options.Now()-f.recoveredAt < lapseWindow {
 		r.Lapsed = true
 	}
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"testing"
 	"time"
 
@@ -290,3 +291,23 @@
 	require.NoError(t, err)
 	require.Len(t, page.Rows, 1)
 }
+
+func TestRowVersionBeyondItsPageIsNotServedAgainAndAgain(t *testing.T) {
+	now := 10 * time.Second
+	newest := row("a", math.MaxInt64, "odd")
+	store := &scriptedSource{t: t, steps: []response{
+		{all: true, page: Page{Rows: []Row{newest, row("b", 2, "good")}, Version: 5}},
+		{page: Page{Rows: []Row{row("a", 6, "good")}, Version: 6}},
+	}}
+	var got []string
+	f := New(Options{
+		Source: store, LongPollWait: time.Second, Now: func() time.Duration { return now }, OnRow: func(r Row) { got = append(got, string(r.Value)) },
+		OnLapsed: func(string) {}, OnConfirmed: func(time.Duration) {}, Log: &log.Logger{Handler: discard.New()},
+	})
+	require.NoError(t, f.step(context.Background()))
+	page, err := f.Serve(context.Background(), false, 5, 0)
+	require.NoError(t, err)
+	require.Empty(t, page.Rows, "a VM at the version of the page has the row")
+	require.NoError(t, f.step(context.Background()))
+	require.Equal(t, []string{"odd", "good", "good"}, got, "a later change of the row must be applied")
+}
