Reject a peer message with a number that no VM sends

What callers would see: after a message that gave a failure count near the largest int for a backend server, calls that failed on that server lost their connection without an answer: "panic serving: negative shift amount" in RecordFailure.

Cause: numbers from other VMs were used as they came.

The cases of TestBytesThatAreNoMessageAreRejected (nesting, sizes, text that is no UTF-8) held before: the CBOR decoder bounds them.

decode now checks each number against a bound under which sums and products of it cannot overflow. The message as a whole is dropped and logged as any other invalid message.

--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -1,7 +1,9 @@
 package gossip
 
 import (
+	"bytes"
 	"fmt"
+	"math"
 	"net"
 	"sync"
 	"testing"
@@ -188,6 +190,80 @@
 	}
 }
 
+func TestMessageWithANumberOutOfRangeIsRejected(t *testing.T) {
+	sender := func(m Message) Message { m.VM, m.Address = "a", "1.2.3.4:5"; return m }
+	tests := []struct {
+		name  string
+		m     Message
+		valid bool
+	}{
+		{"all numbers in range", Message{
+			Usage: map[string]float64{"t": 1e9}, Loads: map[string]Load{"e": {Calls: 3, PendingTokens: maxCount}}, Parts: []Part{{Tokens: 800, ReadyInMillis: -5}},
+			Failed: []Failure{{Failures: 2, BackoffMillis: 4000}}, Members: []Member{{Usage: map[string]float64{"t": 0}}},
+		}, true},
+		{"usage that is no number", Message{Usage: map[string]float64{"t": math.NaN()}}, false},
+		{"infinite usage", Message{Usage: map[string]float64{"t": math.Inf(1)}}, false},
+		{"usage of a member", Message{Members: []Member{{Usage: map[string]float64{"t": math.Inf(-1)}}}}, false},
+		{"negative calls", Message{Loads: map[string]Load{"e": {Calls: -1}}}, false},
+		{"pending tokens", Message{Loads: map[string]Load{"e": {PendingTokens: math.MaxInt}}}, false},
+		{"failures", Message{Failed: []Failure{{Failures: math.MaxInt}}}, false},
+		{"negative backoff", Message{Failed: []Failure{{BackoffMillis: -1}}}, false},
+		{"backoff", Message{Failed: []Failure{{BackoffMillis: math.MaxInt64}}}, false},
+		{"tokens of a part", Message{Parts: []Part{{Tokens: math.MaxInt}}}, false},
+		{"negative tokens of a part", Message{Parts: []Part{{Tokens: math.MinInt}}}, false},
+		{"readiness of a part", Message{Parts: []Part{{ReadyInMillis: math.MaxInt64}}}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := sender(tt.m)
+			raw, err := encode(&m)
+			require.NoError(t, err)
+			_, err = decode(raw)
+			if tt.valid {
+				require.NoError(t, err)
+				return
+			}
+			require.ErrorIs(t, err, errOutOfRange)
+		})
+	}
+}
+
+func TestBytesThatAreNoMessageAreRejected(t *testing.T) {
+	valid, err := encode(&Message{VM: "a", Address: "1.2.3.4:5"})
+	require.NoError(t, err)
+	// withField is the valid message with one more field: an array of 2^20 levels, in a
+	// field that is known or not.
+	withField := func(key byte) []byte {
+		raw := append([]byte{valid[0] + 1}, valid[1:]...)
+		return append(append(append(raw, key), bytes.Repeat([]byte{0x81}, 1<<20)...), 0x01)
+	}
+	tests := []struct {
+		name string
+		raw  []byte
+	}{
+		{"nothing", nil},
+		{"null", []byte{0xf6}},
+		{"nested arrays", bytes.Repeat([]byte{0x81}, 1<<20)},
+		{"nested maps", bytes.Repeat([]byte{0xa1, 0x01}, 1<<20)},
+		{"nested tags", bytes.Repeat([]byte{0xc1}, 1<<20)},
+		{"nested arrays without a length", bytes.Repeat([]byte{0x9f}, 1<<20)},
+		{"nested in a known field", withField(0x08)},
+		{"nested in an unknown field", withField(0x17)},
+		{"array of 2^60 elements", []byte{0x9b, 0x10, 0, 0, 0, 0, 0, 0, 0}},
+		{"text of 2^60 bytes", []byte{0x7b, 0x10, 0, 0, 0, 0, 0, 0, 0}},
+		{"text that is no UTF-8", []byte{0xa2, 0x01, 0x61, 0xff, 0x03, 0x61, 'x'}},
+		{"number for a name", []byte{0xa2, 0x01, 0x05, 0x03, 0x61, 'x'}},
+		{"negative epoch", []byte{0xa3, 0x01, 0x61, 'a', 0x03, 0x61, 'x', 0x04, 0x20}},
+		{"more after the message", append(append([]byte(nil), valid...), 0x01)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := decode(tt.raw)
+			require.Error(t, err)
+		})
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	raw, err := encode(&Message{VM: "a", Address: "1.2.3.4:5", Usage: map[string]float64{"t": 1}})
 	require.NoError(f, err)
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -1,7 +1,9 @@
 package gossip
 
 import (
+	"errors"
 	"fmt"
+	"math"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -138,5 +140,55 @@
 	if m.VM == "" || m.Address == "" {
 		return nil, fmt.Errorf("gossip: message lacks the VM name or address of its sender")
 	}
+	if err := m.checkNumbers(); err != nil {
+		return nil, fmt.Errorf("gossip: decode: %w", err)
+	}
 	return m, nil
 }
+
+const (
+	// maxCount bounds the counts of calls, failures and tokens in a message. Sums and
+	// products of such counts fit an int64.
+	maxCount = 1 << 40
+	// maxUsage bounds the tokens charged since a process started: sums up to it are exact.
+	maxUsage = 1 << 53
+	// maxMillis bounds the times in a message, in milliseconds; no VM knows of anything
+	// that is a day ahead.
+	maxMillis = 24 * 60 * 60 * 1000
+)
+
+var errOutOfRange = errors.New("number out of range")
+
+// checkNumbers returns an error if the message has a number that no VM sends: what
+// receivers compute with it may overflow.
+func (m *Message) checkNumbers() error {
+	usages := []map[string]float64{m.Usage}
+	for _, x := range m.Members {
+		usages = append(usages, x.Usage)
+	}
+	for _, usage := range usages {
+		for team, n := range usage {
+			if math.IsNaN(n) || math.Abs(n) > maxUsage {
+				return fmt.Errorf("%w: usage of %q", errOutOfRange, team)
+			}
+		}
+	}
+	for id, l := range m.Loads {
+		if !isCount(l.Calls) || !isCount(l.PendingTokens) {
+			return fmt.Errorf("%w: load on %q", errOutOfRange, id)
+		}
+	}
+	for _, x := range m.Failed {
+		if !isCount(x.Failures) || x.BackoffMillis < 0 || x.BackoffMillis > maxMillis {
+			return fmt.Errorf("%w: failures of %q", errOutOfRange, x.Server.ID)
+		}
+	}
+	for _, x := range m.Parts {
+		if !isCount(x.Tokens) || x.ReadyInMillis < -maxMillis || x.ReadyInMillis > maxMillis {
+			return fmt.Errorf("%w: part on %q", errOutOfRange, x.Engine)
+		}
+	}
+	return nil
+}
+
+func isCount(n int) bool { return n >= 0 && n <= maxCount }
