Replace a lease record that no holder can have written

What callers would see: with an end far in the future in the record of the lease for engine orders, no VM ordered an engine to load new weights ever again. A record without fields, or with a fencing token at an end of the range, was taken over at once, and the token went back to 1 or overflowed, so that engines that check it refuse the orders.

Cause: any JSON object counted as a grant.

A grant must now name a holder, have a token that the record's writes account for, and end within one TTL of the store's time. Any other is replaced as an undecodable one is: it is free one TTL and the handover delay after it was first seen, with the version of the record as the last token.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -52,6 +52,12 @@
 	Until int64 `json:"until"`
 }
 
+// plausible reports whether a holder can have written the grant: each new fencing token
+// takes a write of the record, and no lease lasts longer than ttl from its record on.
+func (g grant) plausible(rec Record, ttl time.Duration) bool {
+	return g.Holder != "" && g.Fence > 0 && g.Fence <= rec.Version && g.Until >= 0 && g.Until <= (rec.Now+ttl).Milliseconds()
+}
+
 // Lease is one VM's view of the lease on a role. It is safe for concurrent use.
 type Lease struct {
 	store  Store
@@ -69,7 +75,7 @@
 	version int64
 	// nextAttempt is the earliest time for another attempt to acquire the lease.
 	nextAttempt time.Duration
-	// unreadableVersion is the version of a record that could not be decoded,
+	// unreadableVersion is the version of a record that substituteGrant has replaced,
 	// first seen at unreadableSince in the store's time.
 	unreadableVersion int64
 	unreadableSince   time.Duration
@@ -127,7 +133,7 @@
 	}
 	var g grant
 	if rec.Version != 0 {
-		if err := json.Unmarshal(rec.Value, &g); err != nil {
+		if err := json.Unmarshal(rec.Value, &g); err != nil || !g.plausible(rec, l.timing.TTL) {
 			g = l.substituteGrant(rec)
 		}
 	}
@@ -162,7 +168,8 @@
 	return nil
 }
 
-// substituteGrant returns a grant to use in place of a record that cannot be decoded.
+// substituteGrant returns a grant to use in place of a record that cannot be decoded or
+// that no holder can have written.
 // The lease of the record's writer ends no later than one TTL after the record was
 // first seen, and its fencing token is below the version of the record.
 func (l *Lease) substituteGrant(rec Record) grant {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -198,3 +199,26 @@
 	fence, _ := a.Held()
 	require.Equal(t, int64(8), fence)
 }
+
+func TestRecordThatNoHolderWroteExpires(t *testing.T) {
+	tests := []string{
+		"null", "{}", `[]`, `"a"`, `{"holder":"z","fence":1,"until":9223372036854775807}`, `{"holder":"z","fence":1,"until":9000000000000}`,
+		`{"holder":"z","fence":1,"until":9223372036854775808}`, `{"holder":"z","fence":1,"until":-1}`, `{"holder":"z","fence":9223372036854775807,"until":1000}`,
+		`{"holder":"z","fence":-9223372036854775808,"until":1000}`, `{"holder":"a","fence":9223372036854775807,"until":1000}`, `{"holder":"","fence":1,"until":1000}`,
+		`{"holder":"z","fence":8,"until":1000}`, `{"holder":5,"fence":1,"until":1000}`, `{"holder":"z","fence":1.5,"until":1e400}`,
+		strings.Repeat("[", 30000),
+	}
+	for _, value := range tests {
+		t.Run(value[:min(len(value), 70)], func(t *testing.T) {
+			store := &fakeStore{rec: Record{Value: []byte(value), Version: 7}}
+			a := newLease(store, "a")
+			require.False(t, acquireOrRenew(t, a), "the writer may hold the lease")
+			store.advance(timing.TTL + timing.HandoverDelay)
+			require.True(t, acquireOrRenew(t, a))
+			fence, _ := a.Held()
+			require.Equal(t, int64(8), fence, "above all tokens that were granted before")
+			store.advance(time.Second)
+			require.True(t, acquireOrRenew(t, a))
+		})
+	}
+}
