Join although the record of model versions cannot be read

What callers would see: with bytes in the record of target versions that cannot be decoded, a VM that started never registered itself nor read the list of VMs, and no VM wrote the times of new versions any more.

Cause: joining requires the record, and one entry of another type made all of it unreadable. Save read it first and failed as well.

Entries are decoded one by one, and those that cannot be used are left out. The error says so: the gateway logs it and goes on, and Save replaces the record.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -308,7 +309,9 @@
 	defer cancel()
 	if err := g.history.Load(ctx); err != nil {
 		event.VersionHistoryFailed.Log(g.log, err, log.Fields{"step": "load"})
-		return err
+		if !errors.Is(err, weights.ErrInvalidHistory) {
+			return err
+		}
 	}
 	if err := g.adapter.Store().Join(ctx, g.settings.VM, g.settings.PeerAddress); err != nil {
 		event.VMListFailed.Log(g.log, err, log.Fields{"step": "join"})
--- a/internal/weights/history.go
+++ b/internal/weights/history.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -19,6 +20,13 @@
 // times at which they became known.
 const historyRecordName = "named"
 
+// maxStoreMillis bounds times of the store, before and after its origin, in milliseconds.
+const maxStoreMillis = int64(100 * 365 * 24 * time.Hour / time.Millisecond)
+
+// ErrInvalidHistory means that the stored record has entries that cannot be decoded or
+// used.
+var ErrInvalidHistory = errors.New("weights: invalid version history")
+
 // versionRecord is one target version in the stored record. At is when it became
 // known, in the store's time, in milliseconds.
 type versionRecord struct {
@@ -46,7 +54,8 @@
 	return &History{store: store, catalog: c, now: now, saved: make(map[string]int64)}
 }
 
-// Load merges the stored record into the catalog.
+// Load merges the stored record into the catalog. If some or all of it is invalid, it
+// merges the rest and returns ErrInvalidHistory.
 func (h *History) Load(ctx context.Context) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -64,19 +73,30 @@
 	if rec.Version == 0 {
 		return rec, nil
 	}
-	var list []versionRecord
+	var list []json.RawMessage
 	if err := json.Unmarshal(rec.Value, &list); err != nil {
-		return rec, fmt.Errorf("weights: version history: %w", err)
+		return rec, fmt.Errorf("%w: %w", ErrInvalidHistory, err)
 	}
 	now := h.now()
-	for _, r := range list {
-		h.catalog.MergeTargetVersion(r.Model, r.Version, now-(rec.Now-time.Duration(r.At)*time.Millisecond))
+	var invalid error
+	for _, raw := range list {
+		var r versionRecord
+		if err := json.Unmarshal(raw, &r); err != nil {
+			invalid = fmt.Errorf("%w: %w", ErrInvalidHistory, err)
+			continue
+		}
+		if r.Model == "" || r.Version < 1 || r.At < -maxStoreMillis || r.At > maxStoreMillis {
+			invalid = fmt.Errorf("%w: version %d of model %q at %d ms", ErrInvalidHistory, r.Version, r.Model, r.At)
+			continue
+		}
+		h.catalog.MergeTargetVersion(r.Model, r.Version, min(now, now-(rec.Now-time.Duration(r.At)*time.Millisecond)))
 		h.saved[r.Model] = max(h.saved[r.Model], r.Version)
 	}
-	return rec, nil
+	return rec, invalid
 }
 
-// Save updates the stored record if it lacks the target version of a model.
+// Save updates the stored record if it lacks the target version of a model. It replaces
+// an invalid record and then returns ErrInvalidHistory.
 func (h *History) Save(ctx context.Context) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -87,9 +107,9 @@
 	if !outdated {
 		return nil
 	}
-	rec, err := h.read(ctx)
-	if err != nil {
-		return err
+	rec, readErr := h.read(ctx)
+	if readErr != nil && !errors.Is(readErr, ErrInvalidHistory) {
+		return readErr
 	}
 	now := h.now()
 	var list []versionRecord
@@ -110,5 +130,5 @@
 	for _, r := range list {
 		h.saved[r.Model] = max(h.saved[r.Model], r.Version)
 	}
-	return nil
+	return readErr
 }
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -345,3 +346,48 @@
 	require.True(t, ok)
 	require.Equal(t, later-11*time.Second, since)
 }
+
+func TestOddHistoryRecordIsReplaced(t *testing.T) {
+	const now, storeNow = 500 * time.Second, 100 * time.Second
+	tests := []struct{ name, value string }{
+		{"no JSON", "\xff"},
+		{"another type", `{"model":"m"}`},
+		{"nested", strings.Repeat("[", 30000)},
+		{"version beyond the type", `[{"model":"m","version":1e400,"at":1}]`},
+		{"time beyond the type", `[{"model":"m","version":1,"at":9223372036854775808}]`},
+		{"fields of another type", `[{"model":5,"version":"1","at":{}}]`},
+		{"negative version", `[{"model":"m","version":-1,"at":1}]`},
+		{"no fields", `[{}]`},
+		{"null", `null`},
+		{"entries that are null", `[null]`},
+		{"time that overflows", `[{"model":"m","version":1,"at":-9223372036854775808}]`},
+		{"an odd entry beside a good one", `[{"model":"m","version":1e400,"at":1},{"model":"m","version":1,"at":50000}]`},
+		{"time in the future", `[{"model":"m","version":1,"at":9000000000000}]`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			store := &fakeStore{rec: lease.Record{Value: []byte(tt.value), Version: 1, Now: storeNow}}
+			tracker := catalog.NewTracker()
+			history := NewHistory(store, tracker, func() time.Duration { return now })
+			if err := history.Load(t.Context()); err != nil {
+				require.ErrorIs(t, err, ErrInvalidHistory)
+			}
+			for _, list := range tracker.TargetVersionHistory() {
+				for _, target := range list {
+					require.Positive(t, target.Version)
+					require.LessOrEqual(t, target.LearnedAt, now)
+				}
+			}
+			tracker.SetTargetVersion("m", 2, now)
+			if err := history.Save(t.Context()); err != nil {
+				require.ErrorIs(t, err, ErrInvalidHistory)
+			}
+			require.NoError(t, history.Save(t.Context()))
+			next := catalog.NewTracker()
+			require.NoError(t, NewHistory(store, next, func() time.Duration { return now }).Load(t.Context()))
+			target, ok := next.TargetVersion("m")
+			require.True(t, ok)
+			require.Equal(t, int64(2), target.Version)
+		})
+	}
+}
