Log an entry that cannot be decoded once

What callers would see: nothing; operators lose other lines. An odd entry that its writer goes on to change gave a line for each change that was read, up to five a second on each VM.

Cause: each change of the row was logged.

Evidence: TestEntryThatIsRewrittenDoesNotFillTheLog failed before (10 lines for 10 changes).

The gateway remembers which rows cannot be decoded, and logs one again only after it was readable or gone in between.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,10 +109,13 @@
 	// VM that polls the store for this zone.
 	declarations *feed.Follower
 	serverList   *feed.Follower
-	orderLease   *lease.Lease
-	orderer      *weights.Updater
-	history      *weights.History
-	outbox       outbox
+	// invalidServers holds the IDs of the rows of the server list that cannot be decoded.
+	// Only the follower of the list uses it.
+	invalidServers map[string]bool
+	orderLease     *lease.Lease
+	orderer        *weights.Updater
+	history        *weights.History
+	outbox         outbox
 	// gossipRound counts the calls of sendUpdates.
 	gossipRound int
 	zoneUsage   zoneUsage
@@ -135,7 +138,7 @@
 	g := &Gateway{
 		settings: s, log: logger.WithField("vm", s.VM), clock: timer.NewSystemClock(), adapter: a, serverClient: a,
 		metrics: newGatewayMetrics(), catalog: catalog.NewTracker(), table: backend.NewTable(), parts: parts.NewDirectory(),
-		quota: quota.NewEstimator(s.FirstStart), buffers: newBufferBudget(s.MemoryLimitMB),
+		quota: quota.NewEstimator(s.FirstStart), buffers: newBufferBudget(s.MemoryLimitMB), invalidServers: make(map[string]bool),
 	}
 	g.retries = quota.NewRetryBudget(s.Bounds.RetryRatio*retryBudgetShare, time.Duration(s.Bounds.RetryWindow), func() float64 {
 		return s.Bounds.RetryAllowance * retryBudgetShare / float64(g.node.MemberCount()+1)
@@ -251,18 +254,24 @@
 	}
 }
 
-// applyServer applies a row of the list of backend servers.
+// applyServer applies a row of the list of backend servers. It logs a row that cannot be
+// decoded once, although its writer may go on to change it.
 func (g *Gateway) applyServer(r feed.Row) {
 	if r.Removed {
+		delete(g.invalidServers, r.Key)
 		g.removeServer(r.Key)
 		return
 	}
 	s, err := g.adapter.DecodeServer(r.Key, r.Value)
 	if err != nil {
-		event.ServerInvalid.Log(g.log, err, log.Fields{"server": r.Key, "version": r.Version})
+		if !g.invalidServers[r.Key] {
+			event.ServerInvalid.Log(g.log, err, log.Fields{"server": r.Key, "version": r.Version})
+		}
+		g.invalidServers[r.Key] = true
 		g.removeServer(r.Key)
 		return
 	}
+	delete(g.invalidServers, r.Key)
 	if g.table.Put(s) {
 		g.parts.RemoveHolder(s.ID)
 		event.ServerListed.Log(g.log, nil, log.Fields{
@@ -280,7 +289,10 @@
 
 // markServerMissing keeps a server that a read of the whole list lacks in use for
 // missingServerGrace.
-func (g *Gateway) markServerMissing(id string) { g.table.MarkMissing(id, g.now()) }
+func (g *Gateway) markServerMissing(id string) {
+	delete(g.invalidServers, id)
+	g.table.MarkMissing(id, g.now())
+}
 
 func (g *Gateway) cleanUp(ctx context.Context) {
 	g.watchKVStores(ctx)
