Cut the text of a long error in the log

What callers would see: nothing; operators lose other lines. An entry with a state, an address or a number of 64 KB, as another writer may leave it, was quoted in whole in a line, and so was a peer message of 60 KB.

Cause: errors quote what could not be decoded, and lines had no bound.

The text of an error is cut at 1 KiB. Other fields stay whole: the state dump is one.

--- a/internal/event/writer.go
+++ b/internal/event/writer.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"io"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,12 @@
 // maxQueuedLines bounds the log lines that wait to be written.
 const maxQueuedLines = 2048
 
+// errorField is the field in which the log package stores an error.
+const errorField = "error"
+
+// maxErrorBytes bounds the text of an error in a line.
+const maxErrorBytes = 1 << 10
+
 // Writer is a log handler that writes JSON lines without blocking its caller: if
 // the queue is full, it drops the line and counts it.
 type Writer struct {
@@ -56,6 +63,15 @@
 	return lw
 }
 
+// cutText returns the first maxErrorBytes of a text, which may quote what another system
+// sent.
+func cutText(s string) string {
+	if len(s) <= maxErrorBytes {
+		return s
+	}
+	return strings.ToValidUTF8(s[:maxErrorBytes], "") + "..."
+}
+
 // HandleLog implements log.Handler.
 func (w *Writer) HandleLog(e *log.Entry) error {
 	fields := make(map[string]any, len(e.Fields)+3)
@@ -63,6 +79,9 @@
 		if err, ok := v.(error); ok {
 			v = err.Error()
 		}
+		if text, ok := v.(string); ok && k == errorField {
+			v = cutText(text)
+		}
 		fields[k] = v
 	}
 	fields["time"], fields["level"], fields["message"] = e.Timestamp.Format(time.RFC3339Nano), e.Level.String(), e.Message
