Read the VM list although one of its entries cannot be decoded

What callers would see: after one entry of another type in the platform's list, the routers of the OpenAI-style entry kept the list that they had read last: they did not learn of new peers, nor take over the slots of a VM that was gone.

Cause: the list was decoded as a whole.

Entries are decoded one by one. Those that cannot be are logged and left out.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -131,7 +131,7 @@
 		return list, fmt.Errorf("platform: VM list: %w", trace.BadParameter("%v", err))
 	}
 	c.mu.Lock()
-	c.etag, c.lastList = resp.Header.Get("ETag"), list
+	c.etag, c.lastList = resp.Header.Get("ETag"), VMList{VMs: list.VMs}
 	c.mu.Unlock()
 	return list, nil
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
 )
 
 // ErrOutcomeUnknown means that a write may have taken effect, or may still do so.
@@ -37,7 +39,8 @@
 type TableStore interface {
 	// Get returns a row, or a trace.NotFound error.
 	Get(ctx context.Context, key Key) (Row, error)
-	// List returns the rows of a group, sorted by name.
+	// List returns the rows of a group, sorted by name. A row that cannot be decoded has
+	// no Data.
 	List(ctx context.Context, group string) ([]Row, error)
 	// Commit applies all writes or none. It returns a trace.CompareFailed
 	// error if a version differs, and ErrOutcomeUnknown, wrapped, if ctx
@@ -88,6 +91,33 @@
 // VMList is the platform's list of VMs. It lags behind the actual state of the VMs.
 type VMList struct {
 	VMs []VM `json:"vms"`
+	// Invalid holds an error for each entry that could not be decoded. Such an entry is
+	// not in VMs.
+	Invalid []error `json:"-"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (l *VMList) UnmarshalJSON(raw []byte) error {
+	var d struct {
+		VMs []json.RawMessage `json:"vms"`
+	}
+	if err := json.Unmarshal(raw, &d); err != nil {
+		return err
+	}
+	*l = VMList{}
+	for i, entry := range d.VMs {
+		var vm VM
+		err := json.Unmarshal(entry, &vm)
+		if err == nil && vm.Name == "" {
+			err = errors.New("no name")
+		}
+		if err != nil {
+			l.Invalid = append(l.Invalid, fmt.Errorf("platform: VM list: entry %d: %w", i, err))
+			continue
+		}
+		l.VMs = append(l.VMs, vm)
+	}
+	return nil
 }
 
 // VMLister reads the platform's list of VMs.
--- a/internal/router/membership.go
+++ b/internal/router/membership.go
@@ -29,6 +29,9 @@
 		event.VMListFailed.Log(r.log, err, nil)
 		return
 	}
+	for _, err := range list.Invalid {
+		event.VMListFailed.Log(r.log, err, nil)
+	}
 	r.view.Update(list, requestedAt)
 	r.queues.resize(r)
 }
