List the rows of a group although one cannot be decoded

What callers would see: after one row with an attribute missing, of another type or out of range among the slots of a zone, no router of the OpenAI-style entry noticed that it had lost a slot or that one was free.

Cause: List returned an error for the whole group.

Such a row is now listed without data, which its decoder rejects and its caller logs, as it did for data that cannot be parsed.

--- a/internal/platform/tables.go
+++ b/internal/platform/tables.go
@@ -71,7 +71,11 @@
 		for _, item := range page.Items {
 			row, err := rowFromItem(item)
 			if err != nil {
-				return nil, fmt.Errorf("platform: list %s: %w", group, err)
+				// Another writer may have left it. Callers reject a row without data.
+				row = Row{Key: Key{Group: group}}
+				if name, ok := item[attrName].(*types.AttributeValueMemberS); ok {
+					row.Key.Name = name.Value
+				}
 			}
 			rows = append(rows, row)
 		}
