--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -148,7 +148,7 @@
 }
 
 // newTestGateway returns a gateway in front of two engines and two plain servers.
-func newTestGateway(t *testing.T, respond func(ctx context.Context, n int, a *Attempt) (*Response, error)) (*Gateway, *fakeAdapter) {
+func newTestGateway(t testing.TB, respond func(ctx context.Context, n int, a *Attempt) (*Response, error)) (*Gateway, *fakeAdapter) {
 	t.Helper()
 	a := &fakeAdapter{store: &memoryStore{rows: make(map[string]lease.Record)}, respond: respond}
 	g, err := New(Settings{
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -268,6 +268,14 @@
 	raw, err := encode(&Message{VM: "a", Address: "1.2.3.4:5", Usage: map[string]float64{"t": 1}})
 	require.NoError(f, err)
 	f.Add(raw)
+	full, err := encode(&Message{
+		VM: "a", Zone: "z", Address: "1.2.3.4:5", Epoch: 1, Sequence: 2, Loads: map[string]Load{"e": {Calls: 1, PendingTokens: 2}},
+		Parts: []Part{{Engine: "e", Salt: "m@1", ID: "aa", Tokens: 5}}, Failed: []Failure{{Failures: 1, BackoffMillis: 250}},
+		Versions: []Version{{Engine: "e", Model: "m", Version: 3}}, Members: []Member{{VM: "b", Address: "1.2.3.4:6"}},
+	})
+	require.NoError(f, err)
+	f.Add(full)
+	f.Add(bytes.Repeat([]byte{0x81}, 100))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		m, err := decode(raw)
 		if err == nil && (m.VM == "" || m.Address == "") {
--- a/internal/gossip/relay_test.go
+++ b/internal/gossip/relay_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/marjoramrock/marjoramrock/internal/feed"
 	"github.com/marjoramrock/marjoramrock/internal/loopback"
 	"github.com/marjoramrock/marjoramrock/internal/upstream"
@@ -71,3 +72,18 @@
 	_, other = n.Leader()
 	require.False(t, other)
 }
+
+func FuzzPage(f *testing.F) {
+	raw, err := cbor.Marshal(feed.Page{Rows: []feed.Row{{Key: "k", Version: 3, Value: []byte("v")}, {Key: "r", Removed: true}}, Version: 7, Since: -time.Second})
+	require.NoError(f, err)
+	f.Add(raw)
+	f.Add([]byte{0xf6})
+	f.Add([]byte{0xa1, 0x64, 'R', 'o', 'w', 's', 0x9b, 0x10, 0, 0, 0, 0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var page feed.Page
+		if cbor.Unmarshal(raw, &page) == nil {
+			_, err := cbor.Marshal(page)
+			require.NoError(t, err)
+		}
+	})
+}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -222,3 +222,23 @@
 		})
 	}
 }
+
+func FuzzRecord(f *testing.F) {
+	f.Add([]byte(`{"holder":"z","fence":1,"until":1000}`), int64(7))
+	f.Add([]byte(`{"holder":"a","fence":9223372036854775807,"until":9223372036854775807}`), int64(1))
+	f.Fuzz(func(t *testing.T, value []byte, version int64) {
+		if version < 1 || version > 1<<53 {
+			return
+		}
+		store := &fakeStore{rec: Record{Value: value, Version: version}}
+		a := newLease(store, "a")
+		_, err := a.AcquireOrRenew(t.Context())
+		require.NoError(t, err)
+		store.advance(timing.TTL + timing.HandoverDelay)
+		held, err := a.AcquireOrRenew(t.Context())
+		require.NoError(t, err)
+		require.True(t, held, "no record keeps the lease forever")
+		fence, _ := a.Held()
+		require.Positive(t, fence)
+	})
+}
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -391,3 +391,23 @@
 		})
 	}
 }
+
+func FuzzHistory(f *testing.F) {
+	f.Add([]byte(`[{"model":"m","version":2,"at":94000}]`))
+	f.Add([]byte(`[{"model":"m","version":9223372036854775807,"at":-9223372036854775808},null,5]`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		const now = 500 * time.Second
+		tracker := catalog.NewTracker()
+		store := &fakeStore{rec: lease.Record{Value: value, Version: 1, Now: 100 * time.Second}}
+		if err := NewHistory(store, tracker, func() time.Duration { return now }).Load(t.Context()); err != nil {
+			require.ErrorIs(t, err, ErrInvalidHistory)
+		}
+		for model, list := range tracker.TargetVersionHistory() {
+			require.NotEmpty(t, model)
+			for _, target := range list {
+				require.Positive(t, target.Version)
+				require.LessOrEqual(t, target.LearnedAt, now)
+			}
+		}
+	})
+}
