--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -70,9 +70,10 @@
 // serverEvents if they concern a server that handled the request, vmEvents if they
 // come from a VM that did.
 var (
-	serverEvents = eventNumbers(event.ServerListed, event.ServerDelisted, event.OrderSent, event.OrderFailed, event.EngineReloaded)
+	serverEvents = eventNumbers(event.ServerListed, event.ServerDelisted, event.OrderSent, event.OrderFailed, event.EngineReloaded, event.CallBrokenOff)
 	vmEvents     = eventNumbers(event.StoreUnreachable, event.StoreReachable, event.HistoryDropped, event.ConfigApplied, event.VersionDeclared,
-		event.Started, event.Draining, event.Stopped, event.LinesDropped)
+		event.Started, event.Draining, event.Stopped, event.LinesDropped,
+		event.QuarantineBegan, event.QuarantineRenewed, event.QuarantineEnded)
 )
 
 func eventNumbers(events ...event.Event) map[string]bool {
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -30,6 +30,9 @@
 	if r := g.authenticate(c, f); r != nil {
 		return r
 	}
+	if r := g.admitPart(f); r != nil {
+		return r
+	}
 	f.deadline = f.startedAt + f.route.Timeout
 	if f.call.Timeout > 0 {
 		f.deadline = min(f.deadline, f.startedAt+f.call.Timeout)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/apex/log"
@@ -84,6 +85,7 @@
 	}
 	f.attempts++
 	f.lastChoice = c
+	f.progress = attemptProgress{}
 	g.recordPrefill(f, c, a.SaveTo != "")
 	resp, err := g.serverClient.Send(ctx, a)
 	switch {
@@ -93,6 +95,10 @@
 	case resp.NotRun || resp.WrongServer:
 	default:
 		f.possibleRuns++
+		f.progress.head = resp.Status == http.StatusOK
+	}
+	if err == nil && !resp.WrongServer {
+		g.recordAnswer(f, c.server)
 	}
 	g.recordAttempt(ctx, f, c, resp, err)
 	return resp, err
@@ -104,13 +110,17 @@
 
 // permit returns a function that reports whether an attempt that was decided at a time
 // may still be written: the process has not been paused for long since, the key has not
-// been withdrawn, its proof is young enough, time is left, and the server has not left.
+// been withdrawn, its proof is young enough, no part of its prompt is in quarantine,
+// time is left, and the server has not left.
 func (g *Gateway) permit(f *forwardedCall, c serverChoice, decidedAt time.Duration) func() bool {
 	return func() bool {
 		now := g.now()
 		if now-decidedAt > maxDecisionAge || now >= f.deadline {
 			return false
 		}
+		if g.quarantineRefusal(f) != nil {
+			return false
+		}
 		if s, listed := g.table.Get(c.server.ID); !listed || s.Draining || s.Born != c.server.Born {
 			return false
 		}
@@ -139,6 +149,7 @@
 	case errors.Is(err, ErrBuffersFull), errors.Is(err, upstream.ErrNotPermitted):
 		// The cause lies with this VM.
 	case err != nil:
+		g.recordBreak(ctx, f, c, err)
 		g.recordFailure(s, ctx.Err() != nil || errors.Is(err, upstream.ErrUnsent))
 	case resp.WrongServer:
 		g.table.RecordReplaced(s.ID, g.now())
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -70,6 +70,8 @@
 	Header http.Header
 	// ContentLength is the size of the body in bytes, or -1 if it is not known.
 	ContentLength int64
+	// EndsWithConn is set if nothing but the end of the connection ends the body.
+	EndsWithConn bool
 	// NotRun is set if the server states that the call did not and will not run.
 	NotRun bool
 	// WrongServer is set if another server than the addressed one responded.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/marjoramrock/marjoramrock/internal/gossip"
 	"github.com/marjoramrock/marjoramrock/internal/lease"
 	"github.com/marjoramrock/marjoramrock/internal/parts"
+	"github.com/marjoramrock/marjoramrock/internal/quarantine"
 	"github.com/marjoramrock/marjoramrock/internal/quota"
 	"github.com/marjoramrock/marjoramrock/internal/timer"
 	"github.com/marjoramrock/marjoramrock/internal/upstream"
@@ -111,7 +112,12 @@
 	orderLease   *lease.Lease
 	orderer      *weights.Updater
 	history      *weights.History
+	announcer    *announcer
 	outbox       outbox
+	// quarantine tracks the parts of prompts that crash engines.
+	quarantine        *quarantine.Tracker
+	quarantineUpdates quarantineUpdates
+	quarantineRecord  quarantineRecord
 	// gossipRound counts the calls of sendUpdates.
 	gossipRound int
 	zoneUsage   zoneUsage
@@ -134,8 +140,9 @@
 	g := &Gateway{
 		settings: s, log: logger.WithField("vm", s.VM), clock: timer.NewSystemClock(), adapter: a, serverClient: a,
 		metrics: newGatewayMetrics(), catalog: catalog.NewTracker(), table: backend.NewTable(), parts: parts.NewDirectory(),
-		quota: quota.NewEstimator(s.FirstStart), buffers: newBufferBudget(s.MemoryLimitMB),
+		quota: quota.NewEstimator(s.FirstStart), buffers: newBufferBudget(s.MemoryLimitMB), quarantine: quarantine.NewTracker(),
 	}
+	g.announcer = &announcer{g: g}
 	g.retries = quota.NewRetryBudget(s.Bounds.RetryRatio*retryBudgetShare, time.Duration(s.Bounds.RetryWindow), func() float64 {
 		return s.Bounds.RetryAllowance * retryBudgetShare / float64(g.node.MemberCount()+1)
 	})
@@ -167,7 +174,7 @@
 	}, timer.SinceBoot)
 	g.history = weights.NewHistory(a.Store(), g.catalog, timer.SinceBoot)
 	g.orderer = weights.New(weights.Options{
-		Holder: holder, Catalog: g.catalog, Table: g.table, Engines: a, Lease: g.orderLease, History: g.history, Announcer: &announcer{g: g},
+		Holder: holder, Catalog: g.catalog, Table: g.table, Engines: a, Lease: g.orderLease, History: g.history, Announcer: g.announcer,
 		Now: timer.SinceBoot, Log: g.log,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -224,7 +231,7 @@
 	g.background.Go(func() { g.serverList.Run(ctx) })
 	g.background.Go(func() { g.join(ctx) })
 	g.subscriptions = append(g.subscriptions,
-		g.clock.Every(gossipPeriod, g.sendUpdates),
+		g.clock.Every(gossipPeriod, func() { g.sendUpdates(); g.sendQuarantineUpdates(); g.saveQuarantines(ctx) }),
 		g.clock.Every(orderStepPeriod, func() { g.stepOrders(ctx) }),
 		g.clock.Every(cleanupPeriod, func() { g.cleanUp(ctx) }),
 	)
@@ -284,6 +291,7 @@
 func (g *Gateway) cleanUp(ctx context.Context) {
 	g.watchKVStores(ctx)
 	g.peers.CloseExpired()
+	g.expireQuarantines()
 	for _, id := range g.table.ExpireMissing(g.now(), missingServerGrace) {
 		g.parts.RemoveHolder(id)
 		event.ServerDelisted.Log(g.log, nil, log.Fields{"server": id})
@@ -306,6 +314,10 @@
 func (g *Gateway) tryJoin(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
+	if err := g.loadQuarantines(ctx); err != nil {
+		event.QuarantineStoreFailed.Log(g.log, err, nil)
+		return err
+	}
 	if err := g.history.Load(ctx); err != nil {
 		event.VersionHistoryFailed.Log(g.log, err, log.Fields{"step": "load"})
 		return err
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -68,6 +68,7 @@
 		m := g.outbox.takeOwnZone()
 		g.addUsageAndLoads(m, g.table.Loads())
 		m.KVCacheStores = g.kvStores.watchedStates(g.now())
+		m.Quarantines = g.activeQuarantines()
 		g.sendMessage(m, gossip.OwnZone)
 	}
 	digest := g.outbox.takeOtherZones()
@@ -82,6 +83,7 @@
 	}
 	digest.Members = g.zoneUsage.addUsage(members, g.gossipRound%fullDigestRounds == 0)
 	g.addUsageAndLoads(digest, g.table.Loads(vms...))
+	digest.Quarantines = g.activeQuarantines()
 	g.sendMessage(digest, gossip.OtherZones)
 }
 
@@ -152,6 +154,7 @@
 		g.parts.Add(parts.Holder{ID: p.Engine, Born: p.Born}, g.holderCapacity(p.Engine), p.Salt, parts.Part{ID: p.ID, Tokens: p.Tokens}, now,
 			now+time.Duration(p.ReadyInMillis)*time.Millisecond)
 	}
+	g.handleQuarantineUpdates(m)
 	if sameZone && !m.Delta {
 		g.outbox.addForwarded(m)
 	}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -60,6 +60,12 @@
 	return rec, nil
 }
 
+func (m *memoryStore) version(name string) int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.rows[name].Version
+}
+
 func (m *memoryStore) Join(context.Context, string, string) error     { return nil }
 func (m *memoryStore) Leave(context.Context, string) error            { return nil }
 func (m *memoryStore) VMs(context.Context) (map[string]string, error) { return nil, nil }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -27,6 +27,10 @@
 	metrics.GetOrRegisterCounter(name, m.registry).Inc(1)
 }
 
+func (m *gatewayMetrics) setGauge(name string, value int64) {
+	metrics.GetOrRegisterGauge(name, m.registry).Update(value)
+}
+
 func (m *gatewayMetrics) observeDuration(name string, d time.Duration) {
 	metrics.GetOrRegisterHistogram(name, m.registry, metrics.NewExpDecaySample(histogramSampleSize, histogramDecayAlpha)).Update(d.Microseconds())
 }
@@ -41,6 +45,8 @@
 		switch v := i.(type) {
 		case metrics.Counter:
 			line("%s %d", name, v.Count())
+		case metrics.Gauge:
+			line("%s %d", name, v.Value())
 		case metrics.Histogram:
 			s := v.Snapshot()
 			line("%s_count %d", name, s.Count())
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -25,10 +25,7 @@
 		if g.tryWhole(ctx, f, c) {
 			return
 		}
-		if f.possibleRuns > 0 && !f.canRetry() {
-			break
-		}
-		if ok, _ := g.stillAuthorized(f); !ok {
+		if !g.mayContinue(f) {
 			break
 		}
 	}
@@ -56,6 +53,9 @@
 		return false
 	}
 	g.recordSuccess(c.server)
+	if resp.Status == http.StatusOK && !resp.EndsWithConn {
+		g.recordProgress(f, true)
+	}
 	if resp.Status >= http.StatusInternalServerError && f.canRetry() {
 		f.excluded[c.server.ID] = true
 		if next, ok := g.chooseServer(f, f.service); ok && next.server.ID != "" && g.hasTimeForAttempt(f) {
--- /dev/null
+++ b/internal/gateway/quarantine.go
@@ -0,0 +1,376 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+	"github.com/marjoramrock/marjoramrock/internal/backend"
+	"github.com/marjoramrock/marjoramrock/internal/event"
+	"github.com/marjoramrock/marjoramrock/internal/gossip"
+	"github.com/marjoramrock/marjoramrock/internal/quarantine"
+	"github.com/marjoramrock/marjoramrock/internal/upstream"
+)
+
+const (
+	// eventsOfBegunCall is the number of events with data that show that an engine has
+	// begun to generate: one may precede a crash.
+	eventsOfBegunCall = 2
+	// trialOwnerTimeout is how long after its last message a VM may still be the one
+	// that makes the trials of a part.
+	trialOwnerTimeout = 4 * time.Second
+	// maxBreaksPerMessage and maxQuarantinesPerMessage bound the size of a message.
+	maxBreaksPerMessage      = 16
+	maxQuarantinesPerMessage = 16
+)
+
+// attemptProgress is what an attempt at an engine has received.
+type attemptProgress struct {
+	// head is set once the head of a response has arrived. It is no refusal.
+	head bool
+	// events counts the events with data, firstEventAt is when the first one arrived.
+	events       int
+	firstEventAt time.Duration
+	// succeeded is set once the engine has begun to generate.
+	succeeded bool
+}
+
+// quarantineUpdates collects what the other VMs are told of parts that crash engines.
+// It is safe for concurrent use; the zero value is ready to use.
+type quarantineUpdates struct {
+	mu sync.Mutex // guards the fields below
+	// headless holds breaks of calls without a response. They are reported only if no
+	// VM reports one with a response of the same engine.
+	headless []quarantine.Break
+	// succeeded and answered are sent with the next message, unless another VM tells
+	// the same before.
+	succeeded map[string]time.Duration
+	answered  map[quarantine.Engine]time.Duration
+}
+
+func (u *quarantineUpdates) addHeadless(b quarantine.Break) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(u.headless) < maxBreaksPerMessage {
+		u.headless = append(u.headless, b)
+	}
+}
+
+func (u *quarantineUpdates) addSuccess(part string, at time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.succeeded == nil {
+		u.succeeded = make(map[string]time.Duration)
+	}
+	u.succeeded[part] = max(u.succeeded[part], at)
+}
+
+func (u *quarantineUpdates) addAnswer(id quarantine.Engine, at time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.answered == nil {
+		u.answered = make(map[quarantine.Engine]time.Duration)
+	}
+	u.answered[id] = at
+}
+
+// peerTold removes what another VM has told.
+func (u *quarantineUpdates) peerTold(m *gossip.Message) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, x := range m.Succeeded {
+		delete(u.succeeded, x.Part)
+	}
+	for _, x := range m.Answered {
+		delete(u.answered, quarantine.Engine{ID: x.Engine.ID, Born: x.Engine.Born})
+	}
+}
+
+// take returns the collected updates and clears them.
+func (u *quarantineUpdates) take(now time.Duration) ([]quarantine.Break, *gossip.Message) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	m := &gossip.Message{}
+	for part, at := range u.succeeded {
+		m.Succeeded = append(m.Succeeded, gossip.Success{Part: part, AgeMillis: (now - at).Milliseconds()})
+	}
+	for id, at := range u.answered {
+		m.Answered = append(m.Answered, gossip.Answered{Engine: gossip.Server{ID: id.ID, Born: id.Born}, AgeMillis: (now - at).Milliseconds()})
+	}
+	headless := u.headless
+	u.headless = nil
+	clear(u.succeeded)
+	clear(u.answered)
+	return headless, m
+}
+
+func incarnation(s backend.Server) quarantine.Engine {
+	return quarantine.Engine{ID: s.ID, Born: s.Born}
+}
+
+// sharedPartIDs returns the parts of a call's prompt that may be put in quarantine.
+func sharedPartIDs(c *Call) []string {
+	shared := c.Prompt.SharedParts()
+	ids := make([]string, len(shared))
+	for i, p := range shared {
+		ids[i] = p.ID
+	}
+	return ids
+}
+
+// quarantineRefusal returns the refusal of a call that has a part in quarantine and is
+// no trial.
+func (g *Gateway) quarantineRefusal(f *forwardedCall) *Refusal {
+	if f.trial {
+		return nil
+	}
+	part, retryAfter := g.quarantine.Check(f.sharedParts, g.now())
+	if part == "" {
+		return nil
+	}
+	f.quarantinedPart = part
+	f.detail = "part " + part + " is in quarantine"
+	return &Refusal{Reason: ReasonUnavailable, RetryAfter: retryAfter}
+}
+
+// admitPart refuses a call with a part in quarantine, unless the call may be the trial
+// that shows whether the part still crashes engines.
+func (g *Gateway) admitPart(f *forwardedCall) *Refusal {
+	f.sharedParts = sharedPartIDs(f.call)
+	r := g.quarantineRefusal(f)
+	if r == nil {
+		return nil
+	}
+	if g.ownsKey(f.quarantinedPart) && g.quarantine.StartTrial(f.sharedParts, g.now()) {
+		f.trial, f.detail = true, ""
+		event.QuarantineTrial.Log(g.log, nil, log.Fields{"request": f.call.ID, "part": f.quarantinedPart})
+		return nil
+	}
+	g.recordPartRefusal(f, r)
+	return r
+}
+
+func (g *Gateway) recordPartRefusal(f *forwardedCall, r *Refusal) {
+	event.PartRefused.Log(g.log, nil, log.Fields{"request": f.call.ID, "part": f.quarantinedPart, "after": r.RetryAfter.Milliseconds()})
+	g.metrics.incrementCounter("quarantine_refusals")
+}
+
+// ownsKey reports whether this VM, among those in contact, is the one that acts for a
+// key (rendezvous hashing).
+func (g *Gateway) ownsKey(key string) bool {
+	own := xxhash.Sum64String(key + "/" + g.settings.VM)
+	for _, vm := range g.node.RecentVMs(trialOwnerTimeout) {
+		if xxhash.Sum64String(key+"/"+vm) > own {
+			return false
+		}
+	}
+	return true
+}
+
+// isBrokenOff reports whether an attempt failed because the server, or what lies
+// before it, ended the connection.
+func isBrokenOff(ctx context.Context, err error) bool {
+	if ctx.Err() != nil || errors.Is(err, upstream.ErrUnsent) || errors.Is(err, upstream.ErrMismatchedResponse) {
+		return false
+	}
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// recordBreak takes note of an attempt that an engine broke off before it generated
+// anything: a part of its prompt may have crashed the engine.
+func (g *Gateway) recordBreak(ctx context.Context, f *forwardedCall, c serverChoice, err error) {
+	if f.engine == nil || len(f.sharedParts) == 0 || f.progress.events >= eventsOfBegunCall || !isBrokenOff(ctx, err) {
+		return
+	}
+	b := quarantine.Break{
+		Engine: incarnation(c.server), Request: xxhash.Sum64String(f.call.ID), Parts: f.sharedParts, Head: f.progress.head, At: g.now(),
+	}
+	event.CallBrokenOff.Log(g.log, err, log.Fields{
+		"request": f.call.ID, "engine": c.server.ID, "born": c.server.Born, "parts": f.sharedParts, "head": b.Head, "events": f.progress.events,
+	})
+	f.trial = false
+	g.quarantine.RecordOutcome(b.Parts, false, b.Head, b.At)
+	if !b.Head {
+		g.quarantineUpdates.addHeadless(b)
+		return
+	}
+	f.brokenOffBy = b.Engine
+	if begun := g.applyBreak(b); begun != nil {
+		// The message with the break follows after batchDelay.
+		g.broadcastDelta(&gossip.Message{Quarantines: []gossip.Quarantine{*begun}})
+	}
+	g.announcer.enqueue(func(m *gossip.Message) {
+		if len(m.Breaks) < maxBreaksPerMessage {
+			m.Breaks = append(m.Breaks, breakMessage(b, g.now()))
+		}
+	})
+}
+
+func breakMessage(b quarantine.Break, now time.Duration) gossip.Break {
+	return gossip.Break{
+		Engine: gossip.Server{ID: b.Engine.ID, Born: b.Engine.Born}, Request: b.Request, Parts: b.Parts, Head: b.Head, AgeMillis: (now - b.At).Milliseconds(),
+	}
+}
+
+// applyBreak weighs a break of this VM or another one. It returns the quarantine that
+// it begins or renews, if any.
+func (g *Gateway) applyBreak(b quarantine.Break) *gossip.Quarantine {
+	now := g.now()
+	v, _ := g.quarantine.RecordBreak(b, now)
+	for _, s := range v.Refuted {
+		g.quarantineUpdates.addSuccess(s.Part, s.At)
+	}
+	if v.Quarantine == nil {
+		return nil
+	}
+	return g.recordVerdict(v, now)
+}
+
+// recordVerdict logs a new or renewed quarantine and returns it for the other VMs.
+func (g *Gateway) recordVerdict(v quarantine.Verdict, now time.Duration) *gossip.Quarantine {
+	fields := log.Fields{"part": v.Quarantine.Part, "until": (v.Quarantine.Until - now).Milliseconds()}
+	if k := v.Case; k != nil {
+		fields["engines"], fields["requests"], fields["instants"], fields["since"] = k.Engines, k.Requests, k.Instants, (now - k.Since).Milliseconds()
+		event.QuarantineBegan.Log(g.log, nil, fields)
+		g.metrics.incrementCounter("quarantines_begun")
+	} else {
+		event.QuarantineRenewed.Log(g.log, nil, fields)
+	}
+	begun := quarantineMessage(*v.Quarantine, now)
+	return &begun
+}
+
+func quarantineMessage(q quarantine.Quarantine, now time.Duration) gossip.Quarantine {
+	return gossip.Quarantine{
+		Part: q.Part, SinceMillis: (now - q.Since).Milliseconds(), AskedMillis: (now - q.AskedAt).Milliseconds(),
+		LeftMillis: (q.Until - now).Milliseconds(), HoldMillis: q.Hold.Milliseconds(),
+	}
+}
+
+// recordProgress takes note of an event with data, or of a complete response.
+func (g *Gateway) recordProgress(f *forwardedCall, complete bool) {
+	p := &f.progress
+	if !complete {
+		if p.events++; p.events == 1 {
+			p.firstEventAt = g.now()
+		}
+	}
+	if p.succeeded || !complete && p.events < eventsOfBegunCall || f.engine == nil || len(f.sharedParts) == 0 {
+		return
+	}
+	p.succeeded = true
+	at := p.firstEventAt
+	if at == 0 {
+		at = g.now()
+	}
+	g.quarantine.RecordOutcome(f.sharedParts, true, true, at)
+	suspect, ended := g.quarantine.RecordSuccess(f.sharedParts, at)
+	for _, part := range suspect {
+		g.quarantineUpdates.addSuccess(part, at)
+	}
+	g.logEnded(ended, "a call succeeded")
+}
+
+func (g *Gateway) logEnded(parts []string, why string) {
+	for _, part := range parts {
+		event.QuarantineEnded.Log(g.log, nil, log.Fields{"part": part, "why": why})
+	}
+}
+
+// recordAnswer takes note of something that an engine has sent, which has not crashed
+// then.
+func (g *Gateway) recordAnswer(f *forwardedCall, s backend.Server) {
+	if f.engine == nil {
+		return
+	}
+	if id, now := incarnation(s), g.now(); g.quarantine.RecordAnswer(id, now) {
+		g.quarantineUpdates.addAnswer(id, now)
+	}
+}
+
+// mayCrashEngines reports whether a call was broken off and other engines have broken
+// off calls with one of its parts: another attempt might crash another engine.
+func (g *Gateway) mayCrashEngines(f *forwardedCall) bool {
+	return f.brokenOffBy.ID != "" && g.quarantine.Suspect(f.sharedParts, f.brokenOffBy, xxhash.Sum64String(f.call.ID))
+}
+
+// expireQuarantines forgets parts that no call asks for any more.
+func (g *Gateway) expireQuarantines() {
+	g.logEnded(g.quarantine.Expire(g.now()), "no call asked for it")
+	g.metrics.setGauge("quarantines", int64(len(g.quarantine.Active())))
+}
+
+// sendQuarantineUpdates tells the other VMs what this one has learned about parts that
+// crash engines since the last call.
+func (g *Gateway) sendQuarantineUpdates() {
+	now := g.now()
+	headless, m := g.quarantineUpdates.take(now)
+	for _, b := range headless {
+		if g.quarantine.Known(b.Engine) {
+			continue
+		}
+		if begun := g.applyBreak(b); begun != nil {
+			m.Quarantines = append(m.Quarantines, *begun)
+		}
+		m.Breaks = append(m.Breaks, breakMessage(b, now))
+	}
+	for _, v := range g.quarantine.Review(now) {
+		m.Quarantines = append(m.Quarantines, *g.recordVerdict(v, now))
+	}
+	if len(m.Breaks)+len(m.Succeeded)+len(m.Answered)+len(m.Quarantines) > 0 {
+		g.broadcastDelta(m)
+	}
+}
+
+// activeQuarantines returns the quarantines for a periodic message.
+func (g *Gateway) activeQuarantines() []gossip.Quarantine {
+	now := g.now()
+	active := g.quarantine.Active()
+	var out []gossip.Quarantine
+	for _, q := range active[:min(len(active), maxQuarantinesPerMessage)] {
+		out = append(out, quarantineMessage(q, now))
+	}
+	return out
+}
+
+// handleQuarantineUpdates applies what another VM has learned about parts that crash
+// engines.
+func (g *Gateway) handleQuarantineUpdates(m *gossip.Message) {
+	now := g.now()
+	ago := func(ms int64) time.Duration { return now - time.Duration(ms)*time.Millisecond }
+	g.quarantineUpdates.peerTold(m)
+	for _, x := range m.Succeeded {
+		_, ended := g.quarantine.RecordSuccess([]string{x.Part}, ago(x.AgeMillis))
+		g.logEnded(ended, "a call on "+m.VM+" succeeded")
+	}
+	for _, x := range m.Answered {
+		g.quarantine.RecordAnswer(quarantine.Engine{ID: x.Engine.ID, Born: x.Engine.Born}, ago(x.AgeMillis))
+	}
+	for _, x := range m.Quarantines {
+		g.mergeQuarantine(quarantine.Quarantine{
+			Part: x.Part, Since: ago(x.SinceMillis), AskedAt: ago(x.AskedMillis), Until: ago(-x.LeftMillis), Hold: time.Duration(x.HoldMillis) * time.Millisecond,
+		}, m.VM)
+	}
+	for _, x := range m.Breaks {
+		g.applyBreak(quarantine.Break{
+			Engine: quarantine.Engine{ID: x.Engine.ID, Born: x.Engine.Born}, Request: x.Request, Parts: x.Parts, Head: x.Head, At: ago(x.AgeMillis),
+		})
+	}
+}
+
+// mergeQuarantine takes over a quarantine from another VM or the store, unless a call
+// has succeeded since.
+func (g *Gateway) mergeQuarantine(q quarantine.Quarantine, source string) {
+	added, refuted := g.quarantine.Merge(q, g.now())
+	if refuted != nil {
+		g.quarantineUpdates.addSuccess(refuted.Part, refuted.At)
+	}
+	if added {
+		event.QuarantineBegan.Log(g.log, nil, log.Fields{"part": q.Part, "until": (q.Until - g.now()).Milliseconds(), "source": source})
+	}
+}
--- /dev/null
+++ b/internal/gateway/quarantine_test.go
@@ -0,0 +1,222 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/marjoramrock/marjoramrock/internal/gossip"
+	"github.com/marjoramrock/marjoramrock/internal/loopback"
+	"github.com/marjoramrock/marjoramrock/internal/quarantine"
+	"github.com/marjoramrock/marjoramrock/internal/upstream"
+	"github.com/stretchr/testify/require"
+)
+
+// quarantinePart tells a gateway of a quarantine of another VM, of which some time is
+// left.
+func quarantinePart(g *Gateway, part string, left time.Duration) {
+	g.handleMessage(&gossip.Message{VM: "peer", Zone: "z2", Delta: true, Quarantines: []gossip.Quarantine{{
+		Part: part, SinceMillis: 500, LeftMillis: left.Milliseconds(), HoldMillis: (20 * time.Second).Milliseconds(),
+	}}}, false)
+}
+
+// A call with a part in quarantine must be refused as not run, before it is charged; no
+// other call may be refused, whatever it has in common with those.
+func TestCallsWithAPartInQuarantineAreRefused(t *testing.T) {
+	tests := []struct {
+		name, part, key string
+		reason          Reason
+	}{
+		{"the part", "a", "key", ReasonUnavailable},
+		{"the part, another team", "a", "isolated-key", ReasonUnavailable},
+		{"unknown key", "a", "nobody", ReasonUnknownKey},
+		{"another part", "b", "key", ""},
+		{"the call's own part", "own", "key", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g, a := newTestGateway(t, respondWith(func() *Response { return newResponse(200, eventStream("1", "2")) }))
+			quarantinePart(g, tt.part, 5*time.Second)
+			c := serveCall(t, g, "/stream/", tt.key)
+			if tt.reason == "" {
+				require.Equal(t, 200, c.status)
+				return
+			}
+			require.NotNil(t, c.refusal)
+			require.Equal(t, tt.reason, c.refusal.Reason)
+			require.Empty(t, a.sentAttempts())
+			require.Empty(t, g.quota.Totals())
+			if tt.reason == ReasonUnavailable {
+				require.InDelta(t, 5, c.refusal.RetryAfter.Seconds(), 0.5)
+			}
+		})
+	}
+}
+
+// A call that was admitted before its part was put in quarantine must not be written.
+func TestQuarantineStopsCallsThatWereAdmittedBefore(t *testing.T) {
+	var g *Gateway
+	g, a := newTestGateway(t, func(_ context.Context, _ int, a *Attempt) (*Response, error) {
+		quarantinePart(g, "a", 5*time.Second)
+		require.False(t, a.Permit())
+		return nil, fmt.Errorf("%w: %w", upstream.ErrUnsent, upstream.ErrNotPermitted)
+	})
+	c := serveCall(t, g, "/resumable/", "key")
+	require.Len(t, a.sentAttempts(), 1)
+	require.Equal(t, ReasonUnavailable, c.refusal.Reason)
+	require.InDelta(t, 5, c.refusal.RetryAfter.Seconds(), 0.5)
+	for _, s := range g.table.Statuses("model", g.now()) {
+		require.Zero(t, s.Failures, "the server is not at fault")
+	}
+}
+
+// After the hold, one call shows whether the part still crashes engines; it must not
+// reach a second one.
+func TestTrialOfAPartInQuarantine(t *testing.T) {
+	tests := []struct {
+		name     string
+		response func() *Response
+		// ended is set if the trial ends the quarantine.
+		ended bool
+	}{
+		{"success", func() *Response { return newResponse(200, eventStream("1", "2")) }, true},
+		{"the engine crashes before the first event", func() *Response { return truncatedResponse("") }, false},
+		{"the engine crashes after the first event", func() *Response { return truncatedResponse(eventStream("1")) }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var second *responseRecorder
+			var g *Gateway
+			g, a := newTestGateway(t, func(context.Context, int, *Attempt) (*Response, error) {
+				if second == nil {
+					second = &responseRecorder{}
+					g.Serve(context.Background(), newCall("/resumable/", "key"), second)
+				}
+				return tt.response(), nil
+			})
+			quarantinePart(g, "a", -time.Millisecond)
+			c := serveCall(t, g, "/resumable/", "key")
+			require.Len(t, a.sentAttempts(), 1)
+			require.Equal(t, ReasonUnavailable, second.refusal.Reason, "only one call at a time")
+			active := g.quarantine.Active()
+			if tt.ended {
+				require.Equal(t, 200, c.status)
+				require.Empty(t, active)
+				_, told := g.quarantineUpdates.take(g.now())
+				require.Len(t, told.Succeeded, 1)
+				return
+			}
+			require.Len(t, active, 1)
+			require.Equal(t, 40*time.Second, active[0].Hold)
+			require.InDelta(t, 40, (active[0].Until - g.now()).Seconds(), 0.5)
+		})
+	}
+}
+
+// breakOf returns a break of a call with part "a" on another VM.
+func breakOf(engine string, request uint64, age time.Duration) gossip.Break {
+	return gossip.Break{Engine: gossip.Server{ID: engine}, Request: request, Parts: []string{"a"}, Head: true, AgeMillis: age.Milliseconds()}
+}
+
+// A call that broke off is not sent to a second engine if its part has broken off calls
+// on other engines, unless another call has succeeded since.
+func TestCallThatMayCrashEnginesIsNotRetried(t *testing.T) {
+	tests := []struct {
+		name     string
+		messages []*gossip.Message
+		attempts int
+	}{
+		{"nothing is known", nil, 2},
+		{"another engine broke off another call", []*gossip.Message{{Breaks: []gossip.Break{breakOf("e9", 9, 0)}}}, 1},
+		{"a call succeeded since", []*gossip.Message{
+			{Breaks: []gossip.Break{breakOf("e9", 9, time.Second)}}, {Succeeded: []gossip.Success{{Part: "a"}}},
+		}, 2},
+		{"the engine answered since", []*gossip.Message{
+			{Breaks: []gossip.Break{breakOf("e9", 9, time.Second)}}, {Answered: []gossip.Answered{{Engine: gossip.Server{ID: "e9"}}}},
+		}, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g, a := newTestGateway(t, respondWith(truncatedResponse(""), newResponse(200, eventStream("1", "2"))))
+			for _, m := range tt.messages {
+				m.VM, m.Zone, m.Delta = "peer", "z2", true
+				g.handleMessage(m, false)
+			}
+			serveCall(t, g, "/resumable/", "key")
+			require.Len(t, a.sentAttempts(), tt.attempts)
+		})
+	}
+}
+
+// What VMs see on different engines adds up to a quarantine on each of them.
+func TestBreaksOfAllVMsCount(t *testing.T) {
+	g, a := newTestGateway(t, respondWith(func() *Response { return newResponse(200, eventStream("1", "2")) }))
+	for range 40 {
+		g.quarantine.RecordOutcome([]string{"other"}, true, true, g.now())
+	}
+	for i := range 3 {
+		g.handleMessage(&gossip.Message{VM: fmt.Sprint("peer", i), Zone: "z2", Delta: true, Breaks: []gossip.Break{
+			breakOf(fmt.Sprint("e", 5+i), uint64(i), time.Duration(1500-500*i)*time.Millisecond),
+		}}, false)
+	}
+	for range 40 {
+		g.quarantine.RecordOutcome([]string{"other"}, true, true, g.now())
+	}
+	g.sendQuarantineUpdates()
+	require.Equal(t, ReasonUnavailable, serveCall(t, g, "/stream/", "key").refusal.Reason)
+	require.Empty(t, a.sentAttempts())
+}
+
+// A quarantine that is known to be over must not come back from a VM that missed it.
+func TestAQuarantineThatIsOverDoesNotComeBack(t *testing.T) {
+	g, _ := newTestGateway(t, respondWith(func() *Response { return newResponse(200, eventStream("1", "2")) }))
+	require.Equal(t, 200, serveCall(t, g, "/stream/", "key").status)
+	time.Sleep(5 * time.Millisecond)
+	for _, sub := range g.subscriptions {
+		sub.Cancel()
+	}
+	quarantinePart(g, "a", 5*time.Second)
+	require.Empty(t, g.quarantine.Active())
+	_, told := g.quarantineUpdates.take(g.now())
+	require.Len(t, told.Succeeded, 1, "the other VM is told")
+}
+
+// A quarantine outlives the end of all VMs.
+func TestQuarantineIsKeptInTheStore(t *testing.T) {
+	g, a := newTestGateway(t, respondWith(func() *Response { return newResponse(200, eventStream("1", "2")) }))
+	quarantinePart(g, "a", 5*time.Second)
+	require.Eventually(t, func() bool { return a.store.version(quarantineRecordName) == 1 }, 2*time.Second, 5*time.Millisecond)
+	g.Close()
+	next, err := New(Settings{VM: "vm2", Zone: "z1", PeerAddress: loopback.FreeAddress(t), FirstStart: true, Bounds: testBounds}, a, &log.Logger{Handler: discard.New()})
+	require.NoError(t, err)
+	t.Cleanup(next.Close)
+	require.Eventually(t, func() bool { return len(next.quarantine.Active()) == 1 }, 2*time.Second, 5*time.Millisecond)
+	require.InDelta(t, 5, (next.quarantine.Active()[0].Until - g.now()).Seconds(), 3)
+	// One write is enough, and its end is written, too.
+	require.EqualValues(t, 1, a.store.version(quarantineRecordName))
+	next.handleMessage(&gossip.Message{VM: "peer", Zone: "z2", Delta: true, Succeeded: []gossip.Success{{Part: "a"}}}, false)
+	require.Eventually(t, func() bool { return a.store.version(quarantineRecordName) == 2 }, 2*time.Second, 5*time.Millisecond)
+}
+
+// A store that is away is not asked in each round.
+func TestQuarantineWritesBackOff(t *testing.T) {
+	r := &quarantineRecord{}
+	current := holdsOf([]quarantine.Quarantine{{Part: "a", Hold: 20 * time.Second}})
+	owner := func() bool { return true }
+	writes := 0
+	for now := time.Duration(0); now < time.Minute; now += gossipPeriod {
+		if r.begin(current, now, owner) {
+			require.False(t, r.begin(current, now, owner), "one write at a time")
+			writes++
+			r.end(nil, errors.New("away"), now)
+		}
+	}
+	require.LessOrEqual(t, writes, 9)
+	require.True(t, r.begin(current, 2*time.Minute, owner))
+	r.end(current, nil, 2*time.Minute)
+	require.False(t, r.begin(current, 3*time.Minute, owner))
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/marjoramrock/marjoramrock/internal/catalog"
+	"github.com/marjoramrock/marjoramrock/internal/quarantine"
 )
 
 // defaultRetryAfter is the Retry-After of a refusal that has no better estimate.
@@ -33,6 +34,16 @@
 	// retryReserved is set if the next attempt has already been taken from the
 	// retry budget.
 	retryReserved bool
+	// sharedParts holds the parts of the prompt that may be put in quarantine, and
+	// quarantinedPart the one for which the call was refused last. trial is set while the
+	// call may be sent although it has such a part.
+	sharedParts     []string
+	quarantinedPart string
+	trial           bool
+	// progress is that of the last attempt at an engine, brokenOffBy the engine that
+	// last broke off an attempt before it generated anything.
+	progress    attemptProgress
+	brokenOffBy quarantine.Engine
 	// possibleRuns counts the servers on which the call may have run.
 	possibleRuns int
 	// chargedTokens is what the team was charged.
@@ -74,6 +85,17 @@
 	g.recordOutcome(f)
 }
 
+// mayContinue reports whether another attempt of a call may follow a failed one.
+func (g *Gateway) mayContinue(f *forwardedCall) bool {
+	if f.possibleRuns > 0 && !f.canRetry() {
+		return false
+	}
+	if ok, _ := g.stillAuthorized(f); !ok {
+		return false
+	}
+	return g.quarantineRefusal(f) == nil && !g.mayCrashEngines(f)
+}
+
 // refuse ends a call with a refusal of the gateway itself.
 func (g *Gateway) refuse(f *forwardedCall, r Refusal) {
 	f.outcome = string(r.Reason)
@@ -85,9 +107,13 @@
 // refuseUnserved refuses a call that no attempt served.
 func (g *Gateway) refuseUnserved(ctx context.Context, f *forwardedCall) {
 	_, withdrawn := g.stillAuthorized(f)
+	quarantined := g.quarantineRefusal(f)
 	switch {
 	case f.possibleRuns == 0 && withdrawn != nil:
 		g.refuse(f, *withdrawn)
+	case f.possibleRuns == 0 && quarantined != nil:
+		g.recordPartRefusal(f, quarantined)
+		g.refuse(f, *quarantined)
 	case f.possibleRuns == 0:
 		g.refuse(f, Refusal{Reason: ReasonUnavailable, RetryAfter: defaultRetryAfter})
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -39,10 +39,7 @@
 		if g.tryStream(ctx, st, c) {
 			return
 		}
-		if f.possibleRuns > 0 && !f.canRetry() {
-			break
-		}
-		if ok, _ := g.stillAuthorized(f); !ok {
+		if !g.mayContinue(f) {
 			break
 		}
 	}
@@ -85,7 +82,7 @@
 	if resp.Status != http.StatusOK {
 		return g.handleNonStream(ctx, st, c, resp)
 	}
-	err = st.copyEvents(resp, g.buffers, func() {
+	err = st.copyEvents(resp, g.buffers, func() { g.recordProgress(f, false); g.recordAnswer(f, c.server) }, func() {
 		if pendingTokens > 0 {
 			g.table.RecordPrefill(c.server.Service, c.UncachedTokens+c.pendingTokens, g.now()-sentAt)
 		}
@@ -109,6 +106,9 @@
 		return false
 	}
 	g.recordSuccess(c.server)
+	if f.progress.events > 0 && !resp.EndsWithConn {
+		g.recordProgress(f, true)
+	}
 	f.status, f.outcome = resp.Status, outcomeAnswered
 	return true
 }
@@ -140,9 +140,9 @@
 var errCallerLeft = errors.New("caller left")
 
 // copyEvents passes on the complete events of a response. It skips events that the
-// caller has from an earlier attempt. It calls onProgress for each new event with data;
-// comments and repeated events show no progress of the call.
-func (st *streamState) copyEvents(resp *Response, budget *bufferBudget, onProgress func()) error {
+// caller has from an earlier attempt. It calls onData for each event with data and
+// onProgress for each new one; comments and repeated events show no progress of the call.
+func (st *streamState) copyEvents(resp *Response, budget *bufferBudget, onData, onProgress func()) error {
 	events := newEventReader(resp.Body, budget)
 	defer events.release()
 	for {
@@ -156,6 +156,9 @@
 		if err != nil {
 			return err
 		}
+		if e.hasData {
+			onData()
+		}
 		if e.id != "" && !isNewerEvent(e.id, st.lastEventID) {
 			continue
 		}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -47,6 +47,55 @@
 	// Recovered those that have answered again since.
 	Failed    []Failure `cbor:"17,keyasint,omitempty"`
 	Recovered []Server  `cbor:"18,keyasint,omitempty"`
+	// Breaks lists calls that engines broke off before they generated anything.
+	// Succeeded lists the parts of such calls with which other calls have succeeded
+	// since, and Answered the engines that have answered since.
+	Breaks    []Break    `cbor:"19,keyasint,omitempty"`
+	Succeeded []Success  `cbor:"20,keyasint,omitempty"`
+	Answered  []Answered `cbor:"21,keyasint,omitempty"`
+	// Quarantines lists the parts in quarantine.
+	Quarantines []Quarantine `cbor:"22,keyasint,omitempty"`
+}
+
+// Break is a call that an engine broke off before it generated anything.
+type Break struct {
+	_      struct{} `cbor:",toarray"`
+	Engine Server
+	// Request is a hash of the call's ID.
+	Request uint64
+	// Parts holds the IDs of the shared parts of the call's prompt.
+	Parts []string
+	// Head is set if the engine had sent the head of a response.
+	Head      bool
+	AgeMillis int64
+}
+
+// Success is a part of prompts, and how long ago a call with it succeeded.
+type Success struct {
+	_         struct{} `cbor:",toarray"`
+	Part      string
+	AgeMillis int64
+}
+
+// Answered is an engine, and how long ago something that it sent arrived.
+type Answered struct {
+	_         struct{} `cbor:",toarray"`
+	Engine    Server
+	AgeMillis int64
+}
+
+// Quarantine is a part of prompts that crashes engines. Times are in milliseconds.
+type Quarantine struct {
+	_    struct{} `cbor:",toarray"`
+	Part string
+	// SinceMillis is how long ago the first engine crashed, AskedMillis how long ago a
+	// call with the part was last refused.
+	SinceMillis int64
+	AskedMillis int64
+	// LeftMillis is the time until a trial may be made, HoldMillis the time between a
+	// crash and a trial.
+	LeftMillis int64
+	HoldMillis int64
 }
 
 // Server identifies an incarnation of a backend server.
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -359,6 +359,20 @@
 	return out
 }
 
+// RecentVMs returns the names of this VM and of those heard within the given duration.
+func (n *Node) RecentVMs(within time.Duration) []string {
+	now := n.options.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := []string{n.options.VM}
+	for vm, o := range n.members {
+		if o.lastHeard > 0 && now-o.lastHeard < within {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
 // ZoneMemberCount returns the number of other VMs of this VM's zone that are known.
 func (n *Node) ZoneMemberCount() int {
 	n.mu.Lock()
--- /dev/null
+++ b/internal/quarantine/evidence.go
@@ -0,0 +1,296 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// minRequests is the number of different requests with a part, and minEngines that
+	// of the engines, that must have been broken off for a quarantine.
+	minRequests = 3
+	minEngines  = 3
+	// minEnginesWithoutHead applies if one of the engines sent none of its callers the
+	// head of a response: a call without a response may not have begun.
+	minEnginesWithoutHead = 4
+	// minEnginesOfKnownPart applies to a part with which calls have succeeded before.
+	minEnginesOfKnownPart = 5
+	// minSettled is the number of crashes that must be older than settleDelay: an engine
+	// that has not crashed is likely to answer another call by then.
+	minSettled  = 2
+	settleDelay = answerDelay + 100*time.Millisecond
+	// minInstants is the number of instants, at least instantGap apart, at which calls
+	// must have been broken off: an outage breaks off many calls at once.
+	minInstants = 3
+	instantGap  = 250 * time.Millisecond
+	// manyEngines is the number of engines beyond which two instants are enough, and a
+	// choice between unrelated parts is no longer put off.
+	manyEngines       = 5
+	minInstantsOfMany = 2
+	// minUnexplained is the number of engines that no part in quarantine explains.
+	minUnexplained = 2
+	// outerPartLead is how many more engines an outer part must explain than an inner
+	// one to be chosen before it.
+	outerPartLead = 2
+	// evidenceTTL is how long a break counts.
+	evidenceTTL = 5 * time.Minute
+	// maxCrashes, maxBreaksPerCrash and maxBreaksPerPart bound the evidence.
+	maxCrashes        = 256
+	maxBreaksPerCrash = 16
+	maxBreaksPerPart  = 64
+	// answerDelay is how long an engine that has crashed may seem to answer calls,
+	// since callers read late what it had sent. After refutationPeriod, a new incarnation
+	// may answer in its place.
+	answerDelay      = 300 * time.Millisecond
+	refutationPeriod = 2 * time.Second
+)
+
+// Engine identifies an incarnation of an engine.
+type Engine struct {
+	ID   string
+	Born int64
+}
+
+// Break is a call that an engine broke off before it had generated anything for it.
+type Break struct {
+	Engine Engine
+	// Request distinguishes requests.
+	Request uint64
+	// Parts are the parts of the prompt that other calls share, in prompt order.
+	Parts []string
+	// Head is set if the engine had sent the head of a response.
+	Head bool
+	At   time.Duration
+}
+
+// crash is what is known of the calls that one incarnation of an engine broke off.
+type crash struct {
+	at time.Duration
+	// head is set once a break with a head is known. The others then do not count:
+	// their calls were not the ones that the engine had begun.
+	head   bool
+	breaks []*Break
+}
+
+func (c *crash) counts(b *Break) bool { return b.Head || !c.head }
+
+// evidence holds the breaks that no later success has refuted.
+type evidence struct {
+	crashes map[Engine]*crash
+	// byPart holds the breaks by the parts of their calls, in order of arrival.
+	byPart map[string][]*Break
+}
+
+func newEvidence() *evidence {
+	return &evidence{crashes: make(map[Engine]*crash), byPart: make(map[string][]*Break)}
+}
+
+// add records a break. It reports false if the break is known or not needed.
+func (e *evidence) add(b *Break, refuted func(part string) bool) bool {
+	c := e.crashes[b.Engine]
+	if c == nil {
+		if len(e.crashes) >= maxCrashes {
+			e.removeOldest()
+		}
+		c = &crash{at: b.At}
+		e.crashes[b.Engine] = c
+	}
+	for _, known := range c.breaks {
+		if known.Request == b.Request && (known.Head || !b.Head) {
+			return false
+		}
+	}
+	if !c.counts(b) || len(c.breaks) >= maxBreaksPerCrash && (c.head || !b.Head) {
+		return false
+	}
+	c.at, c.head = min(c.at, b.At), c.head || b.Head
+	c.breaks = append(c.breaks, b)
+	for _, p := range b.Parts {
+		if !refuted(p) && len(e.byPart[p]) < maxBreaksPerPart {
+			e.byPart[p] = append(e.byPart[p], b)
+		}
+	}
+	return true
+}
+
+func (e *evidence) removeOldest() {
+	var oldest Engine
+	first := true
+	for id, c := range e.crashes {
+		if first || c.at < e.crashes[oldest].at {
+			oldest, first = id, false
+		}
+	}
+	e.removeCrash(oldest)
+}
+
+func (e *evidence) removeCrash(id Engine) {
+	c := e.crashes[id]
+	delete(e.crashes, id)
+	for _, b := range c.breaks {
+		for _, p := range b.Parts {
+			e.filter(p, func(x *Break) bool { return x.Engine != id })
+		}
+	}
+}
+
+// filter keeps the breaks of a part for which keep returns true. It reports whether
+// it removed any.
+func (e *evidence) filter(part string, keep func(*Break) bool) bool {
+	old := e.byPart[part]
+	kept := slices.DeleteFunc(slices.Clone(old), func(b *Break) bool { return !keep(b) })
+	if len(kept) == 0 {
+		delete(e.byPart, part)
+	} else {
+		e.byPart[part] = kept
+	}
+	return len(kept) < len(old)
+}
+
+// refute removes the breaks of a part up to a time at which a call with it succeeded.
+func (e *evidence) refute(part string, at time.Duration) bool {
+	if len(e.byPart[part]) == 0 {
+		return false
+	}
+	return e.filter(part, func(b *Break) bool { return b.At > at })
+}
+
+func (e *evidence) expire(now time.Duration) {
+	for id, c := range e.crashes {
+		if now-c.at > evidenceTTL {
+			e.removeCrash(id)
+		}
+	}
+}
+
+// Case is the evidence against a part.
+type Case struct {
+	Part string
+	// Since is the time of the first break.
+	Since time.Duration
+	// Engines, Requests and Instants are numbers of different ones.
+	Engines, Requests, Instants int
+	// settled is the number of crashes older than settleDelay.
+	settled int
+	// known is set if calls with the part have succeeded before.
+	known bool
+	// unexplained is the number of engines that have broken off no call with a part in
+	// quarantine.
+	unexplained int
+	// crashed holds the engines.
+	crashed map[Engine]bool
+	// headless is set if one of the engines sent no head of a response.
+	headless bool
+}
+
+// caseAgainst weighs the breaks of a part.
+func (e *evidence) caseAgainst(part string, now time.Duration, inQuarantine func(part string) bool) Case {
+	k := Case{Part: part, crashed: make(map[Engine]bool)}
+	requests := make(map[uint64]bool)
+	var times []time.Duration
+	for _, b := range e.byPart[part] {
+		c := e.crashes[b.Engine]
+		if c == nil || !c.counts(b) {
+			continue
+		}
+		requests[b.Request] = true
+		times = append(times, c.at)
+		k.headless = k.headless || !c.head
+		if k.crashed[b.Engine] {
+			continue
+		}
+		k.crashed[b.Engine] = true
+		if now-c.at >= settleDelay {
+			k.settled++
+		}
+		if !e.explained(c, inQuarantine) {
+			k.unexplained++
+		}
+	}
+	k.Engines, k.Requests = len(k.crashed), len(requests)
+	slices.Sort(times)
+	var instant time.Duration
+	for i, at := range times {
+		if i == 0 || at-instant >= instantGap {
+			instant = at
+			k.Instants++
+		}
+	}
+	if len(times) > 0 {
+		k.Since = times[0]
+	}
+	return k
+}
+
+// explained reports whether a crash follows from a part in quarantine.
+func (e *evidence) explained(c *crash, inQuarantine func(part string) bool) bool {
+	return slices.ContainsFunc(c.breaks, func(b *Break) bool { return c.counts(b) && slices.ContainsFunc(b.Parts, inQuarantine) })
+}
+
+// convincing reports whether a case is enough for a quarantine.
+func (k Case) convincing() bool {
+	engines, instants := minEngines, minInstants
+	switch {
+	case k.known:
+		engines = minEnginesOfKnownPart
+	case k.headless:
+		engines = minEnginesWithoutHead
+	}
+	if k.Engines >= manyEngines {
+		instants = minInstantsOfMany
+	}
+	return k.Engines >= engines && k.Requests >= minRequests && k.Instants >= instants &&
+		k.unexplained >= minUnexplained && k.settled >= minSettled
+}
+
+// decide returns the part to quarantine after a break, if any. Among the parts of the
+// call it prefers the one with the most crashed engines, and of nested parts the
+// innermost: other calls share the outer ones. A tie with a part of unrelated calls is
+// decided by the next crash.
+func (e *evidence) decide(b *Break, now time.Duration, inQuarantine, known func(part string) bool) (Case, bool) {
+	var best Case
+	found := false
+	for _, p := range b.Parts {
+		if inQuarantine(p) {
+			continue
+		}
+		k := e.caseAgainst(p, now, inQuarantine)
+		k.known = known(p)
+		if k.convincing() && (!found || k.Engines > best.Engines-outerPartLead) {
+			best, found = k, true
+		}
+	}
+	if !found || best.Engines < manyEngines && e.tied(best) {
+		return Case{}, false
+	}
+	return best, true
+}
+
+// tied reports whether a part that occurs in no call with the part of a case was
+// broken off on the same engines.
+func (e *evidence) tied(k Case) bool {
+	related := make(map[string]bool)
+	for _, b := range e.byPart[k.Part] {
+		for _, p := range b.Parts {
+			related[p] = true
+		}
+	}
+	engines := make(map[string]map[Engine]bool)
+	for id := range k.crashed {
+		c := e.crashes[id]
+		for _, b := range c.breaks {
+			for _, p := range b.Parts {
+				if related[p] || !c.counts(b) || !slices.Contains(e.byPart[p], b) {
+					continue
+				}
+				if engines[p] == nil {
+					engines[p] = make(map[Engine]bool)
+				}
+				if engines[p][id] = true; len(engines[p]) == k.Engines {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/quarantine/load_test.go
@@ -0,0 +1,280 @@
+package quarantine
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// loadSeeds is the number of seeds that TestLoads plays.
+var loadSeeds = flag.Uint64("seeds", 2, "number of seeds of the loads")
+
+// load plays calls of a fleet on a Tracker: the calls of a first part shared by most,
+// of teams, and of subjects that few share. A call begins some time after it was sent
+// and then generates events.
+type load struct {
+	random  *rand.Rand
+	tracker *Tracker
+	now     time.Duration
+	engines []*simulatedEngine
+	born    int64
+	running []*simulatedCall
+	// nextCall numbers the calls, share is that of calls with the part that crashes
+	// engines.
+	nextCall uint64
+	share    float64
+	// lostShare is the share of calls that are reset before they have generated anything.
+	lostShare float64
+	// crashedByPart counts engines, sentLate the calls with the part that were sent
+	// later than lateAfter after the fifth of them.
+	crashedByPart int
+	fifthAt       time.Duration
+	sentLate      int
+	quarantined   map[string]int
+}
+
+type simulatedEngine struct {
+	id    Engine
+	upAt  time.Duration
+	calls map[*simulatedCall]bool
+}
+
+type simulatedCall struct {
+	parts   []string
+	request uint64
+	engine  *simulatedEngine
+	headAt  time.Duration
+	eventAt time.Duration
+	endAt   time.Duration
+	events  int
+	crashes bool
+	lost    bool
+}
+
+const (
+	simulationStep = 10 * time.Millisecond
+	engineRestart  = 3 * time.Second
+	lateAfter      = 3 * time.Second
+)
+
+func newLoad(seed uint64, engines int) *load {
+	l := &load{random: rand.New(rand.NewPCG(seed, 2)), tracker: NewTracker(), quarantined: make(map[string]int), now: time.Second}
+	for i := range engines {
+		l.engines = append(l.engines, &simulatedEngine{id: Engine{ID: fmt.Sprint("e", i)}, calls: make(map[*simulatedCall]bool)})
+	}
+	return l
+}
+
+func (l *load) newCall() *simulatedCall {
+	l.nextCall++
+	c := &simulatedCall{request: l.nextCall, headAt: l.now + time.Duration(50+l.random.IntN(600))*time.Millisecond}
+	c.eventAt = c.headAt + time.Duration(20+l.random.IntN(100))*time.Millisecond
+	c.endAt = c.eventAt + time.Duration(200+l.random.IntN(4000))*time.Millisecond
+	team := l.random.IntN(8)
+	c.parts = []string{"first", fmt.Sprint("team", team)}
+	if l.random.Float64() < 0.7 {
+		c.parts = append(c.parts, fmt.Sprint("subject", team, "/", int(l.random.ExpFloat64()*20)))
+	}
+	if l.random.Float64() < l.share {
+		c.parts, c.crashes = append(c.parts[:2:2], "bad"), true
+		if l.random.IntN(2) == 0 {
+			c.parts = append(c.parts, fmt.Sprint("inner", l.random.IntN(4)))
+		}
+	}
+	c.lost = l.random.Float64() < l.lostShare
+	return c
+}
+
+func (l *load) send() {
+	c := l.newCall()
+	if part, _ := l.tracker.Check(c.parts, l.now); part != "" && !l.tracker.StartTrial(c.parts, l.now) {
+		return
+	}
+	up := l.engines[:0:0]
+	for _, e := range l.engines {
+		if l.now >= e.upAt {
+			up = append(up, e)
+		}
+	}
+	if len(up) == 0 {
+		return
+	}
+	if c.crashes && l.fifthAt > 0 && l.now > l.fifthAt+lateAfter {
+		l.sentLate++
+	}
+	c.engine = up[l.random.IntN(len(up))]
+	c.engine.calls[c] = true
+	l.running = append(l.running, c)
+}
+
+// breakOff ends a call without its response.
+func (l *load) breakOff(c *simulatedCall) {
+	delete(c.engine.calls, c)
+	if c.events >= 2 {
+		return
+	}
+	b := Break{Engine: c.engine.id, Request: c.request, Parts: c.parts, Head: l.now >= c.headAt, At: l.now}
+	l.tracker.RecordOutcome(b.Parts, false, b.Head, l.now)
+	v, _ := l.tracker.RecordBreak(b, l.now)
+	l.note(v)
+}
+
+func (l *load) note(v Verdict) {
+	if v.Case != nil {
+		l.quarantined[v.Quarantine.Part]++
+	}
+}
+
+// crash ends an engine and all its calls.
+func (l *load) crash(e *simulatedEngine) {
+	// Heads come first: the platform reports calls without one only if there is no other.
+	for _, head := range []bool{true, false} {
+		for c := range e.calls {
+			if (l.now >= c.headAt) == head {
+				l.breakOff(c)
+			}
+		}
+	}
+	l.born++
+	e.id.Born, e.upAt = l.born, l.now+engineRestart
+}
+
+// crashShare crashes a share of the engines.
+func (l *load) crashShare(share float64) {
+	for _, e := range l.engines {
+		if l.random.Float64() < share && l.now >= e.upAt {
+			l.crash(e)
+		}
+	}
+}
+
+// step plays simulationStep.
+func (l *load) step(callsPerSecond float64) {
+	l.now += simulationStep
+	for x := callsPerSecond * simulationStep.Seconds(); x > l.random.Float64(); x-- {
+		l.send()
+	}
+	for _, c := range append([]*simulatedCall(nil), l.running...) {
+		if c.engine.calls[c] {
+			l.advance(c)
+		}
+	}
+	kept := l.running[:0]
+	for _, c := range l.running {
+		if c.engine.calls[c] {
+			kept = append(kept, c)
+		}
+	}
+	l.running = kept
+	if l.now%(200*time.Millisecond) == 0 {
+		for _, v := range l.tracker.Review(l.now) {
+			l.note(v)
+		}
+		l.tracker.Expire(l.now)
+	}
+}
+
+func (l *load) advance(c *simulatedCall) {
+	switch {
+	case l.now < c.headAt:
+	case l.now < c.eventAt:
+		if c.lost {
+			l.breakOff(c)
+		}
+	case c.crashes:
+		l.crashedByPart++
+		if l.crashedByPart == 5 {
+			l.fifthAt = l.now
+		}
+		l.crash(c.engine)
+	case l.now >= c.endAt:
+		delete(c.engine.calls, c)
+	case (l.now-c.eventAt)%(50*time.Millisecond) < simulationStep:
+		c.events++
+		l.tracker.RecordAnswer(c.engine.id, l.now)
+		if c.events == 2 {
+			l.tracker.RecordOutcome(c.parts, true, true, c.eventAt)
+			l.tracker.RecordSuccess(c.parts, c.eventAt)
+		}
+	}
+}
+
+// A part that crashes engines must be found after few crashes, and nothing else may be
+// taken for one.
+func TestLoads(t *testing.T) {
+	const seconds = 30
+	every := func(l *load, period time.Duration, f func()) {
+		if l.now%period == 0 {
+			f()
+		}
+	}
+	tests := []struct {
+		name           string
+		share          float64
+		engines        int
+		callsPerSecond float64
+		during         func(l *load)
+	}{
+		{"rare part crashes engines", 0.02, 12, 60, nil},
+		{"part crashes engines", 0.05, 12, 60, nil},
+		{"frequent part crashes engines", 0.3, 12, 60, nil},
+		{"part crashes engines of a large fleet", 0.05, 60, 400, nil},
+		{"frequent part crashes engines of a large fleet", 0.3, 60, 400, nil},
+		{"part crashes engines, and others crash in waves", 0.05, 12, 60, func(l *load) { every(l, 6*time.Second, func() { l.crashShare(0.3) }) }},
+		{"part crashes engines, and some answers are lost", 0.05, 12, 60, func(l *load) { l.lostShare = 0.03 }},
+		{"nothing happens", 0, 12, 60, nil},
+		{"engines crash in waves", 0, 12, 60, func(l *load) { every(l, 4*time.Second, func() { l.crashShare(0.3) }) }},
+		{"engines of a large fleet crash in waves", 0, 60, 400, func(l *load) { every(l, 4*time.Second, func() { l.crashShare(0.3) }) }},
+		{"an availability zone loses power again and again", 0, 12, 60, func(l *load) {
+			every(l, 5*time.Second, func() {
+				for _, e := range l.engines[:4] {
+					l.crash(e)
+				}
+			})
+		}},
+		{"engines crash one by one", 0, 12, 60, func(l *load) { every(l, 700*time.Millisecond, func() { l.crashShare(0.08) }) }},
+		{"few answers are lost", 0, 12, 60, func(l *load) { l.lostShare = 0.03 }},
+		{"many answers are lost", 0, 12, 60, func(l *load) { l.lostShare = 0.4 }},
+		{"most answers are lost", 0, 12, 60, func(l *load) { l.lostShare = 0.9 }},
+		{"all answers are lost", 0, 12, 60, func(l *load) { l.lostShare = 1 }},
+		{"connections are reset", 0, 12, 60, func(l *load) {
+			every(l, 3*time.Second, func() {
+				for _, c := range append([]*simulatedCall(nil), l.running...) {
+					if l.random.IntN(2) == 0 {
+						l.breakOff(c)
+					}
+				}
+			})
+		}},
+		{"all engines crash at once", 0, 12, 60, func(l *load) { every(l, 7*time.Second, func() { l.crashShare(1) }) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for seed := range *loadSeeds {
+				l := newLoad(seed, tt.engines)
+				for l.now < 3*time.Second {
+					l.step(tt.callsPerSecond)
+				}
+				l.share = tt.share
+				for l.now < (3+seconds)*time.Second {
+					if tt.during != nil {
+						tt.during(l)
+					}
+					l.step(tt.callsPerSecond)
+				}
+				if tt.share == 0 {
+					require.Empty(t, l.quarantined, "seed %d", seed)
+					continue
+				}
+				require.LessOrEqual(t, l.sentLate, 3, "seed %d: %d crashes, %v", seed, l.crashedByPart, l.quarantined)
+				for part := range l.quarantined {
+					require.Regexp(t, "^(bad|inner.)$", part, "seed %d", seed)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/quarantine/tracker.go
@@ -0,0 +1,337 @@
+package quarantine
+
+import (
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// firstHold is how long calls are refused before the first trial; each failed trial
+	// doubles the time, up to maxHold.
+	firstHold = 20 * time.Second
+	maxHold   = 5 * time.Minute
+	// forgetAfter is how long after the last call with its part a quarantine ends.
+	forgetAfter = 10 * time.Minute
+	// trialTimeout is how long a trial without an outcome holds up the next one.
+	trialTimeout = 10 * time.Second
+	// minRetryAfter bounds the time until a refused caller may return, once a trial is
+	// due.
+	minRetryAfter = time.Second
+	// updateStep is the least progress of a time that is taken over from another VM:
+	// times that VMs send each other grow by the delay of each message.
+	updateStep = time.Second
+	// maxQuarantines bounds the parts in quarantine, successMemory the parts whose last
+	// success is remembered.
+	maxQuarantines = 64
+	successMemory  = 4096
+	// decisionPeriod is how long after a break it may still decide on a part, and
+	// maxUndecided bounds the number of such breaks.
+	decisionPeriod = 3 * time.Second
+	maxUndecided   = 128
+)
+
+// Quarantine is a part that crashes engines.
+type Quarantine struct {
+	Part string
+	// Since is the time of the first break. A later success ends the quarantine.
+	Since time.Duration
+	// Until is when a trial may be made, and Hold the time from the last crash to Until.
+	Until time.Duration
+	Hold  time.Duration
+	// AskedAt is when a call with the part was last refused.
+	AskedAt time.Duration
+}
+
+// entry is a quarantine and its trial.
+type entry struct {
+	Quarantine
+	// trialAt is when the last trial of this VM began; zero means none since the hold
+	// began.
+	trialAt time.Duration
+}
+
+// Tracker tracks the parts that crash engines. All times are on one clock. It is safe
+// for concurrent use.
+type Tracker struct {
+	// crashes is the number of crashes in evidence.
+	crashes atomic.Int32
+
+	mu       sync.Mutex // guards the fields below
+	evidence *evidence
+	// undecided holds breaks of the last decisionPeriod, which may decide on a part once
+	// more is known.
+	undecided []*Break
+	// outcomes are those of this VM's calls.
+	outcomes outcomes
+	active   map[string]*entry
+	// succeeded holds when calls with a part last succeeded.
+	succeeded *recent[string, time.Duration]
+}
+
+// NewTracker returns a Tracker without evidence.
+func NewTracker() *Tracker {
+	return &Tracker{evidence: newEvidence(), active: make(map[string]*entry), succeeded: newRecent[string, time.Duration](successMemory)}
+}
+
+func (t *Tracker) inQuarantine(part string) bool { return t.active[part] != nil }
+
+// Verdict is what a break leads to.
+type Verdict struct {
+	// Case is the evidence of a new quarantine, and Quarantine the new or renewed one;
+	// nil if there is none.
+	Case       *Case
+	Quarantine *Quarantine
+	// Refuted holds the parts of the call with which another call has succeeded since,
+	// and when.
+	Refuted []Success
+}
+
+// Success is a call with a part that succeeded.
+type Success struct {
+	Part string
+	At   time.Duration
+}
+
+// RecordBreak records a break of a call on this VM or another one. It reports whether
+// the break was new.
+func (t *Tracker) RecordBreak(b Break, now time.Duration) (Verdict, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := Verdict{}
+	refuted := make(map[string]bool)
+	for _, p := range b.Parts {
+		if at, ok := t.succeeded.get(p); ok && at >= b.At {
+			refuted[p] = true
+			v.Refuted = append(v.Refuted, Success{Part: p, At: at})
+		}
+	}
+	if !t.evidence.add(&b, func(part string) bool { return refuted[part] }) {
+		return Verdict{}, false
+	}
+	t.crashes.Store(int32(len(t.evidence.crashes)))
+	for _, p := range b.Parts {
+		if e := t.active[p]; e != nil && !refuted[p] {
+			if b.At >= e.Until {
+				e.Hold, e.trialAt = min(2*e.Hold, maxHold), 0
+				v.Quarantine = &e.Quarantine
+			}
+			e.Until = max(e.Until, b.At+e.Hold)
+		}
+	}
+	if v.Quarantine != nil {
+		renewed := *v.Quarantine
+		v.Quarantine = &renewed
+		return v, true
+	}
+	if !t.decide(&b, now, &v) && len(t.undecided) < maxUndecided {
+		t.undecided = append(t.undecided, &b)
+	}
+	return v, true
+}
+
+// decide puts a part of a call in quarantine if the evidence against it is enough.
+func (t *Tracker) decide(b *Break, now time.Duration, v *Verdict) bool {
+	known := func(part string) bool {
+		_, ok := t.succeeded.get(part)
+		return ok
+	}
+	k, ok := t.evidence.decide(b, now, t.inQuarantine, known)
+	if !ok || len(t.active) >= maxQuarantines || t.outcomes.mayBeChance(k) {
+		return false
+	}
+	e := &entry{Quarantine: Quarantine{Part: k.Part, Since: k.Since, Until: now + firstHold, Hold: firstHold, AskedAt: now}}
+	t.active[k.Part] = e
+	begun := e.Quarantine
+	v.Case, v.Quarantine = &k, &begun
+	return true
+}
+
+// Review decides on the breaks that were not enough for a quarantine when they were
+// recorded. It must be called several times a second.
+func (t *Tracker) Review(now time.Duration) []Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Verdict
+	kept := t.undecided[:0]
+	for _, b := range t.undecided {
+		v := Verdict{}
+		if t.decide(b, now, &v) {
+			out = append(out, v)
+		} else if now-b.At < decisionPeriod {
+			kept = append(kept, b)
+		}
+	}
+	clear(t.undecided[len(kept):])
+	t.undecided = kept
+	return out
+}
+
+// RecordOutcome records whether an engine began to generate for a call of this VM or
+// broke it off before. head is set if the head of a response had arrived.
+func (t *Tracker) RecordOutcome(parts []string, begun, head bool, at time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.outcomes.add(outcome{parts: parts, begun: begun, head: head, at: at})
+}
+
+// RecordSuccess records that an engine generated tokens for a call with the given
+// parts, on this VM or another one. It returns the parts that were suspect, whose
+// success other VMs should know, and those whose quarantine ends.
+func (t *Tracker) RecordSuccess(parts []string, at time.Duration) (suspect, ended []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range parts {
+		if last, ok := t.succeeded.get(p); !ok || at > last {
+			t.succeeded.set(p, at)
+		}
+		refuted := t.evidence.refute(p, at)
+		if e := t.active[p]; e != nil && at > e.Since {
+			delete(t.active, p)
+			ended = append(ended, p)
+			refuted = true
+		}
+		if refuted {
+			suspect = append(suspect, p)
+		}
+	}
+	return suspect, ended
+}
+
+// RecordAnswer records that something of an incarnation of an engine arrived at a
+// time. It reports whether that refutes a crash of the engine.
+func (t *Tracker) RecordAnswer(id Engine, at time.Duration) bool {
+	if t.crashes.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.evidence.crashes[id]
+	if c == nil || at <= c.at+answerDelay || at > c.at+refutationPeriod {
+		return false
+	}
+	t.evidence.removeCrash(id)
+	t.crashes.Store(int32(len(t.evidence.crashes)))
+	return true
+}
+
+// Known reports whether a break of an engine with the head of a response is known.
+func (t *Tracker) Known(id Engine) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.evidence.crashes[id]
+	return c != nil && c.head
+}
+
+// Check returns the part of a call that is in quarantine, if any, and the time until
+// the quarantine may end.
+func (t *Tracker) Check(parts []string, now time.Duration) (part string, retryAfter time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.active) == 0 {
+		return "", 0
+	}
+	for _, p := range parts {
+		if e := t.active[p]; e != nil {
+			e.AskedAt = now
+			part, retryAfter = p, max(retryAfter, e.Until-now, minRetryAfter)
+		}
+	}
+	return part, retryAfter
+}
+
+// StartTrial reports whether a call with the given parts may be sent as a trial, and
+// if so begins the trial. Only one VM may ask for each part.
+func (t *Tracker) StartTrial(parts []string, now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var due []*entry
+	for _, p := range parts {
+		if e := t.active[p]; e != nil {
+			if now < e.Until || e.trialAt > 0 && now-e.trialAt < trialTimeout {
+				return false
+			}
+			due = append(due, e)
+		}
+	}
+	for _, e := range due {
+		e.trialAt = now
+	}
+	return len(due) > 0
+}
+
+// Suspect reports whether another engine has broken off a call of another request with
+// one of the given parts, and none has succeeded since.
+func (t *Tracker) Suspect(parts []string, id Engine, request uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range parts {
+		for _, b := range t.evidence.byPart[p] {
+			if c := t.evidence.crashes[b.Engine]; b.Engine != id && b.Request != request && c != nil && c.counts(b) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Active returns the parts in quarantine, by name.
+func (t *Tracker) Active() []Quarantine {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	active := make([]Quarantine, 0, len(t.active))
+	for _, e := range t.active {
+		active = append(active, e.Quarantine)
+	}
+	sort.Slice(active, func(i, j int) bool { return active[i].Part < active[j].Part })
+	return active
+}
+
+// Expire discards old evidence and ends the quarantines that no call has asked for
+// within forgetAfter. It returns their parts.
+func (t *Tracker) Expire(now time.Duration) (forgotten []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.evidence.expire(now)
+	t.crashes.Store(int32(len(t.evidence.crashes)))
+	for p, e := range t.active {
+		if now-e.AskedAt > forgetAfter && now > e.Until {
+			delete(t.active, p)
+			forgotten = append(forgotten, p)
+		}
+	}
+	return forgotten
+}
+
+// Merge takes over a quarantine of another VM or of the store. It reports whether it
+// is new, or the success that refutes it.
+func (t *Tracker) Merge(q Quarantine, now time.Duration) (added bool, refuted *Success) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at, ok := t.succeeded.get(q.Part); ok && at > q.Since {
+		return false, &Success{Part: q.Part, At: at}
+	}
+	if now-q.AskedAt > forgetAfter && now > q.Until || q.Hold < firstHold || q.Hold > maxHold {
+		return false, nil
+	}
+	e := t.active[q.Part]
+	if e == nil {
+		if len(t.active) >= maxQuarantines {
+			return false, nil
+		}
+		t.active[q.Part] = &entry{Quarantine: q}
+		return true, nil
+	}
+	e.Since = min(e.Since, q.Since)
+	if q.Hold > e.Hold {
+		e.Hold, e.trialAt = q.Hold, 0
+	}
+	if q.Until > e.Until+updateStep {
+		e.Until = q.Until
+	}
+	if q.AskedAt > e.AskedAt+updateStep {
+		e.AskedAt = q.AskedAt
+	}
+	return false, nil
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -125,7 +125,9 @@
 	Header http.Header
 	// ContentLength is the size of the body in bytes, or -1 if it is not announced.
 	ContentLength int64
-	Body          io.ReadCloser
+	// EndsWithConn is set if nothing but the end of the connection ends the body.
+	EndsWithConn bool
+	Body         io.ReadCloser
 }
 
 type conn struct {
@@ -345,7 +347,7 @@
 		}
 		if r.Matches == nil || r.Matches(resp.Header, x.conn.reused || x.mismatched) {
 			return &Response{
-				Status: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength,
+				Status: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength, EndsWithConn: endsWithConn(resp),
 				Body: &body{ReadCloser: resp.Body, x: x, reusable: x.canReuse(r, resp)},
 			}, nil
 		}
@@ -367,6 +369,10 @@
 	return err
 }
 
+func endsWithConn(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // canReuse reports whether the connection may carry another call after a response,
 // and sets its idle timeout.
 func (x *exchange) canReuse(r *Request, resp *http.Response) bool {
@@ -375,7 +381,7 @@
 	if r.Matches != nil && !r.Matches(resp.Header, true) {
 		return false
 	}
-	if resp.Close || x.mismatched || (resp.ContentLength < 0 && len(resp.TransferEncoding) == 0) {
+	if resp.Close || x.mismatched || endsWithConn(resp) {
 		return false
 	}
 	x.conn.idleTimeout = x.pool.options.IdleTimeout
