End calls that have not begun when a part of theirs is put in quarantine

Cause: the quarantine stopped calls that were not written yet; those that an engine had queued began there. Change: an attempt whose engine has not begun to generate is canceled when a part of its call is put in quarantine. An engine drops a queued call whose connection closes. The caller gets 502 (it may have run), the engine counts no failure. The store of the gateway's tests now tells the time, as the platform's does: records hold times of its clock. Test: TestQuarantineEndsCallsThatHaveNotBegun; with the cancellation taken out it waits 2 s for its deadline and fails.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,6 +118,7 @@
 	quarantine        *quarantine.Tracker
 	quarantineUpdates quarantineUpdates
 	quarantineRecord  quarantineRecord
+	beginningCalls    beginningCalls
 	// gossipRound counts the calls of sendUpdates.
 	gossipRound int
 	zoneUsage   zoneUsage
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -46,7 +46,9 @@
 func (m *memoryStore) Read(_ context.Context, name string) (lease.Record, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.rows[name], nil
+	rec := m.rows[name]
+	rec.Now = now()
+	return rec, nil
 }
 
 func (m *memoryStore) CompareAndSwap(_ context.Context, name string, value []byte, version int64) (lease.Record, error) {
@@ -55,7 +57,7 @@
 	if m.rows[name].Version != version {
 		return lease.Record{}, lease.ErrConflict
 	}
-	rec := lease.Record{Value: value, Version: version + 1}
+	rec := lease.Record{Value: value, Version: version + 1, Now: now()}
 	m.rows[name] = rec
 	return rec, nil
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -34,8 +34,11 @@
 
 // tryWhole makes one attempt. It reports whether the caller got a response.
 func (g *Gateway) tryWhole(ctx context.Context, f *forwardedCall, c serverChoice) bool {
-	ctx, cancel := g.attemptContext(ctx, f)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer g.watchBeginning(f, cancel)()
+	ctx, stop := g.attemptContext(ctx, f)
+	defer stop()
 	g.table.Begin(c.server.ID, 0)
 	defer g.table.End(c.server.ID)
 	resp, err := g.send(ctx, f, c, "")
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -235,6 +235,7 @@
 func (g *Gateway) recordVerdict(v quarantine.Verdict, now time.Duration) *gossip.Quarantine {
 	fields := log.Fields{"part": v.Quarantine.Part, "until": (v.Quarantine.Until - now).Milliseconds()}
 	if k := v.Case; k != nil {
+		g.beginningCalls.cancel(v.Quarantine.Part)
 		fields["engines"], fields["requests"], fields["instants"], fields["since"] = k.Engines, k.Requests, k.Instants, (now - k.Since).Milliseconds()
 		event.QuarantineBegan.Log(g.log, nil, fields)
 		g.metrics.incrementCounter("quarantines_begun")
@@ -264,6 +265,7 @@
 		return
 	}
 	p.succeeded = true
+	f.beginning.begun.Store(true)
 	at := p.firstEventAt
 	if at == 0 {
 		at = g.now()
@@ -371,6 +373,7 @@
 		g.quarantineUpdates.addSuccess(refuted.Part, refuted.At)
 	}
 	if added {
+		g.beginningCalls.cancel(q.Part)
 		event.QuarantineBegan.Log(g.log, nil, log.Fields{"part": q.Part, "until": (q.Until - g.now()).Milliseconds(), "source": source})
 	}
 }
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"net/http"
 	"testing"
 	"time"
 
@@ -17,10 +19,10 @@
 )
 
 // quarantinePart tells a gateway of a quarantine of another VM, of which some time is
-// left.
-func quarantinePart(g *Gateway, part string, left time.Duration) {
+// left. Its evidence has the given age.
+func quarantinePart(g *Gateway, part string, left, age time.Duration) {
 	g.handleMessage(&gossip.Message{VM: "peer", Zone: "z2", Delta: true, Quarantines: []gossip.Quarantine{{
-		Part: part, SinceMillis: 500, LeftMillis: left.Milliseconds(), HoldMillis: (20 * time.Second).Milliseconds(),
+		Part: part, SinceMillis: age.Milliseconds(), LeftMillis: left.Milliseconds(), HoldMillis: (20 * time.Second).Milliseconds(),
 	}}}, false)
 }
 
@@ -40,7 +42,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			g, a := newTestGateway(t, respondWith(func() *Response { return newResponse(200, eventStream("1", "2")) }))
-			quarantinePart(g, tt.part, 5*time.Second)
+			quarantinePart(g, tt.part, 5*time.Second, 0)
 			c := serveCall(t, g, "/stream/", tt.key)
 			if tt.reason == "" {
 				require.Equal(t, 200, c.status)
@@ -61,7 +63,7 @@
 func TestQuarantineStopsCallsThatWereAdmittedBefore(t *testing.T) {
 	var g *Gateway
 	g, a := newTestGateway(t, func(_ context.Context, _ int, a *Attempt) (*Response, error) {
-		quarantinePart(g, "a", 5*time.Second)
+		quarantinePart(g, "a", 5*time.Second, 0)
 		require.False(t, a.Permit())
 		return nil, fmt.Errorf("%w: %w", upstream.ErrUnsent, upstream.ErrNotPermitted)
 	})
@@ -74,6 +76,42 @@
 	}
 }
 
+// A call that waits on an engine when its part is put in quarantine must not begin there,
+// but one that has begun goes on.
+func TestQuarantineEndsCallsThatHaveNotBegun(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		t.Run(fmt.Sprint("begun ", begun), func(t *testing.T) {
+			var g *Gateway
+			g, a := newTestGateway(t, func(ctx context.Context, _ int, _ *Attempt) (*Response, error) {
+				if !begun {
+					quarantinePart(g, "a", 5*time.Second, 0)
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}
+				r, w := io.Pipe()
+				go func() {
+					_, _ = io.WriteString(w, eventStream("1", "2"))
+					time.Sleep(50 * time.Millisecond)
+					quarantinePart(g, "a", 5*time.Second, 0)
+					_, _ = io.WriteString(w, eventStream("3"))
+					_ = w.Close()
+				}()
+				return &Response{Status: 200, Header: http.Header{}, ContentLength: -1, Body: r}, nil
+			})
+			c := serveCall(t, g, "/stream/", "key")
+			require.Len(t, a.sentAttempts(), 1)
+			for _, s := range g.table.Statuses("model", g.now()) {
+				require.Zero(t, s.Failures, "the server is not at fault")
+			}
+			if begun {
+				require.Equal(t, eventStream("1", "2", "3"), c.body.String())
+				return
+			}
+			require.Equal(t, ReasonBackendFailed, c.refusal.Reason, "it may have run")
+		})
+	}
+}
+
 // After the hold, one call shows whether the part still crashes engines; it must not
 // reach a second one.
 func TestTrialOfAPartInQuarantine(t *testing.T) {
@@ -98,7 +136,7 @@
 				}
 				return tt.response(), nil
 			})
-			quarantinePart(g, "a", -time.Millisecond)
+			quarantinePart(g, "a", -time.Millisecond, 0)
 			c := serveCall(t, g, "/resumable/", "key")
 			require.Len(t, a.sentAttempts(), 1)
 			require.Equal(t, ReasonUnavailable, second.refusal.Reason, "only one call at a time")
@@ -179,7 +217,7 @@
 	for _, sub := range g.subscriptions {
 		sub.Cancel()
 	}
-	quarantinePart(g, "a", 5*time.Second)
+	quarantinePart(g, "a", 5*time.Second, time.Second)
 	require.Empty(t, g.quarantine.Active())
 	_, told := g.quarantineUpdates.take(g.now())
 	require.Len(t, told.Succeeded, 1, "the other VM is told")
@@ -188,7 +226,7 @@
 // A quarantine outlives the end of all VMs.
 func TestQuarantineIsKeptInTheStore(t *testing.T) {
 	g, a := newTestGateway(t, respondWith(func() *Response { return newResponse(200, eventStream("1", "2")) }))
-	quarantinePart(g, "a", 5*time.Second)
+	quarantinePart(g, "a", 5*time.Second, 0)
 	require.Eventually(t, func() bool { return a.store.version(quarantineRecordName) == 1 }, 2*time.Second, 5*time.Millisecond)
 	g.Close()
 	next, err := New(Settings{VM: "vm2", Zone: "z1", PeerAddress: loopback.FreeAddress(t), FirstStart: true, Bounds: testBounds}, a, &log.Logger{Handler: discard.New()})
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -43,6 +43,7 @@
 	// progress is that of the last attempt at an engine, brokenOffBy the engine that
 	// last broke off an attempt before it generated anything.
 	progress    attemptProgress
+	beginning   *beginningCall
 	brokenOffBy quarantine.Engine
 	// possibleRuns counts the servers on which the call may have run.
 	possibleRuns int
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -57,6 +57,7 @@
 	f := st.forwardedCall
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	defer g.watchBeginning(f, cancel)()
 	pendingTokens := c.UncachedTokens
 	g.table.Begin(c.server.ID, pendingTokens)
 	defer g.table.End(c.server.ID)
