A stream that ends with its connection before its first event has been broken off

Cause: the end of such a body is no error, and the stream was passed on as whole. Change: without a length, chunks and an event, and unless the call resumes a stream, the end counts as a broken connection: the call is sent to another engine where that is allowed, and fails with 502 otherwise. One that ends after a whole event still cannot be told from a complete one. Test: TestStreamThatEndsWithItsConnection; three of its five cases failed before.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -148,6 +148,10 @@
 	defer events.release()
 	for {
 		e, err := events.next()
+		if errors.Is(err, io.EOF) && resp.EndsWithConn && st.progress.events == 0 && st.lastEventID == "" {
+			// Nothing shows that this is more than the beginning of a response.
+			return io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
 			if !st.headerSent {
 				return st.writeHeader(resp)
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -44,6 +44,40 @@
 	require.Len(t, a.sentAttempts(), 1)
 }
 
+// A stream without a length or chunks ends with its connection, also if its engine
+// crashes: one that ends before its first event must not look complete.
+func TestStreamThatEndsWithItsConnection(t *testing.T) {
+	tests := []struct {
+		name, path, body string
+		complete         bool
+		attempts         int
+	}{
+		{"before its first event", "/stream/", "", false, 1},
+		{"before its first event, may be resumed", "/resumable/", "", true, 2},
+		{"after a comment", "/stream/", ": comment\n\n", false, 1},
+		{"inside its first event", "/stream/", "id: 1\nda", false, 1},
+		{"after an event", "/stream/", eventStream("1"), true, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g, a := newTestGateway(t, func(_ context.Context, n int, _ *Attempt) (*Response, error) {
+				if n > 1 {
+					return newResponse(200, eventStream("1")), nil
+				}
+				resp := newResponse(200, tt.body)
+				resp.ContentLength, resp.EndsWithConn = -1, true
+				return resp, nil
+			})
+			c := serveCall(t, g, tt.path, "key")
+			require.Len(t, a.sentAttempts(), tt.attempts)
+			require.Equal(t, tt.complete, c.refusal == nil && !c.aborted)
+			if tt.complete {
+				require.Equal(t, eventStream("1"), c.body.String())
+			}
+		})
+	}
+}
+
 func TestResumableStreamLeavesSilentEngine(t *testing.T) {
 	g, a := newTestGateway(t, func(ctx context.Context, n int, _ *Attempt) (*Response, error) {
 		if n == 1 {
