Quarantines that VMs decide on when they review evidence are not broadcast

They decide on the same evidence, and periodic messages tell those that lack some. Calls without a model have no parts that could be in quarantine.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -115,6 +115,9 @@
 
 // sharedPartIDs returns the parts of a call's prompt that may be put in quarantine.
 func sharedPartIDs(c *Call) []string {
+	if c.Prompt.Model == "" {
+		return nil
+	}
 	shared := c.Prompt.SharedParts()
 	ids := make([]string, len(shared))
 	for i, p := range shared {
@@ -322,7 +325,9 @@
 		m.Breaks = append(m.Breaks, breakMessage(b, now))
 	}
 	for _, v := range g.quarantine.Review(now) {
-		m.Quarantines = append(m.Quarantines, *g.recordVerdict(v, now))
+		// The other VMs decide on the same evidence; those that lack some learn of it from
+		// the next periodic message.
+		g.recordVerdict(v, now)
 	}
 	if len(m.Breaks)+len(m.Succeeded)+len(m.Answered)+len(m.Quarantines) > 0 {
 		g.broadcastDelta(m)
