--- a/internal/quarantine/load_test.go
+++ b/internal/quarantine/load_test.go
@@ -4,6 +4,8 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,6 +29,8 @@
 	// engines.
 	nextCall uint64
 	share    float64
+	// turned is a part of sound calls that crashes engines from now on, if not empty.
+	turned string
 	// lostShare is the share of calls that are reset before they have generated anything.
 	lostShare float64
 	// crashedByPart counts engines, sentLate the calls with the part that were sent
@@ -85,6 +89,7 @@
 			c.parts = append(c.parts, fmt.Sprint("inner", l.random.IntN(4)))
 		}
 	}
+	c.crashes = c.crashes || slices.Contains(c.parts, l.turned)
 	c.lost = l.random.Float64() < l.lostShare
 	return c
 }
@@ -226,6 +231,8 @@
 		{"frequent part crashes engines of a large fleet", 0.3, 60, 400, nil},
 		{"part crashes engines, and others crash in waves", 0.05, 12, 60, func(l *load) { every(l, 6*time.Second, func() { l.crashShare(0.3) }) }},
 		{"part crashes engines, and some answers are lost", 0.05, 12, 60, func(l *load) { l.lostShare = 0.03 }},
+		{"part that was sound crashes engines", 0, 12, 60, func(l *load) { l.turned = "team3" }},
+		{"part that was sound crashes engines of a large fleet", 0, 60, 400, func(l *load) { l.turned = "team3" }},
 		{"nothing happens", 0, 12, 60, nil},
 		{"engines crash in waves", 0, 12, 60, func(l *load) { every(l, 4*time.Second, func() { l.crashShare(0.3) }) }},
 		{"engines of a large fleet crash in waves", 0, 60, 400, func(l *load) { every(l, 4*time.Second, func() { l.crashShare(0.3) }) }},
@@ -266,13 +273,17 @@
 					}
 					l.step(tt.callsPerSecond)
 				}
-				if tt.share == 0 {
+				if tt.share == 0 && l.turned == "" {
 					require.Empty(t, l.quarantined, "seed %d", seed)
 					continue
 				}
 				require.LessOrEqual(t, l.sentLate, 3, "seed %d: %d crashes, %v", seed, l.crashedByPart, l.quarantined)
 				for part := range l.quarantined {
-					require.Regexp(t, "^(bad|inner.)$", part, "seed %d", seed)
+					related := part == "bad" || strings.HasPrefix(part, "inner")
+					if l.turned != "" {
+						related = part == l.turned || strings.HasPrefix(part, "subject3/")
+					}
+					require.True(t, related, "seed %d: %s", seed, part)
 				}
 			}
 		})
