quarantine: decide once the breaks of a crash are known to all

Found by the new table of TestWhatPutsAPartInQuarantine: two unrelated parts had calls on the same three engines. The first of them whose third break arrived went into quarantine, since the other one's, of the same crash, came a few milliseconds later. Change: a break decides 100 ms after it was recorded; the VM whose own call was decisive tells the others at once. TestWhatPutsAPartInQuarantine has each rule.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -191,7 +191,7 @@
 		return
 	}
 	b := quarantine.Break{
-		Engine: incarnation(c.server), Request: xxhash.Sum64String(f.call.ID), Parts: f.sharedParts, Head: f.progress.head, At: g.now(),
+		Engine: incarnation(c.server), Request: xxhash.Sum64String(f.call.ID), Parts: f.sharedParts, Head: f.progress.head, At: g.now(), Local: true,
 	}
 	event.CallBrokenOff.Log(g.log, err, log.Fields{
 		"request": f.call.ID, "engine": c.server.ID, "born": c.server.Born, "parts": f.sharedParts, "head": b.Head, "events": f.progress.events,
@@ -203,10 +203,8 @@
 		return
 	}
 	f.brokenOffBy = b.Engine
-	if begun := g.applyBreak(b); begun != nil {
-		// The message with the break follows after batchDelay.
-		g.broadcastDelta(&gossip.Message{Quarantines: []gossip.Quarantine{*begun}})
-	}
+	g.applyBreak(b)
+	time.AfterFunc(quarantine.ReviewDelay, g.reviewQuarantines)
 	g.announcer.enqueue(func(m *gossip.Message) {
 		if len(m.Breaks) < maxBreaksPerMessage {
 			m.Breaks = append(m.Breaks, breakMessage(b, g.now()))
@@ -220,22 +218,37 @@
 	}
 }
 
-// applyBreak weighs a break of this VM or another one. It returns the quarantine that
-// it begins or renews, if any.
-func (g *Gateway) applyBreak(b quarantine.Break) *gossip.Quarantine {
+// applyBreak takes note of a break of this VM or another one.
+func (g *Gateway) applyBreak(b quarantine.Break) {
 	now := g.now()
-	v, _ := g.quarantine.RecordBreak(b, now)
+	v, _ := g.quarantine.RecordBreak(b)
 	for _, s := range v.Refuted {
 		g.quarantineUpdates.addSuccess(s.Part, s.At)
 	}
-	if v.Quarantine == nil {
-		return nil
+	if v.Quarantine != nil {
+		g.recordVerdict(v, now)
 	}
-	return g.recordVerdict(v, now)
 }
 
-// recordVerdict logs a new or renewed quarantine and returns it for the other VMs.
-func (g *Gateway) recordVerdict(v quarantine.Verdict, now time.Duration) *gossip.Quarantine {
+// reviewQuarantines puts parts in quarantine for which the evidence is enough by now. A
+// VM whose own call was decisive tells the others at once; they decide on the same
+// evidence, unless they lack some.
+func (g *Gateway) reviewQuarantines() {
+	now := g.now()
+	m := &gossip.Message{}
+	for _, v := range g.quarantine.Review(now) {
+		g.recordVerdict(v, now)
+		if v.Local {
+			m.Quarantines = append(m.Quarantines, quarantineMessage(*v.Quarantine, now))
+		}
+	}
+	if len(m.Quarantines) > 0 {
+		g.broadcastDelta(m)
+	}
+}
+
+// recordVerdict logs a new or renewed quarantine.
+func (g *Gateway) recordVerdict(v quarantine.Verdict, now time.Duration) {
 	fields := log.Fields{"part": v.Quarantine.Part, "until": (v.Quarantine.Until - now).Milliseconds()}
 	if k := v.Case; k != nil {
 		g.beginningCalls.cancel(v.Quarantine.Part)
@@ -245,8 +258,6 @@
 	} else {
 		event.QuarantineRenewed.Log(g.log, nil, fields)
 	}
-	begun := quarantineMessage(*v.Quarantine, now)
-	return &begun
 }
 
 func quarantineMessage(q quarantine.Quarantine, now time.Duration) gossip.Quarantine {
@@ -319,19 +330,13 @@
 		if g.quarantine.Known(b.Engine) {
 			continue
 		}
-		if begun := g.applyBreak(b); begun != nil {
-			m.Quarantines = append(m.Quarantines, *begun)
-		}
+		g.applyBreak(b)
 		m.Breaks = append(m.Breaks, breakMessage(b, now))
 	}
-	for _, v := range g.quarantine.Review(now) {
-		// The other VMs decide on the same evidence; those that lack some learn of it from
-		// the next periodic message.
-		g.recordVerdict(v, now)
-	}
-	if len(m.Breaks)+len(m.Succeeded)+len(m.Answered)+len(m.Quarantines) > 0 {
+	if len(m.Breaks)+len(m.Succeeded)+len(m.Answered) > 0 {
 		g.broadcastDelta(m)
 	}
+	g.reviewQuarantines()
 }
 
 // activeQuarantines returns the quarantines for a periodic message.
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -204,6 +204,7 @@
 	for range 40 {
 		g.quarantine.RecordOutcome([]string{"other"}, true, true, g.now())
 	}
+	time.Sleep(quarantine.ReviewDelay)
 	g.sendQuarantineUpdates()
 	require.Equal(t, ReasonUnavailable, serveCall(t, g, "/stream/", "key").refusal.Reason)
 	require.Empty(t, a.sentAttempts())
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -61,6 +61,8 @@
 	// Head is set if the engine had sent the head of a response.
 	Head bool
 	At   time.Duration
+	// Local is set if this VM made the call.
+	Local bool
 }
 
 // crash is what is known of the calls that one incarnation of an engine broke off.
--- a/internal/quarantine/load_test.go
+++ b/internal/quarantine/load_test.go
@@ -124,8 +124,7 @@
 	}
 	b := Break{Engine: c.engine.id, Request: c.request, Parts: c.parts, Head: l.now >= c.headAt, At: l.now}
 	l.tracker.RecordOutcome(b.Parts, false, b.Head, l.now)
-	v, _ := l.tracker.RecordBreak(b, l.now)
-	l.note(v)
+	l.tracker.RecordBreak(b)
 }
 
 func (l *load) note(v Verdict) {
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -26,8 +26,10 @@
 	// success is remembered.
 	maxQuarantines = 64
 	successMemory  = 4096
-	// decisionPeriod is how long after a break it may still decide on a part, and
-	// maxUndecided bounds the number of such breaks.
+	// ReviewDelay is how long after a break it may decide on a part: by then, what other
+	// VMs have seen of the same crash is known. decisionPeriod is how long it may still
+	// do so, and maxUndecided bounds the number of such breaks.
+	ReviewDelay    = 100 * time.Millisecond
 	decisionPeriod = 3 * time.Second
 	maxUndecided   = 128
 )
@@ -77,7 +79,7 @@
 
 func (t *Tracker) inQuarantine(part string) bool { return t.active[part] != nil }
 
-// Verdict is what a break leads to.
+// Verdict is what one or more breaks lead to.
 type Verdict struct {
 	// Case is the evidence of a new quarantine, and Quarantine the new or renewed one;
 	// nil if there is none.
@@ -86,6 +88,8 @@
 	// Refuted holds the parts of the call with which another call has succeeded since,
 	// and when.
 	Refuted []Success
+	// Local is set if a call of this VM was decisive.
+	Local bool
 }
 
 // Success is a call with a part that succeeded.
@@ -96,7 +100,7 @@
 
 // RecordBreak records a break of a call on this VM or another one. It reports whether
 // the break was new.
-func (t *Tracker) RecordBreak(b Break, now time.Duration) (Verdict, bool) {
+func (t *Tracker) RecordBreak(b Break) (Verdict, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	v := Verdict{}
@@ -125,41 +129,44 @@
 		v.Quarantine = &renewed
 		return v, true
 	}
-	if !t.decide(&b, now, &v) && len(t.undecided) < maxUndecided {
+	if len(t.undecided) < maxUndecided {
 		t.undecided = append(t.undecided, &b)
 	}
 	return v, true
 }
 
 // decide puts a part of a call in quarantine if the evidence against it is enough.
-func (t *Tracker) decide(b *Break, now time.Duration, v *Verdict) bool {
+func (t *Tracker) decide(b *Break, now time.Duration) (Verdict, bool) {
 	known := func(part string) bool {
 		_, ok := t.succeeded.get(part)
 		return ok
 	}
 	k, ok := t.evidence.decide(b, now, t.inQuarantine, known)
 	if !ok || len(t.active) >= maxQuarantines || t.outcomes.mayBeChance(k) {
-		return false
+		return Verdict{}, false
 	}
 	e := &entry{Quarantine: Quarantine{Part: k.Part, Since: k.Since, Until: now + firstHold, Hold: firstHold, AskedAt: now}}
 	t.active[k.Part] = e
 	begun := e.Quarantine
-	v.Case, v.Quarantine = &k, &begun
-	return true
+	return Verdict{Case: &k, Quarantine: &begun, Local: b.Local}, true
 }
 
-// Review decides on the breaks that were not enough for a quarantine when they were
-// recorded. It must be called several times a second.
+// Review puts parts in quarantine on the evidence recorded up to ReviewDelay before. It
+// must be called several times a second.
 func (t *Tracker) Review(now time.Duration) []Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Verdict
 	kept := t.undecided[:0]
 	for _, b := range t.undecided {
-		v := Verdict{}
-		if t.decide(b, now, &v) {
-			out = append(out, v)
-		} else if now-b.At < decisionPeriod {
+		age := now - b.At
+		if age >= ReviewDelay {
+			if v, decided := t.decide(b, now); decided {
+				out = append(out, v)
+				continue
+			}
+		}
+		if age < decisionPeriod {
 			kept = append(kept, b)
 		}
 	}
