quarantine: the newest breaks are reviewed, and reviews are not repeated

With more than 128 breaks in 3 s the older ones kept the newer ones out; now the oldest go. Parts with fewer breaks than a quarantine takes are passed over, and breaks within 100 ms share a review.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,6 +119,8 @@
 	quarantineUpdates quarantineUpdates
 	quarantineRecord  quarantineRecord
 	beginningCalls    beginningCalls
+	// reviewPending is set while a review of the evidence is due.
+	reviewPending atomic.Bool
 	// gossipRound counts the calls of sendUpdates.
 	gossipRound int
 	zoneUsage   zoneUsage
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -204,7 +204,12 @@
 	}
 	f.brokenOffBy = b.Engine
 	g.applyBreak(b)
-	time.AfterFunc(quarantine.ReviewDelay, g.reviewQuarantines)
+	if !g.reviewPending.Swap(true) {
+		time.AfterFunc(quarantine.ReviewDelay, func() {
+			g.reviewPending.Store(false)
+			g.reviewQuarantines()
+		})
+	}
 	g.announcer.enqueue(func(m *gossip.Message) {
 		if len(m.Breaks) < maxBreaksPerMessage {
 			m.Breaks = append(m.Breaks, breakMessage(b, g.now()))
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -253,7 +253,7 @@
 	var best Case
 	found := false
 	for _, p := range b.Parts {
-		if inQuarantine(p) {
+		if len(e.byPart[p]) < minEngines || inQuarantine(p) {
 			continue
 		}
 		k := e.caseAgainst(p, now, inQuarantine)
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -129,9 +130,10 @@
 		v.Quarantine = &renewed
 		return v, true
 	}
-	if len(t.undecided) < maxUndecided {
-		t.undecided = append(t.undecided, &b)
+	if len(t.undecided) == maxUndecided {
+		t.undecided = slices.Delete(t.undecided, 0, 1)
 	}
+	t.undecided = append(t.undecided, &b)
 	return v, true
 }
 
