--- a/internal/gateway/beginning.go
+++ b/internal/gateway/beginning.go
@@ -55,8 +55,11 @@
 // watchBeginning makes an attempt of a call cancelable until the engine has begun to
 // generate. The returned function must be called at the end of the attempt.
 func (g *Gateway) watchBeginning(f *forwardedCall, cancel context.CancelCauseFunc) (end func()) {
+	if f.engine == nil || len(f.sharedParts) == 0 {
+		return func() {}
+	}
 	f.beginning = &beginningCall{parts: f.sharedParts, cancel: cancel}
-	if f.engine == nil || len(f.sharedParts) == 0 || f.trial {
+	if f.trial {
 		return func() {}
 	}
 	return g.beginningCalls.add(f.beginning)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -236,7 +236,7 @@
 // recordAnswer takes note of something that an engine has sent, which has not crashed
 // then.
 func (g *Gateway) recordAnswer(f *forwardedCall, s backend.Server) {
-	if f.engine == nil {
+	if f.engine == nil || !g.quarantine.HasEvidence() {
 		return
 	}
 	if id, now := incarnation(s), g.now(); g.quarantine.RecordAnswer(id, now) {
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -208,12 +208,12 @@
 	return suspect, ended
 }
 
+// HasEvidence reports whether any crash is known.
+func (t *Tracker) HasEvidence() bool { return t.crashes.Load() > 0 }
+
 // RecordAnswer records that something of an incarnation of an engine arrived at a
 // time. It reports whether that refutes a crash of the engine.
 func (t *Tracker) RecordAnswer(id Engine, at time.Duration) bool {
-	if t.crashes.Load() == 0 {
-		return false
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := t.evidence.crashes[id]
