--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/apex/log"
@@ -78,7 +79,7 @@
 	var resp *Response
 	var err error
 	if t := f.takeover; t != nil {
-		f.takeover, f.lastChoice = nil, c
+		f.takeover, f.lastChoice, f.progress = nil, c, attemptProgress{}
 		<-t.done
 		resp, err = t.resp, t.err
 	} else {
@@ -94,6 +95,10 @@
 		}
 	default:
 		f.possibleRuns++
+		f.progress.head = resp.Status == http.StatusOK
+	}
+	if err == nil && !resp.WrongServer {
+		g.recordAnswer(f, c.server)
 	}
 	g.recordAttempt(ctx, f, c, resp, err)
 	return resp, err
@@ -121,6 +126,7 @@
 	}
 	f.attempts++
 	f.lastChoice = c
+	f.progress = attemptProgress{}
 	g.recordPrefill(f, c, a.SaveTo != "")
 	return a
 }
@@ -131,7 +137,8 @@
 
 // permit returns a function that reports whether an attempt that was decided at a time
 // may still be written: the process has not been paused for long since, the key has not
-// been withdrawn, its proof is young enough, time is left, and the server has not left.
+// been withdrawn, its proof is young enough, no part of its prompt is in quarantine,
+// time is left, and the server has not left.
 func (g *Gateway) permit(f *forwardedCall, c serverChoice, decidedAt time.Duration) func() bool {
 	decided := *f
 	f = &decided
@@ -140,6 +147,9 @@
 		if now-decidedAt > maxDecisionAge || now >= f.deadline {
 			return false
 		}
+		if g.quarantineRefusal(f) != nil {
+			return false
+		}
 		if s, listed := g.table.Get(c.server.ID); !listed || s.Draining || s.Born != c.server.Born {
 			return false
 		}
@@ -164,6 +174,7 @@
 	case errors.Is(err, ErrBuffersFull), errors.Is(err, upstream.ErrNotPermitted):
 		// The cause lies with this VM.
 	case err != nil:
+		g.recordBreak(ctx, f, c, err)
 		g.recordFailure(s, ctx.Err() != nil || errors.Is(err, upstream.ErrUnsent))
 	case resp.WrongServer:
 		g.table.RecordReplaced(s.ID, g.now())
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -232,6 +232,9 @@
 	r.ended = true
 	f.attempts = r.call.attempts
 	f.possibleRuns += r.call.possibleRuns - r.runs
+	if f.brokenOffBy.ID == "" {
+		f.brokenOffBy = r.call.brokenOffBy
+	}
 	maps.Copy(f.sentTo, r.call.sentTo)
 	maps.Copy(f.excluded, r.call.excluded)
 	t := r.next
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -25,10 +25,7 @@
 		if g.tryWhole(ctx, f, c) {
 			return
 		}
-		if f.possibleRuns > 0 && !f.canRetry() {
-			break
-		}
-		if ok, _ := g.stillAuthorized(f); !ok {
+		if !g.mayContinue(f) {
 			break
 		}
 	}
@@ -39,6 +36,7 @@
 func (g *Gateway) tryWhole(callCtx context.Context, f *forwardedCall, c serverChoice) (answered bool) {
 	ctx, cancel := f.attemptContext(callCtx)
 	defer cancel(nil)
+	defer g.watchBeginning(f, cancel)()
 	if f.route.Repeatable() && f.possibleRuns+1 < f.route.MaxAttempts {
 		timeout := max(minAttemptTimeout, min(f.route.LatencyGoal, (f.deadline-g.now())/2))
 		running := g.newRunningAttempt(callCtx, cancel, f, c, "", timeout, timeout)
@@ -61,6 +59,9 @@
 		return false
 	}
 	g.recordSuccess(c.server)
+	if resp.Status == http.StatusOK && !resp.EndsWithConn {
+		g.recordProgress(f, true)
+	}
 	if resp.Status >= http.StatusInternalServerError && f.canRetry() {
 		f.excluded[c.server.ID] = true
 		if next, ok := g.chooseServer(f, f.service); ok && next.server.ID != "" && g.hasTimeForAttempt(f) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -50,10 +50,7 @@
 		if g.tryStream(ctx, st, c) {
 			return
 		}
-		if (f.possibleRuns > 0 && !f.canRetry()) || st.unnumbered {
-			break
-		}
-		if ok, _ := g.stillAuthorized(f); !ok {
+		if st.unnumbered || !g.mayContinue(f) {
 			break
 		}
 	}
@@ -71,6 +68,7 @@
 	f := st.forwardedCall
 	ctx, cancel := f.attemptContext(callCtx)
 	defer cancel(nil)
+	defer g.watchBeginning(f, cancel)()
 	pendingTokens := c.UncachedTokens
 	g.table.Begin(c.server.ID, pendingTokens)
 	defer g.table.End(c.server.ID)
@@ -99,7 +97,7 @@
 	if resp.Status != http.StatusOK {
 		return g.handleNonStream(ctx, st, c, resp)
 	}
-	err = st.copyEvents(resp, g.buffers, func() {
+	err = st.copyEvents(resp, g.buffers, func() { g.recordProgress(f, false); g.recordAnswer(f, c.server) }, func() {
 		if pendingTokens > 0 {
 			g.table.RecordPrefill(c.server.Service, c.UncachedTokens+c.pendingTokens, g.now()-sentAt)
 		}
@@ -125,6 +123,9 @@
 		return false
 	}
 	g.recordSuccess(c.server)
+	if f.progress.events > 0 && !resp.EndsWithConn {
+		g.recordProgress(f, true)
+	}
 	f.status, f.outcome = resp.Status, outcomeAnswered
 	return true
 }
@@ -180,9 +181,9 @@
 }
 
 // copyEvents passes on the complete events of a response. It skips events that the
-// caller has from an earlier attempt. It calls onProgress for each new event with data;
-// comments and repeated events show no progress of the call.
-func (st *streamState) copyEvents(resp *Response, budget *bufferBudget, onProgress func()) error {
+// caller has from an earlier attempt. It calls onData for each event with data and
+// onProgress for each new one; comments and repeated events show no progress of the call.
+func (st *streamState) copyEvents(resp *Response, budget *bufferBudget, onData, onProgress func()) error {
 	events := newEventReader(resp.Body, budget)
 	defer events.release()
 	if st.headerSent && !st.isContinuation(resp) {
@@ -204,6 +205,9 @@
 		if err != nil {
 			return err
 		}
+		if e.hasData {
+			onData()
+		}
 		if e.id != "" && !isNewerEvent(e.id, st.lastEventID) {
 			continue
 		}
