gateway: an attempt that takes a call over is never dropped for a later check

Callers saw: a stream cut, or a 502, although another server had accepted the call; and a refusal that promises "not run" (503, 401, with the quota refunded) while an attempt at another server was running.

Cause: once an attempt has been handed over, serveWhole and serveStream still asked whether another attempt may be made, and whether the key holds. The attempt that takes over was made already: where it was the fourth and last (two refusals by full servers are enough) the call ended without it. An attempt that was dropped at the end of a call did not count as a possible run, so that the first server's "not run" stood for the whole call.

Change: both checks are skipped for an attempt that has been made; its permit checked the key. An attempt that is dropped counts as a possible run, unless it is known not to have run.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -47,8 +47,14 @@
 	return t.err == nil && !t.resp.NotRun && !t.resp.WrongServer && t.resp.Status == http.StatusOK
 }
 
-// mayHaveRun reports whether the call may have run on the server.
+// mayHaveRun reports whether the call may have run on the server. That is unknown, and
+// true, until the attempt is done.
 func (t *takeover) mayHaveRun() bool {
+	select {
+	case <-t.done:
+	default:
+		return true
+	}
 	if t.err != nil {
 		return !errors.Is(t.err, upstream.ErrUnsent)
 	}
@@ -195,10 +201,9 @@
 	g := r.gateway
 	r.next = nil
 	r.call.excluded[t.choice.server.ID] = true
-	mayHaveRun := true
+	mayHaveRun := t.mayHaveRun()
 	select {
 	case <-t.done:
-		mayHaveRun = t.mayHaveRun()
 		g.recordAttempt(t.ctx, r.call, t.choice, t.resp, t.err)
 	default:
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -25,6 +25,9 @@
 		if g.tryWhole(ctx, f, c) {
 			return
 		}
+		if f.takeover != nil {
+			continue
+		}
 		if f.possibleRuns > 0 && !f.canRetry() {
 			break
 		}
@@ -32,6 +35,7 @@
 			break
 		}
 	}
+	f.dropTakeover()
 	g.refuseUnserved(ctx, f)
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -67,7 +67,6 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.deadline-g.now())
 	defer cancel()
-	defer f.dropTakeover()
 	defer f.dropFailure()
 	if f.route.Kind == catalog.Stream {
 		g.serveStream(ctx, f)
@@ -83,12 +82,17 @@
 	g.recordOutcome(f)
 }
 
-// dropTakeover cancels an attempt that has been made, if the call ends without it.
+// dropTakeover cancels an attempt that has been made, if the call ends without it. It
+// counts the attempt in possibleRuns if the call may have run.
 func (f *forwardedCall) dropTakeover() {
-	if f.takeover != nil {
-		f.takeover.drop()
-		f.takeover = nil
+	if f.takeover == nil {
+		return
+	}
+	if f.takeover.mayHaveRun() {
+		f.possibleRuns++
 	}
+	f.takeover.drop()
+	f.takeover = nil
 }
 
 // failureResponse is a complete response that reports a failure of the call.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -42,6 +42,9 @@
 		if g.tryStream(ctx, st, c) {
 			return
 		}
+		if f.takeover != nil {
+			continue
+		}
 		if f.possibleRuns > 0 && !f.canRetry() {
 			break
 		}
@@ -49,6 +52,7 @@
 			break
 		}
 	}
+	f.dropTakeover()
 	if st.headerSent {
 		f.outcome = endedBy(ctx, "broken")
 		f.writer.Abort()
