gateway: any answer of the next server ends the wait for a silent one

Callers saw: 504 at their deadline, though another server had answered 201, 204, 302 or 404 in full while the first one was silent; and a begun stream cut after its engine had hung, if its key was withdrawn after the first event.

Cause: an attempt to take a call over was accepted with status 200 only, which is right for a stream that continues, and not for a response that has yet to begin. Its copy of the call did not know that the header had been passed on, so its permit asked for the key of a begun stream.

Change: before the header has been passed on, each response below 500 is accepted from the server that follows a silent one. passOn records that a stream has begun.

Evidence: TestSilentServerGivesWayToEachCompleteResponse (five cases) and TestBegunStreamOfSilentEngineIsTakenOverAlthoughItsKeyWasWithdrawn failed before and pass with the race detector. A 5xx of the next server is still dropped, and the silent server waited for.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -42,9 +42,16 @@
 	decided chan struct{}
 }
 
-// accepted reports whether the server has begun to answer.
-func (t *takeover) accepted() bool {
-	return t.err == nil && !t.resp.NotRun && !t.resp.WrongServer && t.resp.Status == http.StatusOK
+// accepted reports whether the server has begun to answer. A response that is no failure
+// is an answer too, unless a stream is to continue or leaves a sound server.
+func (t *takeover) accepted(headerSent bool) bool {
+	if t.err != nil || t.resp.NotRun || t.resp.WrongServer {
+		return false
+	}
+	if headerSent || errors.Is(t.cause, errStreamMoved) {
+		return t.resp.Status == http.StatusOK
+	}
+	return t.resp.Status < http.StatusInternalServerError
 }
 
 // mayHaveRun reports whether the call may have run on the server. That is unknown, and
@@ -133,6 +140,7 @@
 	if e.id != "" {
 		r.lastEventID = e.id
 	}
+	r.call.headerSent = true
 	return true
 }
 
@@ -150,18 +158,21 @@
 	timer := time.NewTimer(acceptTimeout)
 	defer timer.Stop()
 	silent := errors.Is(cause, errServerSilent)
-	refused := false
+	responded := false
 	select {
 	case <-t.done:
-		refused = !t.accepted()
+		responded = true
 	case <-timer.C:
-		refused = !silent
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.ended {
 		return true
 	}
+	refused := !silent
+	if responded {
+		refused = !t.accepted(r.call.headerSent)
+	}
 	if refused || silent && !r.silence.expired() {
 		r.reject(t)
 		return false
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/marjoramrock/marjoramrock/internal/backend"
+	"github.com/marjoramrock/marjoramrock/internal/upstream"
 	"github.com/stretchr/testify/require"
 )
 
@@ -99,3 +100,42 @@
 		})
 	}
 }
+
+func TestSilentServerGivesWayToEachCompleteResponse(t *testing.T) {
+	for _, status := range []int{http.StatusCreated, http.StatusNoContent, http.StatusFound, http.StatusNotFound} {
+		for _, path := range []string{"/idempotent/", "/resumable/"} {
+			if path == "/resumable/" && status < http.StatusBadRequest {
+				continue
+			}
+			t.Run(path+http.StatusText(status), func(t *testing.T) {
+				g, _ := newTestGateway(t, func(ctx context.Context, n int, _ *Attempt) (*Response, error) {
+					if n == 1 {
+						return waitUntilCanceled(ctx)
+					}
+					return newResponse(status, "answer"), nil
+				})
+				c := serveCall(t, g, path, "isolated-key")
+				require.Nil(t, c.refusal)
+				require.Equal(t, status, c.status)
+				require.Equal(t, "answer", c.body.String())
+			})
+		}
+	}
+}
+
+func TestBegunStreamOfSilentEngineIsTakenOverAlthoughItsKeyWasWithdrawn(t *testing.T) {
+	var g *Gateway
+	g, _ = newTestGateway(t, func(ctx context.Context, n int, a *Attempt) (*Response, error) {
+		if n == 1 {
+			time.AfterFunc(minSilenceTimeout/2, func() { withdrawKey(g, "/resumable/") })
+			return pausingStream(ctx, time.Minute), nil
+		}
+		if !a.Permit() {
+			return nil, upstream.ErrUnsent
+		}
+		return newResponse(http.StatusOK, eventStream("2")), nil
+	})
+	c := serveCall(t, g, "/resumable/", "isolated-key")
+	require.False(t, c.aborted)
+	require.Equal(t, eventStream("1", "2"), c.body.String())
+}
