gateway: a slow caller does not make its engine a silent one

Callers saw: nothing yet; the stream lost its second run and a retry of the budget, and a sound engine got a backoff, while the caller took more than the permitted silence (600 ms or more) to read one event.

Cause: the timer for silence ran while the event was written to the caller, when nothing is read from the engine.

Change: a silent engine is not handed over during a write, and its silence begins when the caller has taken the event.

Evidence: TestSlowCallerDoesNotMakeAnEngineSilent failed before (two attempts) and passes.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -96,6 +96,9 @@
 	// runs is call.possibleRuns before any attempt to take the call over.
 	runs        int
 	lastEventID string
+	// passingOn is set while an event is being written to the caller. Nothing is read from
+	// the server meanwhile.
+	passingOn bool
 	// next is the attempt to take the call over that is being made, or nil.
 	next  *takeover
 	ended bool
@@ -140,10 +143,24 @@
 	if e.id != "" {
 		r.lastEventID = e.id
 	}
-	r.call.headerSent = true
+	r.call.headerSent, r.passingOn = true, true
 	return true
 }
 
+// passedOn records that the caller has taken the event. The server's silence begins
+// then.
+func (r *runningAttempt) passedOn(e streamEvent) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.passingOn = false
+	if e.hasData {
+		r.silence.reset()
+	}
+}
+
 // handOver makes an attempt at another server, and cancels this one once that server has
 // accepted the call. A silent server is also given up if the other one has not refused
 // within acceptTimeout. Nothing changes if no sound server can take the call, or if less
@@ -173,7 +190,7 @@
 	if responded {
 		refused = !t.accepted(r.call.headerSent)
 	}
-	if refused || silent && !r.silence.expired() {
+	if refused || silent && (r.passingOn || !r.silence.expired()) {
 		r.reject(t)
 		return false
 	}
@@ -188,7 +205,7 @@
 	g := r.gateway
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ended || r.next != nil || !r.call.canRetry() {
+	if r.ended || r.next != nil || !r.call.canRetry() || r.passingOn && errors.Is(cause, errServerSilent) {
 		return nil, r.ended
 	}
 	c, ok := g.chooseServer(r.call, r.call.service)
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -139,3 +139,24 @@
 	require.False(t, c.aborted)
 	require.Equal(t, eventStream("1", "2"), c.body.String())
 }
+
+type slowCaller struct {
+	responseRecorder
+	delay time.Duration
+}
+
+func (c *slowCaller) Write(p []byte) error {
+	time.Sleep(c.delay)
+	return c.responseRecorder.Write(p)
+}
+
+func TestSlowCallerDoesNotMakeAnEngineSilent(t *testing.T) {
+	g, a := newTestGateway(t, func(context.Context, int, *Attempt) (*Response, error) {
+		return newResponse(http.StatusOK, eventStream("1", "2")), nil
+	})
+	c := &slowCaller{delay: 2 * minSilenceTimeout}
+	g.Serve(context.Background(), newCall("/resumable/", "isolated-key"), c)
+	require.False(t, c.aborted)
+	require.Equal(t, eventStream("1", "2"), c.body.String())
+	require.Len(t, a.sentAttempts(), 1)
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -191,6 +191,7 @@
 		if err := st.writer.Write(e.raw); err != nil {
 			return errCallerLeft
 		}
+		st.running.passedOn(e)
 		if e.id != "" {
 			st.lastEventID = e.id
 		}
