gateway: prefill of an engine that takes a call over is measured from its start

Callers saw: no direct loss; calls were placed by a wrong estimate.

Cause: the time to the first event was measured from the adoption of the attempt, up to 250 ms after it was sent, and nearly 0 if it had answered.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -29,6 +29,7 @@
 // takeover is an attempt that is made while another one of the same call is running.
 type takeover struct {
 	choice serverChoice
+	sentAt time.Duration
 	// ctx is that of the attempt.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -212,7 +213,7 @@
 	if !ok || c.LastResort || !g.retries.Take(r.call.service, g.now(), reserve) {
 		return nil, false
 	}
-	t = &takeover{choice: c, cause: cause, done: make(chan struct{}), decided: make(chan struct{})}
+	t = &takeover{choice: c, sentAt: g.now(), cause: cause, done: make(chan struct{}), decided: make(chan struct{})}
 	t.ctx, t.cancel = context.WithCancel(r.callCtx)
 	a := g.newAttempt(r.call, c, r.lastEventID)
 	g.table.Begin(c.server.ID, c.UncachedTokens)
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -160,3 +160,20 @@
 	require.Equal(t, eventStream("1", "2"), c.body.String())
 	require.Len(t, a.sentAttempts(), 1)
 }
+
+func TestPrefillOfEngineThatTakesOverIsMeasuredFromItsStart(t *testing.T) {
+	g, _ := newTestGateway(t, func(ctx context.Context, n int, _ *Attempt) (*Response, error) {
+		if n == 1 {
+			return waitUntilCanceled(ctx)
+		}
+		time.Sleep(acceptTimeout / 2)
+		return newResponse(http.StatusOK, eventStream("1")), nil
+	})
+	before := g.table.Statuses("model", g.now())[0].TokensPerMilli
+	call := newCall("/resumable/", "isolated-key")
+	call.Prompt.InputTokens, call.Prompt.Parts[1].Tokens = 3000, 2800
+	c := &responseRecorder{}
+	g.Serve(context.Background(), call, c)
+	require.Equal(t, eventStream("1"), c.body.String())
+	require.Less(t, g.table.Statuses("model", g.now())[0].TokensPerMilli, before)
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -73,6 +73,9 @@
 	promptRead := func() { g.table.PromptRead(c.server.ID, pendingTokens); pendingTokens = 0 }
 	defer promptRead()
 	sentAt := g.now()
+	if f.takeover != nil {
+		sentAt = f.takeover.sentAt
+	}
 
 	st.running = nil
 	if f.canRetry() && f.possibleRuns+1 < f.route.MaxAttempts {
