gateway: a begun stream of a silent engine may use the whole retry budget

Cause: the takeover for silence always left the share that is meant for calls whose header has not been passed on.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -57,11 +57,15 @@
 	if f.attempts == 0 {
 		return true
 	}
-	reserve := startReserve
+	return g.retries.Take(f.service, g.now(), f.retryReserve())
+}
+
+// retryReserve returns the share of the retry budget that an attempt must leave.
+func (f *forwardedCall) retryReserve() float64 {
 	if f.headerSent {
-		reserve = 0
+		return 0
 	}
-	return g.retries.Take(f.service, g.now(), reserve)
+	return startReserve
 }
 
 // send makes one attempt, or waits for the response if it has been made. It counts it in
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -164,11 +164,10 @@
 
 // handOver makes an attempt at another server, and cancels this one once that server has
 // accepted the call. A silent server is also given up if the other one has not refused
-// within acceptTimeout. Nothing changes if no sound server can take the call, or if less
-// than the share reserve of the retry budget would be left. It reports whether this
-// attempt has ended.
-func (r *runningAttempt) handOver(cause error, reserve float64) bool {
-	t, ended := r.startTakeover(cause, reserve)
+// within acceptTimeout. Nothing changes if no sound server can take the call, or if too
+// little of the retry budget would be left. It reports whether this attempt has ended.
+func (r *runningAttempt) handOver(cause error) bool {
+	t, ended := r.startTakeover(cause)
 	if t == nil {
 		return ended
 	}
@@ -202,13 +201,17 @@
 
 // startTakeover makes an attempt at another server. It returns nil if none is made, and
 // then reports whether the running attempt has ended.
-func (r *runningAttempt) startTakeover(cause error, reserve float64) (t *takeover, ended bool) {
+func (r *runningAttempt) startTakeover(cause error) (t *takeover, ended bool) {
 	g := r.gateway
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.ended || r.next != nil || !r.call.canRetry() || r.passingOn && errors.Is(cause, errServerSilent) {
 		return nil, r.ended
 	}
+	reserve := r.call.retryReserve()
+	if errors.Is(cause, errStreamMoved) {
+		reserve = moveReserve
+	}
 	c, ok := g.chooseServer(r.call, r.call.service)
 	if !ok || c.LastResort || !g.retries.Take(r.call.service, g.now(), reserve) {
 		return nil, false
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -177,3 +177,18 @@
 	require.Equal(t, eventStream("1"), c.body.String())
 	require.Less(t, g.table.Statuses("model", g.now())[0].TokensPerMilli, before)
 }
+
+func TestBegunStreamOfSilentEngineUsesTheLastShareOfTheRetryBudget(t *testing.T) {
+	var g *Gateway
+	g, _ = newTestGateway(t, func(ctx context.Context, n int, _ *Attempt) (*Response, error) {
+		if n > 1 {
+			return newResponse(http.StatusOK, eventStream("2")), nil
+		}
+		for g.retries.Take("model", g.now(), startReserve) {
+		}
+		return pausingStream(ctx, time.Minute), nil
+	})
+	c := serveCall(t, g, "/resumable/", "isolated-key")
+	require.False(t, c.aborted)
+	require.Equal(t, eventStream("1", "2"), c.body.String())
+}
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -45,7 +45,7 @@
 		s.expiresAt = now.Add(silenceRecheckPeriod)
 	}
 	s.mu.Unlock()
-	if s.expired() && s.attempt.handOver(errServerSilent, startReserve) {
+	if s.expired() && s.attempt.handOver(errServerSilent) {
 		return
 	}
 	s.mu.Lock()
