gateway: failing test of a paused engine whose successor does not answer

The first engine pauses for 1.2 s and goes on, the next one says nothing: after 250 ms the first one is canceled although nobody has accepted the call, and the stream is lost. Not mended: for how long two engines may work on one stream is a decision of its own.

Command: go test -run TestPausedEngineKeepsItsStreamWhileNoOtherEngineAnswers ./internal/gateway

--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -192,3 +192,15 @@
 	require.False(t, c.aborted)
 	require.Equal(t, eventStream("1", "2"), c.body.String())
 }
+
+func TestPausedEngineKeepsItsStreamWhileNoOtherEngineAnswers(t *testing.T) {
+	g, _ := newTestGateway(t, func(ctx context.Context, n int, _ *Attempt) (*Response, error) {
+		if n == 1 {
+			return pausingStream(ctx, 2*minSilenceTimeout), nil
+		}
+		return waitUntilCanceled(ctx)
+	})
+	c := serveCall(t, g, "/resumable/", "isolated-key")
+	require.False(t, c.aborted)
+	require.Equal(t, eventStream("1", "2"), c.body.String())
+}
