--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -58,11 +58,15 @@
 	if f.attempts == 0 {
 		return true
 	}
-	reserve := startReserve
+	return g.retries.Take(f.service, g.now(), f.retryReserve())
+}
+
+// retryReserve returns the share of the retry budget that an attempt must leave.
+func (f *forwardedCall) retryReserve() float64 {
 	if f.headerSent {
-		reserve = 0
+		return 0
 	}
-	return g.retries.Take(f.service, g.now(), reserve)
+	return startReserve
 }
 
 // attemptContext returns the context of the next attempt, which may have been made.
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -21,14 +21,15 @@
 	errStreamMoved = errors.New("engine is about to load weights")
 )
 
-// acceptTimeout is how long the server that is to continue a call may take to accept or
-// refuse it while the server before it still works on the call. It is shorter than two
-// servers may work on one call at the same time.
+// acceptTimeout is how long a sound server waits, with what it has sent not passed on,
+// until another one accepts the call. It is shorter than two servers may generate for one
+// call at the same time.
 const acceptTimeout = 250 * time.Millisecond
 
 // takeover is an attempt that is made while another one of the same call is running.
 type takeover struct {
 	choice serverChoice
+	sentAt time.Duration
 	// ctx is that of the attempt.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -42,13 +43,26 @@
 	decided chan struct{}
 }
 
-// accepted reports whether the server has begun to answer.
-func (t *takeover) accepted() bool {
-	return t.err == nil && !t.resp.NotRun && !t.resp.WrongServer && t.resp.Status == http.StatusOK
+// accepted reports whether the server has begun to answer. A response that is no failure
+// is an answer too, unless a stream is to continue or leaves a sound server.
+func (t *takeover) accepted(headerSent bool) bool {
+	if t.err != nil || t.resp.NotRun || t.resp.WrongServer {
+		return false
+	}
+	if headerSent || errors.Is(t.cause, errStreamMoved) {
+		return t.resp.Status == http.StatusOK
+	}
+	return t.resp.Status < http.StatusInternalServerError
 }
 
-// mayHaveRun reports whether the call may have run on the server.
+// mayHaveRun reports whether the call may have run on the server. That is unknown, and
+// true, until the attempt is done.
 func (t *takeover) mayHaveRun() bool {
+	select {
+	case <-t.done:
+	default:
+		return true
+	}
 	if t.err != nil {
 		return !errors.Is(t.err, upstream.ErrUnsent)
 	}
@@ -85,6 +99,9 @@
 	lastEventID string
 	// unnumbered is set if an event with data but no ID was passed on after it.
 	unnumbered bool
+	// passingOn is set while an event is being written to the caller. Nothing is read from
+	// the server meanwhile.
+	passingOn bool
 	// next is the attempt to take the call over that is being made, or nil.
 	next  *takeover
 	ended bool
@@ -124,42 +141,61 @@
 		return false
 	}
 	if e.hasData {
+		if r.next != nil {
+			r.reject(r.next)
+		}
 		r.silence.reset()
 		r.unnumbered = e.id == ""
 	}
 	if e.id != "" {
-		r.lastEventID = e.id
+		r.lastEventID, r.unnumbered = e.id, false
 	}
+	r.call.headerSent, r.passingOn = true, true
 	return true
 }
 
+// passedOn records that the caller has taken the event. The server's silence begins
+// then.
+func (r *runningAttempt) passedOn(e streamEvent) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.passingOn = false
+	if e.hasData {
+		r.silence.reset()
+	}
+}
+
 // handOver makes an attempt at another server, and cancels this one once that server has
-// accepted the call. A silent server is also given up if the other one has not refused
-// within acceptTimeout. Nothing changes if no sound server can take the call, or if less
-// than the share reserve of the retry budget would be left. It reports whether this
-// attempt has ended.
-func (r *runningAttempt) handOver(cause error, reserve float64) bool {
-	t, ended := r.startTakeover(cause, reserve)
+// accepted the call. A sound server is left only within acceptTimeout, a silent one only
+// while it is silent. Nothing changes if no sound server can take the call, or if too
+// little of the retry budget would be left. It reports whether this attempt has ended.
+func (r *runningAttempt) handOver(cause error) bool {
+	t, ended := r.startTakeover(cause)
 	if t == nil {
 		return ended
 	}
 	defer close(t.decided)
-	timer := time.NewTimer(acceptTimeout)
-	defer timer.Stop()
-	silent := errors.Is(cause, errServerSilent)
-	var refused bool
+	var timeout <-chan time.Time
+	if !errors.Is(cause, errServerSilent) {
+		timer := time.NewTimer(acceptTimeout)
+		defer timer.Stop()
+		timeout = timer.C
+	}
+	responded := false
 	select {
 	case <-t.done:
-		refused = !t.accepted()
-	case <-timer.C:
-		refused = !silent
+		responded = true
+	case <-timeout:
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ended {
-		return true
+	if r.ended || r.next != t {
+		return r.ended
 	}
-	if refused || silent && !r.silence.expired() {
+	if !responded || !t.accepted(r.call.headerSent) {
 		r.reject(t)
 		return false
 	}
@@ -170,18 +206,22 @@
 
 // startTakeover makes an attempt at another server. It returns nil if none is made, and
 // then reports whether the running attempt has ended.
-func (r *runningAttempt) startTakeover(cause error, reserve float64) (t *takeover, ended bool) {
+func (r *runningAttempt) startTakeover(cause error) (t *takeover, ended bool) {
 	g := r.gateway
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ended || r.next != nil || r.unnumbered || !r.call.canRetry() {
+	if r.ended || r.next != nil || r.unnumbered || !r.call.canRetry() || r.passingOn && errors.Is(cause, errServerSilent) {
 		return nil, r.ended
 	}
+	reserve := r.call.retryReserve()
+	if errors.Is(cause, errStreamMoved) {
+		reserve = moveReserve
+	}
 	c, ok := g.chooseServer(r.call, r.call.service)
 	if !ok || c.LastResort || !g.retries.Take(r.call.service, g.now(), reserve) {
 		return nil, false
 	}
-	t = &takeover{choice: c, cause: cause, done: make(chan struct{}), decided: make(chan struct{})}
+	t = &takeover{choice: c, sentAt: g.now(), cause: cause, done: make(chan struct{}), decided: make(chan struct{})}
 	t.ctx, t.cancel = context.WithCancelCause(r.callCtx)
 	a := g.newAttempt(r.call, c, r.lastEventID)
 	g.table.Begin(c.server.ID, c.UncachedTokens)
@@ -198,10 +238,9 @@
 	g := r.gateway
 	r.next = nil
 	r.call.excluded[t.choice.server.ID] = true
-	mayHaveRun := true
+	mayHaveRun := t.mayHaveRun()
 	select {
 	case <-t.done:
-		mayHaveRun = t.mayHaveRun()
 		g.recordAttempt(t.ctx, r.call, t.choice, t.resp, t.err)
 	default:
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -25,10 +25,11 @@
 		if g.tryWhole(ctx, f, c) {
 			return
 		}
-		if !g.mayContinue(f) {
+		if f.takeover == nil && !g.mayContinue(f) {
 			break
 		}
 	}
+	f.dropTakeover()
 	g.refuseUnserved(ctx, f)
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -50,10 +50,11 @@
 		if g.tryStream(ctx, st, c) {
 			return
 		}
-		if st.unnumbered || !g.mayContinue(f) {
+		if f.takeover == nil && (st.unnumbered || !g.mayContinue(f)) {
 			break
 		}
 	}
+	f.dropTakeover()
 	if st.headerSent {
 		f.outcome = endedBy(ctx, "broken")
 		f.writer.Abort()
@@ -75,6 +76,9 @@
 	promptRead := func() { g.table.PromptRead(c.server.ID, pendingTokens); pendingTokens = 0 }
 	defer promptRead()
 	sentAt := g.now()
+	if f.takeover != nil {
+		sentAt = f.takeover.sentAt
+	}
 
 	st.running = nil
 	if f.canRetry() && f.possibleRuns+1 < f.route.MaxAttempts {
@@ -230,6 +234,7 @@
 		if err := st.writer.Write(e.raw); err != nil {
 			return errCallerLeft
 		}
+		st.running.passedOn(e)
 		if e.id != "" {
 			st.lastEventID, st.unnumbered = e.id, false
 		}
