Times in the future do not keep a part in or out of quarantine

What callers would see: one message or store record with a time ahead (a faulty VM, a store whose clock was set back) refuses all calls with a part for as long as that time is ahead, with no trial, since only the largest end of a quarantine is kept; or lets a part that crashes engines go on for as long, since a success in the future refutes each break and is told to all VMs.

Cause: the ages in Breaks, Succeeded, Answered and Quarantines were not checked, as other numbers of a message are, and a quarantine of another VM or the store was taken over as it came.

Change: messages with ages that no VM sends are rejected; what is told to happen in the future happened now; and a quarantine that is taken over ends at the latest one hold from now, as one that a call has just renewed.

Evidence: ten rows of TestMessageWithANumberOutOfRangeIsRejected and the three cases of TestQuarantineMessagesWithTimesInTheFuture ("23h59m59s is not less than or equal to 20s") failed before, except for the row of a quarantine that has lasted for a month.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -289,7 +289,8 @@
 // engines.
 func (g *Gateway) handleQuarantineUpdates(m *gossip.Message) {
 	now := g.now()
-	ago := func(ms int64) time.Duration { return now - time.Duration(ms)*time.Millisecond }
+	// Nothing that another VM tells of has yet to happen, whatever its clock says.
+	ago := func(ms int64) time.Duration { return now - time.Duration(max(ms, 0))*time.Millisecond }
 	g.quarantineUpdates.peerTold(m)
 	for _, x := range m.Succeeded {
 		_, ended := g.quarantine.RecordSuccess([]string{x.Part}, ago(x.AgeMillis))
@@ -300,7 +301,8 @@
 	}
 	for _, x := range m.Quarantines {
 		g.mergeQuarantine(quarantine.Quarantine{
-			Part: x.Part, Since: ago(x.SinceMillis), AskedAt: ago(x.AskedMillis), Until: ago(-x.LeftMillis), Hold: time.Duration(x.HoldMillis) * time.Millisecond,
+			Part: x.Part, Since: ago(x.SinceMillis), AskedAt: ago(x.AskedMillis),
+			Until: now + time.Duration(x.LeftMillis)*time.Millisecond, Hold: time.Duration(x.HoldMillis) * time.Millisecond,
 		}, m.VM)
 	}
 	for _, x := range m.Breaks {
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -210,6 +210,33 @@
 	require.Empty(t, a.sentAttempts())
 }
 
+// A VM with a wrong clock must not keep sound calls out, or let calls that crash engines
+// in, for longer than a VM with the right one.
+func TestQuarantineMessagesWithTimesInTheFuture(t *testing.T) {
+	day := 24 * time.Hour
+	t.Run("quarantine", func(t *testing.T) {
+		g, _ := newTestGateway(t, respondWith(func() *Response { return newResponse(200, eventStream("1", "2")) }))
+		quarantinePart(g, "a", day, -day)
+		require.Len(t, g.quarantine.Active(), 1)
+		require.LessOrEqual(t, serveCall(t, g, "/stream/", "key").refusal.RetryAfter, 20*time.Second)
+		g.handleMessage(&gossip.Message{VM: "peer", Zone: "z2", Delta: true, Succeeded: []gossip.Success{{Part: "a"}}}, false)
+		require.Empty(t, g.quarantine.Active())
+	})
+	t.Run("success", func(t *testing.T) {
+		g, _ := newTestGateway(t, respondWith(func() *Response { return newResponse(200, eventStream("1", "2")) }))
+		g.handleMessage(&gossip.Message{VM: "peer", Zone: "z2", Delta: true, Succeeded: []gossip.Success{{Part: "a", AgeMillis: -day.Milliseconds()}}}, false)
+		time.Sleep(5 * time.Millisecond)
+		quarantinePart(g, "a", 5*time.Second, 0)
+		require.Len(t, g.quarantine.Active(), 1)
+	})
+	t.Run("break", func(t *testing.T) {
+		g, _ := newTestGateway(t, respondWith(func() *Response { return newResponse(200, eventStream("1", "2")) }))
+		quarantinePart(g, "a", 5*time.Second, 0)
+		g.handleMessage(&gossip.Message{VM: "peer", Zone: "z2", Delta: true, Breaks: []gossip.Break{breakOf("e9", 9, -day)}}, false)
+		require.LessOrEqual(t, g.quarantine.Active()[0].Until-g.now(), 20*time.Second)
+	})
+}
+
 // A quarantine that is known to be over must not come back from a VM that missed it.
 func TestAQuarantineThatIsOverDoesNotComeBack(t *testing.T) {
 	g, _ := newTestGateway(t, respondWith(func() *Response { return newResponse(200, eventStream("1", "2")) }))
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -212,6 +212,16 @@
 		{"tokens of a part", Message{Parts: []Part{{Tokens: math.MaxInt}}}, false},
 		{"negative tokens of a part", Message{Parts: []Part{{Tokens: math.MinInt}}}, false},
 		{"readiness of a part", Message{Parts: []Part{{ReadyInMillis: math.MaxInt64}}}, false},
+		{"quarantine that has lasted for a month", Message{Quarantines: []Quarantine{{SinceMillis: 30 * maxMillis, AskedMillis: 5, LeftMillis: -5, HoldMillis: 20000}}}, true},
+		{"age of a break", Message{Breaks: []Break{{AgeMillis: math.MaxInt64}}}, false},
+		{"break in the future", Message{Breaks: []Break{{AgeMillis: math.MinInt64}}}, false},
+		{"age of a success", Message{Succeeded: []Success{{AgeMillis: math.MaxInt64}}}, false},
+		{"success in the future", Message{Succeeded: []Success{{AgeMillis: -2 * maxMillis}}}, false},
+		{"age of an answer", Message{Answered: []Answered{{AgeMillis: math.MaxInt64}}}, false},
+		{"start of a quarantine", Message{Quarantines: []Quarantine{{SinceMillis: math.MaxInt64}}}, false},
+		{"last call of a quarantine", Message{Quarantines: []Quarantine{{AskedMillis: math.MinInt64}}}, false},
+		{"end of a quarantine", Message{Quarantines: []Quarantine{{LeftMillis: math.MaxInt64}}}, false},
+		{"hold of a quarantine", Message{Quarantines: []Quarantine{{HoldMillis: math.MaxInt64}}}, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -204,6 +204,9 @@
 	// maxMillis bounds the times in a message, in milliseconds; no VM knows of anything
 	// that is a day ahead.
 	maxMillis = 24 * 60 * 60 * 1000
+	// maxAgeMillis bounds ages in a message: quarantines may last long, and a duration
+	// holds as much.
+	maxAgeMillis = 1 << 40
 )
 
 var errOutOfRange = errors.New("number out of range")
@@ -237,7 +240,35 @@
 			return fmt.Errorf("%w: part on %q", errOutOfRange, x.Engine)
 		}
 	}
+	return m.checkQuarantineTimes()
+}
+
+// checkQuarantineTimes is checkNumbers for what the message tells of parts that crash
+// engines.
+func (m *Message) checkQuarantineTimes() error {
+	for _, x := range m.Breaks {
+		if !isAge(x.AgeMillis) {
+			return fmt.Errorf("%w: break by %q", errOutOfRange, x.Engine.ID)
+		}
+	}
+	for _, x := range m.Succeeded {
+		if !isAge(x.AgeMillis) {
+			return fmt.Errorf("%w: success with part %q", errOutOfRange, x.Part)
+		}
+	}
+	for _, x := range m.Answered {
+		if !isAge(x.AgeMillis) {
+			return fmt.Errorf("%w: answer of %q", errOutOfRange, x.Engine.ID)
+		}
+	}
+	for _, x := range m.Quarantines {
+		if !isAge(x.SinceMillis) || !isAge(x.AskedMillis) || !isAge(-x.LeftMillis) || x.HoldMillis < 0 || x.HoldMillis > maxMillis {
+			return fmt.Errorf("%w: quarantine of part %q", errOutOfRange, x.Part)
+		}
+	}
 	return nil
 }
 
+func isAge(millis int64) bool { return millis >= -maxMillis && millis <= maxAgeMillis }
+
 func isCount(n int) bool { return n >= 0 && n <= maxCount }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -313,9 +313,11 @@
 	return forgotten
 }
 
-// Merge takes over a quarantine of another VM or of the store. It reports whether it
-// is new, or the success that refutes it.
+// Merge takes over a quarantine of another VM or of the store, whose clock may be wrong:
+// it began by now, and ends no later than one that a call has just renewed. Merge reports
+// whether the quarantine is new, or the success that refutes it.
 func (t *Tracker) Merge(q Quarantine, now time.Duration) (added bool, refuted *Success) {
+	q.Since, q.AskedAt, q.Until = min(q.Since, now), min(q.AskedAt, now), min(q.Until, now+q.Hold)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if at, ok := t.succeeded.get(q.Part); ok && at > q.Since {
