gateway: a trial is not taken over by a second engine

What engines would see: a trial of a part in quarantine on a silent engine was handed to a second one, while the first still had it, so that one trial could crash two engines.

Cause: the copy of the call from which an attempt is handed over is a trial, too, and so passes the quarantine.

Change: a trial is not handed over.

Evidence: TestTrialStaysWithItsEngine failed before, with two attempts.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -169,12 +169,13 @@
 }
 
 // startTakeover makes an attempt at another server. It returns nil if none is made, and
-// then reports whether the running attempt has ended.
+// then reports whether the running attempt has ended. A trial, which may crash its engine,
+// stays there.
 func (r *runningAttempt) startTakeover(cause error, reserve float64) (t *takeover, ended bool) {
 	g := r.gateway
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ended || r.next != nil || r.unnumbered || !r.call.canRetry() {
+	if r.ended || r.next != nil || r.unnumbered || r.call.trial || !r.call.canRetry() {
 		return nil, r.ended
 	}
 	c, ok := g.chooseServer(r.call, r.call.service)
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -155,6 +155,17 @@
 	}
 }
 
+// A trial must not be taken over by a second engine, which it might crash, too.
+func TestTrialStaysWithItsEngine(t *testing.T) {
+	g, a := newTestGateway(t, func(ctx context.Context, _ int, _ *Attempt) (*Response, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	quarantinePart(g, "a", -time.Millisecond, 0)
+	serveCall(t, g, "/resumable/", "key")
+	require.Len(t, a.sentAttempts(), 1)
+}
+
 // breakOf returns a break of a call with part "a" on another VM.
 func breakOf(engine string, request uint64, age time.Duration) gossip.Break {
 	return gossip.Break{Engine: gossip.Server{ID: engine}, Request: request, Parts: []string{"a"}, Head: true, AgeMillis: age.Milliseconds()}
