gateway: a call that reaches no engine is no trial

What callers would see: a part stays in quarantine, though it is sound or no longer crashes engines, while a team that is over its rate calls with it: each of its refused calls was the trial, which held up the next one for 10 s. The same goes for calls that no engine can take and for those that a stopping VM refuses.

Cause: the trial begins when the quarantine is checked, before the call is charged, and only its outcome or 10 s end it.

Change: a trial whose call has reached no engine ends with the call.

Evidence: both cases of TestRefusedCallIsNoTrial failed before: the next call, of a team within its rate, was refused.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -79,8 +79,8 @@
 	if r == nil {
 		return nil
 	}
-	if g.ownsKey(f.quarantinedPart) && g.quarantine.StartTrial(f.sharedParts, g.now()) {
-		f.trial, f.detail = true, ""
+	if now := g.now(); g.ownsKey(f.quarantinedPart) && g.quarantine.StartTrial(f.sharedParts, now) {
+		f.trial, f.trialBegunAt, f.detail = true, now, ""
 		event.QuarantineTrial.Log(g.log, nil, log.Fields{"request": f.call.ID, "part": f.quarantinedPart})
 		return nil
 	}
@@ -88,6 +88,13 @@
 	return r
 }
 
+// releaseTrial lets another call be the trial if this one has reached no engine.
+func (g *Gateway) releaseTrial(f *forwardedCall) {
+	if f.trial && f.possibleRuns == 0 {
+		g.quarantine.CancelTrial(f.sharedParts, f.trialBegunAt)
+	}
+}
+
 func (g *Gateway) recordPartRefusal(f *forwardedCall, r *Refusal) {
 	event.PartRefused.Log(g.log, nil, log.Fields{"request": f.call.ID, "part": f.quarantinedPart, "after": r.RetryAfter.Milliseconds()})
 	g.metrics.incrementCounter("quarantine_refusals")
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -155,6 +155,33 @@
 	}
 }
 
+// A call that is refused for another reason must not use up the trial: while a team that
+// is over its rate calls on, the part would stay in quarantine.
+func TestRefusedCallIsNoTrial(t *testing.T) {
+	tests := []struct {
+		name   string
+		refuse func(g *Gateway)
+		undo   func(g *Gateway)
+	}{
+		{"team over its rate", func(g *Gateway) {
+			g.quota.Take("team", g.teamLimits(g.catalog.Current().TeamByKey("key")), 1900, g.now())
+		}, func(*Gateway) {}},
+		{"the process ends", func(g *Gateway) { g.servesUntil.Store(1) }, func(g *Gateway) { g.servesUntil.Store(0) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g, a := newTestGateway(t, respondWith(func() *Response { return newResponse(200, eventStream("1", "2")) }))
+			quarantinePart(g, "a", -time.Millisecond, 0)
+			tt.refuse(g)
+			require.NotNil(t, serveCall(t, g, "/stream/", "key").refusal)
+			require.Empty(t, a.sentAttempts())
+			tt.undo(g)
+			require.Equal(t, 200, serveCall(t, g, "/stream/", "isolated-key").status)
+			require.Empty(t, g.quarantine.Active())
+		})
+	}
+}
+
 // A trial must not be taken over by a second engine, which it might crash, too.
 func TestTrialStaysWithItsEngine(t *testing.T) {
 	g, a := newTestGateway(t, func(ctx context.Context, _ int, _ *Attempt) (*Response, error) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -41,10 +41,11 @@
 	takeover *takeover
 	// sharedParts holds the parts of the prompt that may be put in quarantine, and
 	// quarantinedPart the one for which the call was refused last. trial is set while the
-	// call may be sent although it has such a part.
+	// call may be sent although it has such a part; trialBegunAt is when that began.
 	sharedParts     []string
 	quarantinedPart string
 	trial           bool
+	trialBegunAt    time.Duration
 	// progress is that of the last attempt at an engine, brokenOffBy the engine that
 	// last broke off an attempt before it generated anything.
 	progress    attemptProgress
@@ -75,6 +76,7 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	f := &forwardedCall{call: call, writer: writer, startedAt: g.now(), excluded: make(map[string]bool), sentTo: make(map[string]bool)}
+	defer g.releaseTrial(f)
 	if r := g.admit(f); r != nil {
 		g.refuse(f, *r)
 		g.recordOutcome(f)
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -270,6 +270,18 @@
 	return len(due) > 0
 }
 
+// CancelTrial ends a trial that was begun at a time and has reached no engine, so that
+// another call may be the trial.
+func (t *Tracker) CancelTrial(parts []string, begunAt time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range parts {
+		if e := t.active[p]; e != nil && e.trialAt == begunAt {
+			e.trialAt = 0
+		}
+	}
+}
+
 // Suspect reports whether another engine has broken off a call of another request with
 // one of the given parts, and none has succeeded since.
 func (t *Tracker) Suspect(parts []string, id Engine, request uint64) bool {
