gateway: a call that a second engine may be running is not refused as not run

Callers got 503, which promises that the call has not run and will not run, and the charge was returned, though a second engine had been sent the call. Only calls that may be repeated are affected.

Cause: an attempt that is made to take a call over counts in possibleRuns once it is used or rejected. If the first engine states that it did not run the call, and the call then ends because a part of its prompt went into quarantine, its key was withdrawn or its time was up, the second attempt was dropped uncounted.

Change: dropping it counts it, unless it is known that it did not run, before the refusal is chosen.

Evidence: TestCallWithAPendingTakeoverIsNotRefusedAsNotRun failed before with "unavailable", and passes with "backend failed".

--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -112,6 +112,27 @@
 	}
 }
 
+// A call that another engine may be running must not be refused as not run, nor its charge
+// returned.
+func TestCallWithAPendingTakeoverIsNotRefusedAsNotRun(t *testing.T) {
+	var g *Gateway
+	takenOver := make(chan struct{})
+	g, a := newTestGateway(t, func(ctx context.Context, n int, _ *Attempt) (*Response, error) {
+		if n == 1 {
+			<-takenOver
+			quarantinePart(g, "a", 5*time.Second, 0)
+			return notRunResponse(http.StatusServiceUnavailable), nil
+		}
+		close(takenOver)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	c := serveCall(t, g, "/resumable/", "key")
+	require.Len(t, a.sentAttempts(), 2)
+	require.Equal(t, ReasonBackendFailed, c.refusal.Reason)
+	require.NotZero(t, g.quota.Totals()["team"])
+}
+
 // After the hold, one call shows whether the part still crashes engines; it must not
 // reach a second one.
 func TestTrialOfAPartInQuarantine(t *testing.T) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -101,12 +101,23 @@
 	g.recordOutcome(f)
 }
 
-// dropTakeover cancels an attempt that has been made, if the call ends without it.
+// dropTakeover cancels an attempt that has been made, if the call ends without it. It
+// counts it in possibleRuns if the call may have run.
 func (f *forwardedCall) dropTakeover() {
-	if f.takeover != nil {
-		f.takeover.drop()
-		f.takeover = nil
+	t := f.takeover
+	if t == nil {
+		return
+	}
+	f.takeover = nil
+	select {
+	case <-t.done:
+		if t.mayHaveRun() {
+			f.possibleRuns++
+		}
+	default:
+		f.possibleRuns++
 	}
+	t.drop()
 }
 
 // failureResponse is a complete response that reports a failure of the call.
@@ -170,6 +181,7 @@
 // refuseUnserved ends a call that no attempt served: with the failure that a server
 // reported, or else with a refusal.
 func (g *Gateway) refuseUnserved(ctx context.Context, f *forwardedCall) {
+	f.dropTakeover()
 	if f.failure != nil {
 		g.sendResponse(f, f.failure.Response, f.failure.body.bytes)
 		return
