gateway: updates on calls with many parts fit a message

What other VMs would miss: a caller whose prompts have thousands of parts, and whose calls an engine breaks off, makes messages that no datagram holds (16 breaks of 1000 parts: 1.1 MB). They are not sent, with all else that is in them: breaks of other calls, and engines that are about to load weights.

Cause: breaks carry all parts of their calls, and successes were not bounded.

Change: the 32 outermost parts of a prompt are watched, and a message has 128 successes at most.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -23,8 +23,12 @@
 	// trialOwnerTimeout is how long after its last message a VM may still be the one
 	// that makes the trials of a part.
 	trialOwnerTimeout = 4 * time.Second
-	// maxBreaksPerMessage and maxQuarantinesPerMessage bound the size of a message.
+	// maxWatchedParts bounds the parts of a call that may be put in quarantine.
+	maxWatchedParts = 32
+	// maxBreaksPerMessage, maxSuccessesPerMessage and maxQuarantinesPerMessage bound the
+	// size of a message.
 	maxBreaksPerMessage      = 16
+	maxSuccessesPerMessage   = 128
 	maxQuarantinesPerMessage = 16
 )
 
@@ -43,12 +47,14 @@
 	return quarantine.Engine{ID: s.ID, Born: s.Born}
 }
 
-// sharedPartIDs returns the parts of a call's prompt that may be put in quarantine.
+// sharedPartIDs returns the parts of a call's prompt that may be put in quarantine: the
+// outermost maxWatchedParts that other calls may share.
 func sharedPartIDs(c *Call) []string {
 	if c.Prompt.Model == "" {
 		return nil
 	}
 	shared := c.Prompt.SharedParts()
+	shared = shared[:min(len(shared), maxWatchedParts)]
 	ids := make([]string, len(shared))
 	for i, p := range shared {
 		ids[i] = p.ID
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -11,8 +11,10 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/marjoramrock/marjoramrock/internal/gossip"
 	"github.com/marjoramrock/marjoramrock/internal/loopback"
+	"github.com/marjoramrock/marjoramrock/internal/parts"
 	"github.com/marjoramrock/marjoramrock/internal/quarantine"
 	"github.com/marjoramrock/marjoramrock/internal/upstream"
 	"github.com/stretchr/testify/require"
@@ -249,6 +251,32 @@
 	}
 }
 
+// A caller chooses how many parts its prompts have: what VMs tell each other of them must
+// fit a message, or the others never hear of anything else that is in it.
+func TestUpdatesOfCallsWithManyPartsFitAMessage(t *testing.T) {
+	const maxMessageBytes = 60 << 10
+	c := newCall("/stream/", "key")
+	for i := range 1000 {
+		c.Prompt.Parts = append(c.Prompt.Parts, parts.Part{ID: fmt.Sprintf("%064d", i), Tokens: 1})
+	}
+	updates := &quarantineUpdates{}
+	for i := range 100 {
+		updates.addHeadless(quarantine.Break{Engine: quarantine.Engine{ID: fmt.Sprint("engine", i)}, Request: uint64(i), Parts: sharedPartIDs(c)})
+		updates.addAnswer(quarantine.Engine{ID: fmt.Sprint("engine", i)}, 0)
+	}
+	for _, p := range c.Prompt.Parts {
+		updates.addSuccess(p.ID, 0)
+	}
+	headless, m := updates.take(time.Second)
+	for _, b := range headless {
+		m.Breaks = append(m.Breaks, breakMessage(b, time.Second))
+	}
+	require.Len(t, m.Breaks, maxBreaksPerMessage)
+	raw, err := cbor.Marshal(m)
+	require.NoError(t, err)
+	require.Less(t, len(raw), maxMessageBytes)
+}
+
 // What VMs see on different engines adds up to a quarantine on each of them.
 func TestBreaksOfAllVMsCount(t *testing.T) {
 	g, a := newTestGateway(t, respondWith(func() *Response { return newResponse(200, eventStream("1", "2")) }))
--- a/internal/gateway/quarantine_updates.go
+++ b/internal/gateway/quarantine_updates.go
@@ -35,7 +35,9 @@
 	if u.succeeded == nil {
 		u.succeeded = make(map[string]time.Duration)
 	}
-	u.succeeded[part] = max(u.succeeded[part], at)
+	if _, ok := u.succeeded[part]; ok || len(u.succeeded) < maxSuccessesPerMessage {
+		u.succeeded[part] = max(u.succeeded[part], at)
+	}
 }
 
 func (u *quarantineUpdates) addAnswer(id quarantine.Engine, at time.Duration) {
