gateway: the record of a quarantine that lasts is written again

What callers would see: after all VMs were killed together, a part that has crashed engines for over 20 minutes crashes the next three to five before it is put in quarantine again.

Cause: the record was written when the hold changed. The hold stays at its maximum after the fourth failed trial, and 10 minutes later the record reads as if no call had asked for the part.

Change: the record is also written once a part has been asked for 4 minutes later than it says.

Evidence: TestQuarantineThatLastsIsWrittenAgain failed before at 10 minutes.

--- a/internal/gateway/quarantine_record.go
+++ b/internal/gateway/quarantine_record.go
@@ -22,6 +22,9 @@
 	// record while the store is unreachable.
 	minSaveDelay = time.Second
 	maxSaveDelay = 15 * time.Second
+	// refreshPeriod is how much later than the record says a part may have been asked for.
+	// It is shorter than the time after which a part that nobody asks for is forgotten.
+	refreshPeriod = 4 * time.Minute
 )
 
 // storedQuarantine is one quarantine in the store's record. Times are in milliseconds
@@ -34,13 +37,24 @@
 	Asked int64  `json:"asked"`
 }
 
+// savedQuarantine is what a write of the record depends on.
+type savedQuarantine struct{ hold, askedAt time.Duration }
+
+// upToDate reports whether a record that was read or written as saved still does for the
+// current quarantines.
+func upToDate(saved, current map[string]savedQuarantine) bool {
+	return maps.EqualFunc(saved, current, func(s, c savedQuarantine) bool {
+		return s.hold == c.hold && c.askedAt-s.askedAt < refreshPeriod
+	})
+}
+
 // quarantineRecord keeps quarantines in the store, so that they survive the end of all
 // VMs. It is safe for concurrent use.
 type quarantineRecord struct {
 	mu sync.Mutex // guards the fields below
-	// saved holds the hold of each quarantine in the record as last read or written; nil
-	// if the record is not known.
-	saved map[string]time.Duration
+	// saved holds the quarantines in the record as last read or written; nil if the record
+	// is not known.
+	saved map[string]savedQuarantine
 	// saving is set while a write runs. After a failure the next one waits until
 	// retryAt.
 	saving     bool
@@ -49,17 +63,17 @@
 }
 
 // begin reports whether a write should start, and marks it as running.
-func (r *quarantineRecord) begin(current map[string]time.Duration, now time.Duration, isOwner func() bool) bool {
+func (r *quarantineRecord) begin(current map[string]savedQuarantine, now time.Duration, isOwner func() bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.saving || now < r.retryAt || maps.Equal(r.saved, current) || !isOwner() {
+	if r.saving || now < r.retryAt || upToDate(r.saved, current) || !isOwner() {
 		return false
 	}
 	r.saving = true
 	return true
 }
 
-func (r *quarantineRecord) end(saved map[string]time.Duration, err error, now time.Duration) {
+func (r *quarantineRecord) end(saved map[string]savedQuarantine, err error, now time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.saving = false
@@ -71,10 +85,10 @@
 	r.saved, r.retryDelay = saved, 0
 }
 
-func holdsOf(active []quarantine.Quarantine) map[string]time.Duration {
-	out := make(map[string]time.Duration, len(active))
+func savedOf(active []quarantine.Quarantine) map[string]savedQuarantine {
+	out := make(map[string]savedQuarantine, len(active))
 	for _, q := range active {
-		out[q.Part] = q.Hold
+		out[q.Part] = savedQuarantine{hold: q.Hold, askedAt: q.AskedAt}
 	}
 	return out
 }
@@ -82,7 +96,7 @@
 // saveQuarantines writes the quarantines to the store if they have changed and this VM
 // is the one to do so.
 func (g *Gateway) saveQuarantines(ctx context.Context) {
-	if !g.quarantineRecord.begin(holdsOf(g.quarantine.Active()), g.now(), func() bool { return g.ownsKey(quarantineRecordName) }) {
+	if !g.quarantineRecord.begin(savedOf(g.quarantine.Active()), g.now(), func() bool { return g.ownsKey(quarantineRecordName) }) {
 		return
 	}
 	g.background.Go(func() {
@@ -103,14 +117,14 @@
 	return err
 }
 
-func (g *Gateway) readQuarantines(ctx context.Context) (lease.Record, map[string]time.Duration, error) {
+func (g *Gateway) readQuarantines(ctx context.Context) (lease.Record, map[string]savedQuarantine, error) {
 	ctx, cancel := context.WithTimeout(ctx, quarantineStoreTimeout)
 	defer cancel()
 	rec, err := g.adapter.Store().Read(ctx, quarantineRecordName)
 	if err != nil {
 		return rec, nil, fmt.Errorf("gateway: quarantines: %w", err)
 	}
-	stored := make(map[string]time.Duration)
+	stored := make(map[string]savedQuarantine)
 	if rec.Version == 0 {
 		return rec, stored, nil
 	}
@@ -124,23 +138,23 @@
 	local := func(ms int64) time.Duration { return now - (rec.Now - time.Duration(ms)*time.Millisecond) }
 	for _, s := range list {
 		q := quarantine.Quarantine{Part: s.Part, Since: local(s.Since), Until: local(s.Until), Hold: time.Duration(s.Hold) * time.Millisecond, AskedAt: local(s.Asked)}
-		stored[q.Part] = q.Hold
+		stored[q.Part] = savedQuarantine{hold: q.Hold, askedAt: q.AskedAt}
 		g.mergeQuarantine(q, "store")
 	}
 	return rec, stored, nil
 }
 
 // writeQuarantines merges the quarantines in the store with those of this VM.
-func (g *Gateway) writeQuarantines(ctx context.Context) (map[string]time.Duration, error) {
+func (g *Gateway) writeQuarantines(ctx context.Context) (map[string]savedQuarantine, error) {
 	rec, stored, err := g.readQuarantines(ctx)
 	if err != nil {
 		return nil, err
 	}
 	now := g.now()
 	active := g.quarantine.Active()
-	current := holdsOf(active)
-	if maps.Equal(current, stored) {
-		return current, nil
+	current := savedOf(active)
+	if upToDate(stored, current) {
+		return stored, nil
 	}
 	list := make([]storedQuarantine, 0, len(active))
 	for _, q := range active {
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -358,7 +358,7 @@
 // A store that is away is not asked in each round.
 func TestQuarantineWritesBackOff(t *testing.T) {
 	r := &quarantineRecord{}
-	current := holdsOf([]quarantine.Quarantine{{Part: "a", Hold: 20 * time.Second}})
+	current := savedOf([]quarantine.Quarantine{{Part: "a", Hold: 20 * time.Second}})
 	owner := func() bool { return true }
 	writes := 0
 	for now := time.Duration(0); now < time.Minute; now += gossipPeriod {
@@ -373,3 +373,22 @@
 	r.end(current, nil, 2*time.Minute)
 	require.False(t, r.begin(current, 3*time.Minute, owner))
 }
+
+// The hold of a part that crashes engines for long no longer changes, but the record must
+// not come to look as if no call had asked for the part.
+func TestQuarantineThatLastsIsWrittenAgain(t *testing.T) {
+	r := &quarantineRecord{}
+	owner := func() bool { return true }
+	q := quarantine.Quarantine{Part: "a", Hold: 5 * time.Minute}
+	var writtenAt time.Duration
+	writes := 0
+	for now := time.Duration(0); now < time.Hour; now += time.Second {
+		q.AskedAt = now
+		if current := savedOf([]quarantine.Quarantine{q}); r.begin(current, now, owner) {
+			r.end(current, nil, now)
+			writes, writtenAt = writes+1, now
+		}
+		require.Less(t, now-writtenAt, 10*time.Minute, "no VM takes over what nobody asked for within that time")
+	}
+	require.LessOrEqual(t, writes, 20)
+}
