gateway: a later success is told although another VM told an earlier one

What callers would see: breaks that a success has refuted on one VM go on counting on the others, which may refuse a sound part.

Cause: a VM dropped the success that it had yet to tell when another VM told one with the same part, whichever was later. A part is told only while it is suspect, so that a later success was not told either.

Change: what the other VM told replaces only successes up to its own.

Evidence: TestLaterSuccessIsToldAlthoughAnotherVMToldAnEarlierOne failed before.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -304,7 +304,7 @@
 	now := g.now()
 	// Nothing that another VM tells of has yet to happen, whatever its clock says.
 	ago := func(ms int64) time.Duration { return now - time.Duration(max(ms, 0))*time.Millisecond }
-	g.quarantineUpdates.peerTold(m)
+	g.quarantineUpdates.peerTold(m, now)
 	for _, x := range m.Succeeded {
 		_, ended := g.quarantine.RecordSuccess([]string{x.Part}, ago(x.AgeMillis))
 		g.logEnded(ended, "a call on "+m.VM+" succeeded")
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -392,3 +392,17 @@
 	}
 	require.LessOrEqual(t, writes, 20)
 }
+
+// A success that another VM reports must not keep back a later one, which may refute a
+// break that came between them.
+func TestLaterSuccessIsToldAlthoughAnotherVMToldAnEarlierOne(t *testing.T) {
+	u := &quarantineUpdates{}
+	u.addSuccess("a", 5*time.Second)
+	u.peerTold(&gossip.Message{Succeeded: []gossip.Success{{Part: "a", AgeMillis: 2000}}}, 6*time.Second)
+	_, m := u.take(6 * time.Second)
+	require.Len(t, m.Succeeded, 1)
+	u.addSuccess("a", 5*time.Second)
+	u.peerTold(&gossip.Message{Succeeded: []gossip.Success{{Part: "a", AgeMillis: 500}}}, 6*time.Second)
+	_, m = u.take(6 * time.Second)
+	require.Empty(t, m.Succeeded)
+}
--- a/internal/gateway/quarantine_updates.go
+++ b/internal/gateway/quarantine_updates.go
@@ -49,12 +49,14 @@
 	u.answered[id] = at
 }
 
-// peerTold removes what another VM has told.
-func (u *quarantineUpdates) peerTold(m *gossip.Message) {
+// peerTold removes what another VM has told by now.
+func (u *quarantineUpdates) peerTold(m *gossip.Message, now time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for _, x := range m.Succeeded {
-		delete(u.succeeded, x.Part)
+		if u.succeeded[x.Part] <= now-time.Duration(x.AgeMillis)*time.Millisecond {
+			delete(u.succeeded, x.Part)
+		}
 	}
 	for _, x := range m.Answered {
 		delete(u.answered, quarantine.Engine{ID: x.Engine.ID, Born: x.Engine.Born})
