--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -147,7 +147,7 @@
 	timer := time.NewTimer(acceptTimeout)
 	defer timer.Stop()
 	silent := errors.Is(cause, errServerSilent)
-	refused := false
+	var refused bool
 	select {
 	case <-t.done:
 		refused = !t.accepted()
