quarantine: known red: a VM that reads late hides crashes

RecordAnswer takes what an engine sent before its crash, and was read 0.3 to 2 s after it, for proof that it has not crashed. No change of the code; loads without late readers run as before.

--- a/internal/quarantine/load_test.go
+++ b/internal/quarantine/load_test.go
@@ -33,6 +33,11 @@
 	turned string
 	// lostShare is the share of calls that are reset before they have generated anything.
 	lostShare float64
+	// One of lateReaders calls belongs to a VM that reads what engines send readDelay after
+	// its arrival; none if it is zero.
+	lateReaders uint64
+	readDelay   time.Duration
+	unread      []unreadEvent
 	// crashedByPart counts engines, sentLate the calls with the part that were sent
 	// later than lateAfter after the fifth of them.
 	crashedByPart int
@@ -41,6 +46,12 @@
 	quarantined   map[string]int
 }
 
+// unreadEvent is something that a VM has yet to read.
+type unreadEvent struct {
+	at   time.Duration
+	read func()
+}
+
 type simulatedEngine struct {
 	id    Engine
 	upAt  time.Duration
@@ -116,15 +127,27 @@
 	l.running = append(l.running, c)
 }
 
+// read calls f once the VM of a call has read what arrives now.
+func (l *load) read(c *simulatedCall, f func()) {
+	if l.lateReaders == 0 || c.request%l.lateReaders > 0 {
+		f()
+		return
+	}
+	l.unread = append(l.unread, unreadEvent{at: l.now + l.readDelay, read: f})
+}
+
 // breakOff ends a call without its response.
 func (l *load) breakOff(c *simulatedCall) {
 	delete(c.engine.calls, c)
 	if c.events >= 2 {
 		return
 	}
-	b := Break{Engine: c.engine.id, Request: c.request, Parts: c.parts, Head: l.now >= c.headAt, At: l.now}
-	l.tracker.RecordOutcome(b.Parts, false, b.Head, l.now)
-	l.tracker.RecordBreak(b)
+	b := Break{Engine: c.engine.id, Request: c.request, Parts: c.parts, Head: l.now >= c.headAt}
+	l.read(c, func() {
+		b.At = l.now
+		l.tracker.RecordOutcome(b.Parts, false, b.Head, b.At)
+		l.tracker.RecordBreak(b)
+	})
 }
 
 func (l *load) note(v Verdict) {
@@ -174,6 +197,10 @@
 		}
 	}
 	l.running = kept
+	for len(l.unread) > 0 && l.unread[0].at <= l.now {
+		l.unread[0].read()
+		l.unread = l.unread[1:]
+	}
 	if l.now%(200*time.Millisecond) == 0 {
 		for _, v := range l.tracker.Review(l.now) {
 			l.note(v)
@@ -199,11 +226,14 @@
 		delete(c.engine.calls, c)
 	case (l.now-c.eventAt)%(50*time.Millisecond) < simulationStep:
 		c.events++
-		l.tracker.RecordAnswer(c.engine.id, l.now)
-		if c.events == 2 {
-			l.tracker.RecordOutcome(c.parts, true, true, c.eventAt)
-			l.tracker.RecordSuccess(c.parts, c.eventAt)
-		}
+		id, events := c.engine.id, c.events
+		l.read(c, func() {
+			l.tracker.RecordAnswer(id, l.now)
+			if events == 2 {
+				l.tracker.RecordOutcome(c.parts, true, true, c.eventAt)
+				l.tracker.RecordSuccess(c.parts, c.eventAt)
+			}
+		})
 	}
 }
 
@@ -288,3 +318,18 @@
 		})
 	}
 }
+
+// A VM that reads late what engines sent before they crashed must not hide the crashes.
+func TestAVMThatReadsLateHidesNoCrash(t *testing.T) {
+	for seed := range *loadSeeds {
+		l := newLoad(seed, 12)
+		l.lateReaders, l.readDelay = 6, 500*time.Millisecond
+		for l.now < 33*time.Second {
+			if l.now == 3*time.Second {
+				l.share = 0.05
+			}
+			l.step(60)
+		}
+		require.LessOrEqual(t, l.sentLate, 3, "seed %d: %d crashes, %v", seed, l.crashedByPart, l.quarantined)
+	}
+}
