--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -205,12 +205,14 @@
 }
 
 // startTakeover makes an attempt at another server. It returns nil if none is made, and
-// then reports whether the running attempt has ended.
+// then reports whether the running attempt has ended. A trial, which may crash its engine,
+// stays there.
 func (r *runningAttempt) startTakeover(cause error) (t *takeover, ended bool) {
 	g := r.gateway
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ended || r.next != nil || r.unnumbered || !r.call.canRetry() || r.passingOn && errors.Is(cause, errServerSilent) {
+	stays := r.unnumbered || r.call.trial || r.passingOn && errors.Is(cause, errServerSilent)
+	if r.ended || r.next != nil || stays || !r.call.canRetry() {
 		return nil, r.ended
 	}
 	reserve := r.call.retryReserve()
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -25,7 +25,7 @@
 		if g.tryWhole(ctx, f, c) {
 			return
 		}
-		if f.takeover == nil && !g.mayContinue(f) {
+		if !g.mayContinue(f) {
 			break
 		}
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -23,8 +23,12 @@
 	// trialOwnerTimeout is how long after its last message a VM may still be the one
 	// that makes the trials of a part.
 	trialOwnerTimeout = 4 * time.Second
-	// maxBreaksPerMessage and maxQuarantinesPerMessage bound the size of a message.
+	// maxWatchedParts bounds the parts of a call that may be put in quarantine.
+	maxWatchedParts = 32
+	// maxBreaksPerMessage, maxSuccessesPerMessage and maxQuarantinesPerMessage bound the
+	// size of a message.
 	maxBreaksPerMessage      = 16
+	maxSuccessesPerMessage   = 128
 	maxQuarantinesPerMessage = 16
 )
 
@@ -43,12 +47,14 @@
 	return quarantine.Engine{ID: s.ID, Born: s.Born}
 }
 
-// sharedPartIDs returns the parts of a call's prompt that may be put in quarantine.
+// sharedPartIDs returns the parts of a call's prompt that may be put in quarantine: the
+// outermost maxWatchedParts that other calls may share.
 func sharedPartIDs(c *Call) []string {
 	if c.Prompt.Model == "" {
 		return nil
 	}
 	shared := c.Prompt.SharedParts()
+	shared = shared[:min(len(shared), maxWatchedParts)]
 	ids := make([]string, len(shared))
 	for i, p := range shared {
 		ids[i] = p.ID
@@ -79,8 +85,8 @@
 	if r == nil {
 		return nil
 	}
-	if g.ownsKey(f.quarantinedPart) && g.quarantine.StartTrial(f.sharedParts, g.now()) {
-		f.trial, f.detail = true, ""
+	if now := g.now(); g.ownsKey(f.quarantinedPart) && g.quarantine.StartTrial(f.sharedParts, now) {
+		f.trial, f.trialBegunAt, f.detail = true, now, ""
 		event.QuarantineTrial.Log(g.log, nil, log.Fields{"request": f.call.ID, "part": f.quarantinedPart})
 		return nil
 	}
@@ -88,6 +94,13 @@
 	return r
 }
 
+// releaseTrial lets another call be the trial if this one has reached no engine.
+func (g *Gateway) releaseTrial(f *forwardedCall) {
+	if f.trial && f.possibleRuns == 0 {
+		g.quarantine.CancelTrial(f.sharedParts, f.trialBegunAt)
+	}
+}
+
 func (g *Gateway) recordPartRefusal(f *forwardedCall, r *Refusal) {
 	event.PartRefused.Log(g.log, nil, log.Fields{"request": f.call.ID, "part": f.quarantinedPart, "after": r.RetryAfter.Milliseconds()})
 	g.metrics.incrementCounter("quarantine_refusals")
@@ -289,8 +302,9 @@
 // engines.
 func (g *Gateway) handleQuarantineUpdates(m *gossip.Message) {
 	now := g.now()
-	ago := func(ms int64) time.Duration { return now - time.Duration(ms)*time.Millisecond }
-	g.quarantineUpdates.peerTold(m)
+	// Nothing that another VM tells of has yet to happen, whatever its clock says.
+	ago := func(ms int64) time.Duration { return now - time.Duration(max(ms, 0))*time.Millisecond }
+	g.quarantineUpdates.peerTold(m, now)
 	for _, x := range m.Succeeded {
 		_, ended := g.quarantine.RecordSuccess([]string{x.Part}, ago(x.AgeMillis))
 		g.logEnded(ended, "a call on "+m.VM+" succeeded")
@@ -300,7 +314,8 @@
 	}
 	for _, x := range m.Quarantines {
 		g.mergeQuarantine(quarantine.Quarantine{
-			Part: x.Part, Since: ago(x.SinceMillis), AskedAt: ago(x.AskedMillis), Until: ago(-x.LeftMillis), Hold: time.Duration(x.HoldMillis) * time.Millisecond,
+			Part: x.Part, Since: ago(x.SinceMillis), AskedAt: ago(x.AskedMillis),
+			Until: now + time.Duration(x.LeftMillis)*time.Millisecond, Hold: time.Duration(x.HoldMillis) * time.Millisecond,
 		}, m.VM)
 	}
 	for _, x := range m.Breaks {
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -11,8 +11,10 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/marjoramrock/marjoramrock/internal/gossip"
 	"github.com/marjoramrock/marjoramrock/internal/loopback"
+	"github.com/marjoramrock/marjoramrock/internal/parts"
 	"github.com/marjoramrock/marjoramrock/internal/quarantine"
 	"github.com/marjoramrock/marjoramrock/internal/upstream"
 	"github.com/stretchr/testify/require"
@@ -112,6 +114,27 @@
 	}
 }
 
+// A call that another engine may be running must not be refused as not run, nor its charge
+// returned.
+func TestCallWithAPendingTakeoverIsNotRefusedAsNotRun(t *testing.T) {
+	var g *Gateway
+	takenOver := make(chan struct{})
+	g, a := newTestGateway(t, func(ctx context.Context, n int, _ *Attempt) (*Response, error) {
+		if n == 1 {
+			<-takenOver
+			quarantinePart(g, "a", 5*time.Second, 0)
+			return notRunResponse(http.StatusServiceUnavailable), nil
+		}
+		close(takenOver)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	c := serveCall(t, g, "/resumable/", "key")
+	require.Len(t, a.sentAttempts(), 2)
+	require.Equal(t, ReasonBackendFailed, c.refusal.Reason)
+	require.NotZero(t, g.quota.Totals()["team"])
+}
+
 // After the hold, one call shows whether the part still crashes engines; it must not
 // reach a second one.
 func TestTrialOfAPartInQuarantine(t *testing.T) {
@@ -155,6 +178,44 @@
 	}
 }
 
+// A call that is refused for another reason must not use up the trial: while a team that
+// is over its rate calls on, the part would stay in quarantine.
+func TestRefusedCallIsNoTrial(t *testing.T) {
+	tests := []struct {
+		name   string
+		refuse func(g *Gateway)
+		undo   func(g *Gateway)
+	}{
+		{"team over its rate", func(g *Gateway) {
+			g.quota.Take("team", g.teamLimits(g.catalog.Current().TeamByKey("key")), 1900, g.now())
+		}, func(*Gateway) {}},
+		{"the process ends", func(g *Gateway) { g.servesUntil.Store(1) }, func(g *Gateway) { g.servesUntil.Store(0) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g, a := newTestGateway(t, respondWith(func() *Response { return newResponse(200, eventStream("1", "2")) }))
+			quarantinePart(g, "a", -time.Millisecond, 0)
+			tt.refuse(g)
+			require.NotNil(t, serveCall(t, g, "/stream/", "key").refusal)
+			require.Empty(t, a.sentAttempts())
+			tt.undo(g)
+			require.Equal(t, 200, serveCall(t, g, "/stream/", "isolated-key").status)
+			require.Empty(t, g.quarantine.Active())
+		})
+	}
+}
+
+// A trial must not be taken over by a second engine, which it might crash, too.
+func TestTrialStaysWithItsEngine(t *testing.T) {
+	g, a := newTestGateway(t, func(ctx context.Context, _ int, _ *Attempt) (*Response, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	quarantinePart(g, "a", -time.Millisecond, 0)
+	serveCall(t, g, "/resumable/", "key")
+	require.Len(t, a.sentAttempts(), 1)
+}
+
 // breakOf returns a break of a call with part "a" on another VM.
 func breakOf(engine string, request uint64, age time.Duration) gossip.Break {
 	return gossip.Break{Engine: gossip.Server{ID: engine}, Request: request, Parts: []string{"a"}, Head: true, AgeMillis: age.Milliseconds()}
@@ -190,6 +251,32 @@
 	}
 }
 
+// A caller chooses how many parts its prompts have: what VMs tell each other of them must
+// fit a message, or the others never hear of anything else that is in it.
+func TestUpdatesOfCallsWithManyPartsFitAMessage(t *testing.T) {
+	const maxMessageBytes = 60 << 10
+	c := newCall("/stream/", "key")
+	for i := range 1000 {
+		c.Prompt.Parts = append(c.Prompt.Parts, parts.Part{ID: fmt.Sprintf("%064d", i), Tokens: 1})
+	}
+	updates := &quarantineUpdates{}
+	for i := range 100 {
+		updates.addHeadless(quarantine.Break{Engine: quarantine.Engine{ID: fmt.Sprint("engine", i)}, Request: uint64(i), Parts: sharedPartIDs(c)})
+		updates.addAnswer(quarantine.Engine{ID: fmt.Sprint("engine", i)}, 0)
+	}
+	for _, p := range c.Prompt.Parts {
+		updates.addSuccess(p.ID, 0)
+	}
+	headless, m := updates.take(time.Second)
+	for _, b := range headless {
+		m.Breaks = append(m.Breaks, breakMessage(b, time.Second))
+	}
+	require.Len(t, m.Breaks, maxBreaksPerMessage)
+	raw, err := cbor.Marshal(m)
+	require.NoError(t, err)
+	require.Less(t, len(raw), maxMessageBytes)
+}
+
 // What VMs see on different engines adds up to a quarantine on each of them.
 func TestBreaksOfAllVMsCount(t *testing.T) {
 	g, a := newTestGateway(t, respondWith(func() *Response { return newResponse(200, eventStream("1", "2")) }))
@@ -210,6 +297,33 @@
 	require.Empty(t, a.sentAttempts())
 }
 
+// A VM with a wrong clock must not keep sound calls out, or let calls that crash engines
+// in, for longer than a VM with the right one.
+func TestQuarantineMessagesWithTimesInTheFuture(t *testing.T) {
+	day := 24 * time.Hour
+	t.Run("quarantine", func(t *testing.T) {
+		g, _ := newTestGateway(t, respondWith(func() *Response { return newResponse(200, eventStream("1", "2")) }))
+		quarantinePart(g, "a", day, -day)
+		require.Len(t, g.quarantine.Active(), 1)
+		require.LessOrEqual(t, serveCall(t, g, "/stream/", "key").refusal.RetryAfter, 20*time.Second)
+		g.handleMessage(&gossip.Message{VM: "peer", Zone: "z2", Delta: true, Succeeded: []gossip.Success{{Part: "a"}}}, false)
+		require.Empty(t, g.quarantine.Active())
+	})
+	t.Run("success", func(t *testing.T) {
+		g, _ := newTestGateway(t, respondWith(func() *Response { return newResponse(200, eventStream("1", "2")) }))
+		g.handleMessage(&gossip.Message{VM: "peer", Zone: "z2", Delta: true, Succeeded: []gossip.Success{{Part: "a", AgeMillis: -day.Milliseconds()}}}, false)
+		time.Sleep(5 * time.Millisecond)
+		quarantinePart(g, "a", 5*time.Second, 0)
+		require.Len(t, g.quarantine.Active(), 1)
+	})
+	t.Run("break", func(t *testing.T) {
+		g, _ := newTestGateway(t, respondWith(func() *Response { return newResponse(200, eventStream("1", "2")) }))
+		quarantinePart(g, "a", 5*time.Second, 0)
+		g.handleMessage(&gossip.Message{VM: "peer", Zone: "z2", Delta: true, Breaks: []gossip.Break{breakOf("e9", 9, -day)}}, false)
+		require.LessOrEqual(t, g.quarantine.Active()[0].Until-g.now(), 20*time.Second)
+	})
+}
+
 // A quarantine that is known to be over must not come back from a VM that missed it.
 func TestAQuarantineThatIsOverDoesNotComeBack(t *testing.T) {
 	g, _ := newTestGateway(t, respondWith(func() *Response { return newResponse(200, eventStream("1", "2")) }))
@@ -244,7 +358,7 @@
 // A store that is away is not asked in each round.
 func TestQuarantineWritesBackOff(t *testing.T) {
 	r := &quarantineRecord{}
-	current := holdsOf([]quarantine.Quarantine{{Part: "a", Hold: 20 * time.Second}})
+	current := savedOf([]quarantine.Quarantine{{Part: "a", Hold: 20 * time.Second}})
 	owner := func() bool { return true }
 	writes := 0
 	for now := time.Duration(0); now < time.Minute; now += gossipPeriod {
@@ -259,3 +373,36 @@
 	r.end(current, nil, 2*time.Minute)
 	require.False(t, r.begin(current, 3*time.Minute, owner))
 }
+
+// The hold of a part that crashes engines for long no longer changes, but the record must
+// not come to look as if no call had asked for the part.
+func TestQuarantineThatLastsIsWrittenAgain(t *testing.T) {
+	r := &quarantineRecord{}
+	owner := func() bool { return true }
+	q := quarantine.Quarantine{Part: "a", Hold: 5 * time.Minute}
+	var writtenAt time.Duration
+	writes := 0
+	for now := time.Duration(0); now < time.Hour; now += time.Second {
+		q.AskedAt = now
+		if current := savedOf([]quarantine.Quarantine{q}); r.begin(current, now, owner) {
+			r.end(current, nil, now)
+			writes, writtenAt = writes+1, now
+		}
+		require.Less(t, now-writtenAt, 10*time.Minute, "no VM takes over what nobody asked for within that time")
+	}
+	require.LessOrEqual(t, writes, 20)
+}
+
+// A success that another VM reports must not keep back a later one, which may refute a
+// break that came between them.
+func TestLaterSuccessIsToldAlthoughAnotherVMToldAnEarlierOne(t *testing.T) {
+	u := &quarantineUpdates{}
+	u.addSuccess("a", 5*time.Second)
+	u.peerTold(&gossip.Message{Succeeded: []gossip.Success{{Part: "a", AgeMillis: 2000}}}, 6*time.Second)
+	_, m := u.take(6 * time.Second)
+	require.Len(t, m.Succeeded, 1)
+	u.addSuccess("a", 5*time.Second)
+	u.peerTold(&gossip.Message{Succeeded: []gossip.Success{{Part: "a", AgeMillis: 500}}}, 6*time.Second)
+	_, m = u.take(6 * time.Second)
+	require.Empty(t, m.Succeeded)
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -50,7 +50,7 @@
 		if g.tryStream(ctx, st, c) {
 			return
 		}
-		if f.takeover == nil && (st.unnumbered || !g.mayContinue(f)) {
+		if st.unnumbered && f.takeover == nil || !g.mayContinue(f) {
 			break
 		}
 	}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -270,6 +270,18 @@
 	return len(due) > 0
 }
 
+// CancelTrial ends a trial that was begun at a time and has reached no engine, so that
+// another call may be the trial.
+func (t *Tracker) CancelTrial(parts []string, begunAt time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range parts {
+		if e := t.active[p]; e != nil && e.trialAt == begunAt {
+			e.trialAt = 0
+		}
+	}
+}
+
 // Suspect reports whether another engine has broken off a call of another request with
 // one of the given parts, and none has succeeded since.
 func (t *Tracker) Suspect(parts []string, id Engine, request uint64) bool {
@@ -313,9 +325,11 @@
 	return forgotten
 }
 
-// Merge takes over a quarantine of another VM or of the store. It reports whether it
-// is new, or the success that refutes it.
+// Merge takes over a quarantine of another VM or of the store, whose clock may be wrong:
+// it began by now, and ends no later than one that a call has just renewed. Merge reports
+// whether the quarantine is new, or the success that refutes it.
 func (t *Tracker) Merge(q Quarantine, now time.Duration) (added bool, refuted *Success) {
+	q.Since, q.AskedAt, q.Until = min(q.Since, now), min(q.AskedAt, now), min(q.Until, now+q.Hold)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if at, ok := t.succeeded.get(q.Part); ok && at > q.Since {
