e2e: the slow caller's stream is too long for the buffers

Seen once, average load above 13: TestSlowCallerGetsCompleteStream, InFlight 0 instead of 1.

Cause: in the test. Its stream of 971 KB fits into the buffers of the router's and the caller's sockets, so the router never had to wait for the caller. InFlight was 1 only because the stand-in engine was not done after one second; a test process that is held up for longer sees 0.

Stricter: the stream is 25,000 events, which must be more bytes than both buffers can hold. The test waits until the router has passed on no event for a second, checks that the request is in flight and the stream not at its end, and then expects every event.

--- a/e2e/answers_test.go
+++ b/e2e/answers_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -13,6 +14,7 @@
 
 	"github.com/marjoramrock/marjoramrock/declare"
 	"github.com/marjoramrock/marjoramrock/internal/config"
+	"github.com/marjoramrock/marjoramrock/internal/operator"
 	"github.com/marjoramrock/marjoramrock/internal/standin"
 	"github.com/marjoramrock/marjoramrock/internal/trial"
 	"github.com/stretchr/testify/require"
@@ -168,29 +170,69 @@
 	require.Eventually(t, func() bool { return f.runningRequests() == 0 }, 10*time.Second, 5*time.Millisecond, "the request of a disconnected caller, 30 s of work, is still running")
 }
 
+// maxBufferedBytes returns the most bytes of a stream that the system keeps for a caller
+// that reads nothing: those of the router's socket and of the caller's.
+func maxBufferedBytes(t *testing.T, caller *net.TCPConn, receiveBuffer int) int {
+	t.Helper()
+	raw, err := os.ReadFile("/proc/sys/net/ipv4/tcp_wmem")
+	require.NoError(t, err)
+	var least, initial, most int
+	_, err = fmt.Sscan(string(raw), &least, &initial, &most)
+	require.NoError(t, err)
+	require.NoError(t, caller.SetReadBuffer(receiveBuffer))
+	// The system doubles the size for its own data.
+	return most + 2*receiveBuffer
+}
+
+// passedOn returns the number of events that a router has written to its callers.
+func (f *fleet) passedOn(v *vm) int {
+	f.t.Helper()
+	var m struct {
+		Chunks struct {
+			Count int `json:"count"`
+		} `json:"chunks"`
+	}
+	require.NoError(f.t, operator.GetJSON(v.statusAddress, "/metrics", &m))
+	return m.Chunks.Count
+}
+
+// A caller that stops to read for a while must not lose events, nor be cut off. The
+// stream must be too long for the buffers of the system, or the router is done with it
+// before the caller reads.
 func TestSlowCallerGetsCompleteStream(t *testing.T) {
-	f := newFleet(t, fleetOptions{routers: 1, enginesPerZone: 1, engineOptions: standin.EngineOptions{DecodePerToken: 50 * time.Microsecond}})
+	const tokens = 25000
+	f := newFleet(t, fleetOptions{routers: 1, enginesPerZone: 1, maxAnswerTokens: tokens})
 	conn, err := net.Dial("tcp", f.vms[0].entryAddress)
 	require.NoError(t, err)
 	defer func() { _ = conn.Close() }()
-	require.NoError(t, conn.(*net.TCPConn).SetReadBuffer(64<<10))
-	body := `{"model":"atlas","stream":true,"max_tokens":4000,"messages":[{"role":"user","content":"x"}]}`
+	buffered := maxBufferedBytes(t, conn.(*net.TCPConn), 64<<10)
+	body := fmt.Sprintf(`{"model":"atlas","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"x"}]}`, tokens)
 	_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
 		f.keys[teamLarge], len(body), body)
 	require.NoError(t, err)
-	time.Sleep(time.Second)
+	// The router has to wait for the caller, for a second.
+	last, since := 0, time.Now()
+	require.Eventually(t, func() bool {
+		if n := f.passedOn(f.vms[0]); n != last {
+			last, since = n, time.Now()
+		}
+		return last > 0 && time.Since(since) >= time.Second
+	}, 20*time.Second, 20*time.Millisecond, "the router does not wait for the caller")
+	require.Less(t, last, tokens)
 	s, err := f.status(f.vms[0])
 	require.NoError(t, err)
 	require.Equal(t, int64(1), s.InFlight)
 	// The caller gets the complete stream once it continues to read.
 	lines := bufio.NewScanner(conn)
-	events, done := 0, false
+	events, size, done := 0, 0, false
 	for !done && lines.Scan() {
+		size += len(lines.Text()) + 1
 		if strings.HasPrefix(lines.Text(), "id: ") {
 			events++
 		}
 		done = lines.Text() == "data: [DONE]"
 	}
 	require.True(t, done)
-	require.Equal(t, 4000, events)
+	require.Equal(t, tokens, events)
+	require.Greater(t, size, buffered, "the stream is too short for this test")
 }
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -66,6 +66,8 @@
 	routers        int
 	enginesPerZone int
 	engineOptions  standin.EngineOptions
+	// maxAnswerTokens is the limit of the model, by default 4096.
+	maxAnswerTokens int
 	// editDeployment changes the deployment before it is committed.
 	editDeployment func(*declare.Deployment)
 	// log is the routers' log level.
@@ -112,6 +114,9 @@
 	if s.engineOptions.Slots == 0 {
 		s.engineOptions.Slots = 16
 	}
+	if s.maxAnswerTokens == 0 {
+		s.maxAnswerTokens = 4096
+	}
 	if s.engineOptions.CacheBlocks == 0 {
 		s.engineOptions.CacheBlocks = 200
 	}
@@ -144,7 +149,7 @@
 	for _, zone := range s.zones {
 		d.Zone(zone, 1/float64(len(s.zones)))
 	}
-	d.Model(modelName, "v1").Bytes(3).Limit(4096)
+	d.Model(modelName, "v1").Bytes(3).Limit(s.maxAnswerTokens)
 	for z, zone := range s.zones {
 		for i := range s.enginesPerZone {
 			f.startEngine(d, s, zone, fmt.Sprintf("engine-%d-%d", z+1, i+1))
