gateway: a call that is held up looks for a server once more

Seen once under -race in a busy run: TestVersionLearnedFromRefusal.

Cause: a fault of the gateway. A call that no server can take at first waits up to half its latency goal and looks again. If the process was held up for that long while it looked for the first time, the time was over before the call had waited, and it was refused as unavailable although servers could take it. Now it waits and looks once before it is refused.

TestHeldUpCallLooksForAServerAgain failed before the change ("no server can take the call"). TestVersionLearnedFromRefusal is unchanged.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -36,14 +36,15 @@
 		return f.takeover.choice, nil
 	}
 	waitUntil := g.now() + f.route.LatencyGoal/2
-	for {
+	for waited := false; ; waited = true {
 		if c, ok := g.chooseServer(f, f.service); ok {
 			if !g.takeRetry(f) {
 				return serverChoice{}, errRetryBudget
 			}
 			return c, nil
 		}
-		if f.attempts >= maxAttempts || g.now() > waitUntil {
+		// If the process is held up, the time may be over before the call has waited.
+		if f.attempts >= maxAttempts || waited && g.now() > waitUntil {
 			return serverChoice{}, errNoServer
 		}
 		if !timer.Sleep(ctx, noServerRetryDelay) {
--- a/internal/gateway/serve_test.go
+++ b/internal/gateway/serve_test.go
@@ -285,3 +285,16 @@
 	retries := len(a.sentAttempts()) - 200
 	require.LessOrEqual(t, float64(retries), (0.2*200+50)*retryBudgetShare+1)
 }
+
+// A process that is held up while it looks for a server has not waited for one yet: it
+// must look again, or it refuses a call that servers can take.
+func TestHeldUpCallLooksForAServerAgain(t *testing.T) {
+	g, _ := newTestGateway(t, respondWith(func() *Response { return newResponse(200, "") }))
+	f := &forwardedCall{
+		call: newCall("/once/", "key"), service: "plain", excluded: map[string]bool{"p1": true, "p2": true},
+		// The look alone takes longer than half the goal.
+		route: &catalog.Route{LatencyGoal: time.Nanosecond},
+	}
+	_, err := g.nextServer(t.Context(), f)
+	require.NoError(t, err)
+}
