--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -66,6 +66,8 @@
 	routers        int
 	enginesPerZone int
 	engineOptions  standin.EngineOptions
+	// maxAnswerTokens is the limit of the model, by default 4096.
+	maxAnswerTokens int
 	// editDeployment changes the deployment before it is committed.
 	editDeployment func(*declare.Deployment)
 	// log is the routers' log level.
@@ -112,6 +114,9 @@
 	if s.engineOptions.Slots == 0 {
 		s.engineOptions.Slots = 16
 	}
+	if s.maxAnswerTokens == 0 {
+		s.maxAnswerTokens = 4096
+	}
 	if s.engineOptions.CacheBlocks == 0 {
 		s.engineOptions.CacheBlocks = 200
 	}
@@ -144,7 +149,7 @@
 	for _, zone := range s.zones {
 		d.Zone(zone, 1/float64(len(s.zones)))
 	}
-	d.Model(modelName, "v1").Bytes(3).Limit(4096)
+	d.Model(modelName, "v1").Bytes(3).Limit(s.maxAnswerTokens)
 	for z, zone := range s.zones {
 		for i := range s.enginesPerZone {
 			f.startEngine(d, s, zone, fmt.Sprintf("engine-%d-%d", z+1, i+1))
@@ -336,20 +341,22 @@
 	return s, err
 }
 
-// awaitReady waits until every router is ready and every slot is held.
+// awaitReady waits until every router is ready and knows the addresses of all others, and
+// every slot is held. A router that is cut off before it has read the others' entries in
+// the list of VMs cannot borrow from the holders of its zone's slots.
 func (f *fleet) awaitReady() {
 	f.t.Helper()
 	require.Eventually(f.t, func() bool {
 		var all []router.Status
 		for _, v := range f.vms {
-			s, err := f.status(v)
-			if err != nil {
+			var d router.Dump
+			if err := operator.GetJSON(v.statusAddress, "/dump", &d); err != nil || len(d.VMs) != len(f.vms) {
 				return false
 			}
-			all = append(all, s)
+			all = append(all, d.Status)
 		}
 		return trial.AllReady(all)
-	}, 30*time.Second, 20*time.Millisecond, "not every router is ready with every slot held")
+	}, 30*time.Second, 20*time.Millisecond, "not every router is ready and knows all others, with every slot held")
 }
 
 // awaitGeneration waits until generation n or a later one is in force on every
