--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -134,7 +134,8 @@
 	promptThroughput parts.ThroughputMeter
 	movableStreams   movableStreams
 	buffers          *bufferBudget
-	refused          *refusedCalls
+	// refused remembers calls that servers refused: they may write such a refusal again.
+	refused *refusedCalls
 
 	draining atomic.Bool
 	// servesUntil is when calls that still run are aborted, as a time since boot, or 0.
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -29,6 +29,7 @@
 // takeover is an attempt that is made while another one of the same call is running.
 type takeover struct {
 	choice serverChoice
+	// sentAt is when the attempt was made.
 	sentAt time.Duration
 	// ctx is that of the attempt.
 	ctx    context.Context
@@ -91,8 +92,8 @@
 	silence *silenceTimer
 
 	mu sync.Mutex // guards the fields below
-	// call is a copy of the call's state. It excludes the server of the attempt, and
-	// counts the attempt itself and those that were made to take the call over.
+	// call is a copy of the call's state, as if the attempt and those that were made to
+	// take the call over had run. It excludes their servers.
 	call *forwardedCall
 	// runs is call.possibleRuns before any attempt to take the call over.
 	runs        int
