review: case 1: a reset answer without a length looks complete

Cause: the goroutine that writes a long request body consumes the error of the reset, and the read of the response sees a regular end of the stream.

--- a/review/_servers/main.go
+++ b/review/_servers/main.go
@@ -31,6 +31,7 @@
 var cases = map[string]func(r *record, trouble bool) (broken bool, err error){
 	"isolated": playIsolated,
 	"leaving":  playLeaving,
+	"reset":    playReset,
 }
 
 func main() { os.Exit(play()) }
