review: case 1: the stream of an engine that reads late ends early, as complete

Cause: TCP_USER_TIMEOUT ends the connection of an engine that does not read on for 1.5 s although it sends; the error goes to the write of the request, which drops it, and the read takes the end for that of an answer without a length.

--- a/review/_servers/case_reset.go
+++ b/review/_servers/case_reset.go
@@ -21,7 +21,7 @@
 	brokenOffBytes = 300
 	// receiveBufferBytes is the size of the engine's receive buffers, so that an engine
 	// that does not read blocks the writer.
-	receiveBufferBytes = 64 << 10
+	receiveBufferBytes = 16 << 10
 )
 
 // earlyEngine is an engine of the plain service that answers a request before it has read
@@ -34,16 +34,7 @@
 }
 
 func newEarlyEngine(s *store, r *record, crashes bool) (*earlyEngine, error) {
-	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		var err error
-		if controlErr := c.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes)
-		}); controlErr != nil {
-			return controlErr
-		}
-		return err
-	}}
-	l, err := config.Listen(context.Background(), "tcp4", "127.0.0.1:0")
+	l, err := listenSmall()
 	if err != nil {
 		return nil, err
 	}
@@ -63,6 +54,20 @@
 	})
 }
 
+// listenSmall listens on a free port, with small receive buffers.
+func listenSmall() (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var err error
+		if controlErr := c.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes)
+		}); controlErr != nil {
+			return controlErr
+		}
+		return err
+	}}
+	return config.Listen(context.Background(), "tcp4", "127.0.0.1:0")
+}
+
 func (e *earlyEngine) serve(c *net.TCPConn) {
 	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
--- a/review/_servers/main.go
+++ b/review/_servers/main.go
@@ -32,6 +32,7 @@
 	"isolated": playIsolated,
 	"leaving":  playLeaving,
 	"reset":    playReset,
+	"unread":   playUnread,
 }
 
 func main() { os.Exit(play()) }
