--- a/review/_servers/client.go
+++ b/review/_servers/client.go
@@ -56,7 +56,9 @@
 	stamp  string
 	body   string
 	closes bool
-	err    error
+	// leaving is set if the answer says that its engine leaves.
+	leaving bool
+	err     error
 }
 
 func (a answer) String() string {
@@ -81,7 +83,7 @@
 		return answer{err: fmt.Errorf("head: %w", err)}
 	}
 	body, err := io.ReadAll(resp.Body)
-	a := answer{status: resp.StatusCode, stamp: resp.Header.Get("Stamp"), body: string(body), closes: resp.Close}
+	a := answer{status: resp.StatusCode, stamp: resp.Header.Get("Stamp"), body: string(body), closes: resp.Close, leaving: resp.Header.Get("Server-Leaving") != ""}
 	if err != nil {
 		a.err = fmt.Errorf("body: %w", err)
 	}
--- a/review/_servers/engine.go
+++ b/review/_servers/engine.go
@@ -38,6 +38,8 @@
 	runs []*run
 	// left is set once the engine has left the list.
 	left bool
+	// draining is set once the engine has begun to leave.
+	draining bool
 }
 
 // run is a request that an engine has begun to work on.
@@ -88,13 +90,25 @@
 	if e.left {
 		return nil
 	}
+	state := "ready"
+	if e.draining {
+		state = "draining"
+	}
 	entry := map[string]any{
-		"service": e.service, "addr": e.address, "zone": e.zone, "version": "v1", "slots": 128, "state": "ready", "cold_left_ms": 0,
+		"service": e.service, "addr": e.address, "zone": e.zone, "version": "v1", "slots": 128, "state": state, "cold_left_ms": 0,
 		"stage": "mixed", "models": e.models(), "seq": e.orders,
 	}
 	return e.store.put("servers", e.id, entry)
 }
 
+// announce lets the engine begin to leave: it reports draining, and says so in its answers.
+func (e *engine) announce() error {
+	e.mu.Lock()
+	e.draining = true
+	e.mu.Unlock()
+	return e.register()
+}
+
 // leave removes the engine's entry. The engine reports no draining, and goes on serving.
 func (e *engine) leave() {
 	e.mu.Lock()
@@ -127,6 +141,9 @@
 		return
 	}
 	e.mu.Lock()
+	if e.draining {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	stale := r.Header.Get("Expect-Version") != "" && r.Header.Get("Expect-Version") != strconv.FormatInt(e.version, 10)
 	e.mu.Unlock()
 	if stale {
--- a/review/_servers/main.go
+++ b/review/_servers/main.go
@@ -29,10 +29,11 @@
 // cases maps the names of the cases to what plays them. Each reports whether the rule was
 // broken.
 var cases = map[string]func(r *record, trouble bool) (broken bool, err error){
-	"isolated": playIsolated,
-	"leaving":  playLeaving,
-	"reset":    playReset,
-	"unread":   playUnread,
+	"announced": playAnnounced,
+	"isolated":  playIsolated,
+	"leaving":   playLeaving,
+	"reset":     playReset,
+	"unread":    playUnread,
 }
 
 func main() { os.Exit(play()) }
