--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,5 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x target/marjoramrock ] && [ -x target/_servers ] || exit 2
-exec target/_servers reset "$here/record.txt"
+# TROUBLE=0 leaves the disruption out.
+exec target/_servers reset "$here/record.txt" "${TROUBLE:-1}"
--- a/review/_servers/main.go
+++ b/review/_servers/main.go
@@ -2,10 +2,10 @@
 // bench. It starts the product as separate processes, takes the place of their platform,
 // engines and clients, and writes what happened to a record.
 //
-//	target/_servers CASE RECORD
+//	target/_servers CASE RECORD TROUBLE
 //
 // It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
-// With TROUBLE=0 in the environment it leaves the disruption out.
+// With 0 for TROUBLE it leaves the disruption out.
 package main
 
 import (
@@ -39,8 +39,8 @@
 func main() { os.Exit(play()) }
 
 func play() int {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: _servers CASE RECORD")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: _servers CASE RECORD TROUBLE")
 		return exitNotRun
 	}
 	r, err := newRecord(os.Args[2])
@@ -48,7 +48,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	trouble := os.Getenv("TROUBLE") != "0"
+	trouble := os.Args[3] != "0"
 	r.add("case %s, with the disruption: %v", os.Args[1], trouble)
 	type result struct {
 		broken bool
