--- a/review/_servers/case_announced.go
+++ b/review/_servers/case_announced.go
@@ -69,6 +69,10 @@
 		time.AfterFunc(cutLength, link.heal)
 	}
 	time.Sleep(announcedAfterCut)
+	// The engine that takes its place starts first.
+	if _, err := newEngine(&engine{id: "i-app-4", service: plainService, zone: "a", store: d.store, record: r, firstAfter: 60 * time.Millisecond, quiet: true}); err != nil {
+		return false, err
+	}
 	leaver := engines[len(engines)-1]
 	if err := leaver.announce(); err != nil {
 		return false, err
--- a/review/_servers/case_leaving.go
+++ b/review/_servers/case_leaving.go
@@ -62,6 +62,10 @@
 	healed := time.Now()
 	r.add("the cut has ended")
 	time.Sleep(leavesAfterCut)
+	// The engine that takes its place starts first.
+	if _, err := newEngine(&engine{id: "i-app-4", service: plainService, zone: "a", store: d.store, record: r, firstAfter: 60 * time.Millisecond, quiet: true}); err != nil {
+		return false, err
+	}
 	leaver := engines[len(engines)-1]
 	leaver.leave()
 	left := time.Now()
--- a/review/_servers/case_reset.go
+++ b/review/_servers/case_reset.go
@@ -3,11 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -24,21 +27,30 @@
 	receiveBufferBytes = 16 << 10
 )
 
+// Numbers of the case: one of resetEngines crashes, resetCrashes times, and starts again
+// after resetDown.
+const (
+	resetEngines  = 4
+	resetCrashes  = 3
+	resetDown     = time.Second
+	resetCrashGap = 3500 * time.Millisecond
+)
+
 // earlyEngine is an engine of the plain service that answers a request before it has read
 // a long body. Its answers have no length and end with their connections.
 type earlyEngine struct {
-	address string
-	record  *record
-	// crashes makes the engine reset each connection in the middle of its answer.
-	crashes bool
+	listener net.Listener
+	record   *record
+	// crashed is closed when the engine crashes.
+	crashed chan struct{}
 }
 
-func newEarlyEngine(s *store, r *record, crashes bool) (*earlyEngine, error) {
+func newEarlyEngine(s *store, r *record, name string) (*earlyEngine, error) {
 	l, err := listenSmall()
 	if err != nil {
 		return nil, err
 	}
-	e := &earlyEngine{address: l.Addr().String(), record: r, crashes: crashes}
+	e := &earlyEngine{listener: l, record: r, crashed: make(chan struct{})}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -48,12 +60,18 @@
 			go e.serve(c.(*net.TCPConn))
 		}
 	}()
-	return e, s.put("servers", "i-app-1", map[string]any{
-		"service": plainService, "addr": e.address, "zone": "a", "version": "v1", "slots": 6, "state": "ready", "cold_left_ms": 0,
+	return e, s.put("servers", name, map[string]any{
+		"service": plainService, "addr": l.Addr().String(), "zone": "a", "version": "v1", "slots": 6, "state": "ready", "cold_left_ms": 0,
 		"stage": "mixed", "models": []string{}, "seq": 1,
 	})
 }
 
+// crash ends the engine with all its connections.
+func (e *earlyEngine) crash() {
+	close(e.crashed)
+	_ = e.listener.Close() // It is closed in any case.
+}
+
 // listenSmall listens on a free port, with small receive buffers.
 func listenSmall() (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
@@ -69,28 +87,25 @@
 }
 
 func (e *earlyEngine) serve(c *net.TCPConn) {
+	// The kernel resets a connection that is closed with bytes unread.
 	defer func() { _ = c.Close() }()
-	reader := bufio.NewReader(c)
-	q, err := http.ReadRequest(reader)
+	q, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
 	}
 	id := q.Header.Get("Request-Id")
-	e.record.add("the engine runs %s, whose body has %d bytes", id, q.ContentLength)
-	time.Sleep(30 * time.Millisecond)
-	answer := strings.Repeat("x", answerBytes)
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nStamp: stamp-%s\r\nConnection: close\r\n\r\n", id, id)
-	if e.crashes {
-		answer = answer[:brokenOffBytes]
+	answer := strings.Repeat("x", answerBytes)
+	if _, err := io.WriteString(c, head+answer[:brokenOffBytes]); err != nil {
+		return
 	}
-	if _, err := io.WriteString(c, head+answer); err != nil {
+	select {
+	case <-time.After(200 * time.Millisecond):
+	case <-e.crashed:
+		e.record.add("the engine crashes after %d of %d bytes of its answer to %s", brokenOffBytes, answerBytes, id)
 		return
 	}
-	time.Sleep(30 * time.Millisecond)
-	if e.crashes {
-		// The kernel resets a connection whose process ends with bytes unread.
-		e.record.add("the engine's connection of %s is reset after %d of %d bytes", id, brokenOffBytes, answerBytes)
-		_ = c.SetLinger(0) // The connection is closed in any case.
+	if _, err := io.WriteString(c, answer[brokenOffBytes:]); err != nil {
 		return
 	}
 	// It reads the rest of the request, and then ends the connection in good order.
@@ -99,11 +114,11 @@
 	_, _ = io.Copy(io.Discard, c)
 }
 
-// playReset sends bookings with long bodies to an engine that answers before it has read
-// them, and whose connections are reset in the middle of the answer. The rule MIXED is
-// broken if a client gets such an answer as a whole one.
+// playReset sends bookings with long bodies to engines that answer before they have read
+// them, one of which crashes in the middle of its answers. The rule MIXED is broken if a
+// client gets such an answer as a whole one.
 func playReset(r *record, trouble bool) (broken bool, err error) {
-	const bookings = 20
+	const callers = 8
 	d, err := newDeployment(r, tenant{name: "crew", key: "key-crew"})
 	if d != nil {
 		defer d.close()
@@ -111,31 +126,70 @@
 	if err != nil {
 		return false, err
 	}
-	if _, err := newEarlyEngine(d.store, r, trouble); err != nil {
-		return false, err
+	var first *earlyEngine
+	for i := range resetEngines {
+		e, err := newEarlyEngine(d.store, r, fmt.Sprintf("i-app-%d", i+1))
+		if err != nil {
+			return false, err
+		}
+		if i == 0 {
+			first = e
+		}
 	}
 	if err := d.startGateways("a"); err != nil {
 		return false, err
 	}
-	mixed := 0
-	for i := range bookings {
-		c, err := dial(d.gateways[0].client)
-		if err != nil {
-			return false, err
+	stop := make(chan struct{})
+	var running sync.WaitGroup
+	var mixed, whole, other atomic.Int64
+	for i := range callers {
+		running.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				a := bookLong(d, fmt.Sprintf("book-%d-%d", i, n))
+				switch {
+				case a.err == nil && a.status == 200 && len(a.body) == answerBytes:
+					whole.Add(1)
+				case a.err == nil && a.status == 200:
+					mixed.Add(1)
+					r.add("book-%d-%d answered: %v, where the whole answer has %d bytes", i, n, a, answerBytes)
+				default:
+					other.Add(1)
+				}
+			}
+		})
+	}
+	for i := range resetCrashes {
+		time.Sleep(resetCrashGap - resetDown)
+		if !trouble {
+			continue
 		}
-		q := request{method: "POST", path: "/book/1", id: fmt.Sprintf("book-%d", i), body: strings.Repeat("b", longBodyBytes), header: map[string]string{"Authorization": "Bearer key-crew", "Deadline-Ms": "1500"}}
-		a := c.do(q, 3*time.Second)
-		_ = c.conn.Close()
-		r.add("%s answered: %v", q.id, a)
-		whole := len(a.body) == answerBytes
-		switch {
-		case a.err == nil && a.status == 200 && !whole:
-			mixed++
-		case !trouble && (a.err != nil || a.status != 200):
-			return false, fmt.Errorf("%s was not served: %v", q.id, a)
+		first.crash()
+		d.store.remove("servers", fmt.Sprintf("i-app-1%s", strings.Repeat("x", i)))
+		time.Sleep(resetDown)
+		if first, err = newEarlyEngine(d.store, r, fmt.Sprintf("i-app-1%s", strings.Repeat("x", i+1))); err != nil {
+			return false, err
 		}
-		time.Sleep(300 * time.Millisecond)
 	}
-	r.add("%d of %d answers were incomplete, but looked complete", mixed, bookings)
-	return mixed > 0, nil
+	close(stop)
+	running.Wait()
+	r.add("bookings: %d whole, %d failed or refused; %d incomplete, but looked complete", whole.Load(), other.Load(), mixed.Load())
+	if whole.Load() == 0 {
+		return false, errors.New("no booking was served")
+	}
+	return mixed.Load() > 0, nil
+}
+
+// bookLong sends a booking with a long body.
+func bookLong(d *deployment, id string) answer {
+	c, err := dial(d.gateways[0].client)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = c.conn.Close() }()
+	return c.do(request{method: "POST", path: "/book/1", id: id, body: strings.Repeat("b", longBodyBytes), header: map[string]string{"Authorization": "Bearer key-crew", "Deadline-Ms": "1500"}}, 3*time.Second)
 }
--- a/review/_servers/case_unread.go
+++ b/review/_servers/case_unread.go
@@ -17,6 +17,8 @@
 	// its goals.
 	unreadEvents   = 30
 	unreadEventGap = 100 * time.Millisecond
+	// unreadEngines is the number of engines, one of which reads late.
+	unreadEngines = 8
 )
 
 // lateReader is an engine that begins to answer before it has read a long body. Its streams
@@ -28,7 +30,7 @@
 	readsLate bool
 }
 
-func newLateReader(s *store, r *record, readsLate bool) error {
+func newLateReader(s *store, r *record, name string, readsLate bool) error {
 	l, err := listenSmall()
 	if err != nil {
 		return err
@@ -43,7 +45,7 @@
 			go e.serve(c.(*net.TCPConn))
 		}
 	}()
-	return s.put("servers", "i-llm-1", map[string]any{
+	return s.put("servers", name, map[string]any{
 		"service": modelService, "addr": l.Addr().String(), "zone": "a", "version": "v1", "slots": 128, "state": "ready", "cold_left_ms": 0,
 		"stage": "mixed", "models": []any{map[string]any{"name": modelName, "version": 1, "adapters": []string{}}}, "seq": 0,
 	})
@@ -85,7 +87,8 @@
 // answer before it has read them. The rule ORDER is broken if a stream ends as complete
 // before its last piece.
 func playUnread(r *record, trouble bool) (broken bool, err error) {
-	const streams = 8
+	const rounds, perRound = 10, 8
+	const streams = rounds * perRound
 	d, err := newDeployment(r, tenant{name: "crew", key: "key-crew"})
 	if d != nil {
 		defer d.close()
@@ -93,8 +96,10 @@
 	if err != nil {
 		return false, err
 	}
-	if err := newLateReader(d.store, r, trouble); err != nil {
-		return false, err
+	for i := range unreadEngines {
+		if err := newLateReader(d.store, r, fmt.Sprintf("i-llm-%d", i+1), trouble && i == 0); err != nil {
+			return false, err
+		}
 	}
 	if err := d.startGateways("a"); err != nil {
 		return false, err
@@ -104,8 +109,10 @@
 	var callers sync.WaitGroup
 	for i := range streams {
 		callers.Go(func() { answers[i], errs[i] = askLong(d, fmt.Sprintf("rate-%d", i)) })
+		if i%perRound == perRound-1 {
+			callers.Wait()
+		}
 	}
-	callers.Wait()
 	if err := errors.Join(errs...); err != nil {
 		return false, err
 	}
@@ -132,6 +139,6 @@
 	}
 	defer func() { _ = c.conn.Close() }()
 	return c.do(request{method: "POST", path: "/rate/1", id: id, body: strings.Repeat("p", longBodyBytes), header: map[string]string{
-		"Authorization": "Bearer key-crew", "Deadline-Ms": "5000", "Model": modelName, "Token-Count": "9190,40", "Prefix-Hash": "5c1e07a2:6300," + id + ":2890",
+		"Authorization": "Bearer key-crew", "Deadline-Ms": "5000", "Model": modelName, "Token-Count": "9190,40", "Prefix-Hash": "p" + id + ":6300," + id + ":2890",
 	}}, 6*time.Second), nil
 }
