review: the scripts' stand-ins draw three different ports for a process

Cause: freePort closed each port before the next was drawn, so that two could be the same; the product then could not listen and the script ended with 2.

--- a/review/_servers/process.go
+++ b/review/_servers/process.go
@@ -45,13 +45,18 @@
 	return "", errors.New("no loopback IP with a free metrics port")
 }
 
-// freePort returns a TCP port that is free on an IP.
-func freePort(ip string) (int, error) {
-	l, err := net.Listen("tcp4", ip+":0")
-	if err != nil {
-		return 0, err
+// freePorts returns three TCP ports that are free on an IP. It holds each until all are
+// drawn, so that none comes twice.
+func freePorts(ip string) (ports [3]int, err error) {
+	for i := range ports {
+		l, listenErr := net.Listen("tcp4", ip+":0")
+		if listenErr != nil {
+			return ports, listenErr
+		}
+		defer func() { err = errors.Join(err, l.Close()) }()
+		ports[i] = l.Addr().(*net.TCPAddr).Port
 	}
-	return l.Addr().(*net.TCPAddr).Port, l.Close()
+	return ports, nil
 }
 
 // gateway is a process of the product, started with the command of the deploy file.
@@ -69,11 +74,9 @@
 	if err != nil {
 		return nil, err
 	}
-	var ports [3]int
-	for i := range ports {
-		if ports[i], err = freePort(ip); err != nil {
-			return nil, err
-		}
+	ports, err := freePorts(ip)
+	if err != nil {
+		return nil, err
 	}
 	g := &gateway{
 		name: name, ip: ip, client: fmt.Sprint(ip, ":", ports[0]), ready: fmt.Sprint(ip, ":", ports[1]),
