review: cases 1 and 2 leave the kernel's socket buffers as they are

Cause: the engines' receive buffers of 16 KiB were not needed, and a sound engine has the kernel's own.

--- a/review/_servers/case_reset.go
+++ b/review/_servers/case_reset.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -11,7 +10,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -22,9 +20,6 @@
 	// answerBytes is the size of a whole answer, brokenOffBytes what a crash leaves of it.
 	answerBytes    = 800
 	brokenOffBytes = 300
-	// receiveBufferBytes is the size of the engine's receive buffers, so that an engine
-	// that does not read blocks the writer.
-	receiveBufferBytes = 16 << 10
 )
 
 // Numbers of the case: one of resetEngines crashes, resetCrashes times, and starts again
@@ -46,7 +41,7 @@
 }
 
 func newEarlyEngine(s *store, r *record, name string) (*earlyEngine, error) {
-	l, err := listenSmall()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -72,20 +67,6 @@
 	_ = e.listener.Close() // It is closed in any case.
 }
 
-// listenSmall listens on a free port, with small receive buffers.
-func listenSmall() (net.Listener, error) {
-	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		var err error
-		if controlErr := c.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes)
-		}); controlErr != nil {
-			return controlErr
-		}
-		return err
-	}}
-	return config.Listen(context.Background(), "tcp4", "127.0.0.1:0")
-}
-
 func (e *earlyEngine) serve(c *net.TCPConn) {
 	// The kernel resets a connection that is closed with bytes unread.
 	defer func() { _ = c.Close() }()
--- a/review/_servers/case_unread.go
+++ b/review/_servers/case_unread.go
@@ -31,7 +31,7 @@
 }
 
 func newLateReader(s *store, r *record, name string, readsLate bool) error {
-	l, err := listenSmall()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
