upstream: a reset response without a length is not complete

Cause: a long request is written beside the read of the response. The kernel reports a reset or a timeout of the connection once; if the blocked write gets it, the read gets the end of the stream, which completes a response without a length. The error of the write was dropped.

Change: at such an end the write is ended and its error decides. A broken pipe means that the server had ended the connection first, a blocked write that it had not failed.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -294,10 +295,10 @@
 	address    string
 	conn       *conn
 	stopCancel func() bool
-	// writeDone is closed when the write of the call has ended; writeComplete is set
-	// if it wrote the whole call.
-	writeDone     chan struct{}
-	writeComplete bool
+	// writeDone is closed when the write of the call has ended; writeErr, which is set
+	// before, is nil if it wrote the whole call.
+	writeDone chan struct{}
+	writeErr  error
 	// mismatched is set once a response to another call was read.
 	mismatched bool
 }
@@ -311,7 +312,7 @@
 	}
 	if len(head)+len(r.Body) <= maxInlineWriteBytes {
 		n, err := x.conn.Write(append(head, r.Body...))
-		x.writeComplete = err == nil
+		x.writeErr = err
 		close(x.writeDone)
 		if err != nil && n == 0 {
 			return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
@@ -319,6 +320,7 @@
 	} else {
 		n, err := x.conn.Write(head)
 		if err != nil {
+			x.writeErr = err
 			close(x.writeDone)
 			if n == 0 {
 				return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
@@ -326,9 +328,7 @@
 			return nil, err
 		}
 		go func() {
-			// A failed write shows as a missing response.
-			_, err := x.conn.Write(r.Body)
-			x.writeComplete = err == nil
+			_, x.writeErr = x.conn.Write(r.Body)
 			close(x.writeDone)
 		}()
 	}
@@ -349,7 +349,7 @@
 		if r.Matches == nil || r.Matches(resp.Header, x.conn.reused || x.mismatched) {
 			return &Response{
 				Status: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength, EndsWithConn: endsWithConn(resp),
-				Body: &body{ReadCloser: resp.Body, x: x, reusable: x.canReuse(r, resp)},
+				Body: &body{ReadCloser: resp.Body, x: x, reusable: x.canReuse(r, resp), endsWithConn: endsWithConn(resp)},
 			}, nil
 		}
 		x.mismatched = true
@@ -396,6 +396,23 @@
 	return x.conn.idleTimeout > 0
 }
 
+// connFailure returns the error of a connection that failed before the server ended it.
+// It is called once a read has met the end of the connection, and ends the write of the
+// call. The kernel reports a failure only once, to the write or to the read, and the end
+// of the stream from then on.
+func (x *exchange) connFailure() error {
+	// If this fails, the connection has been closed, which ends the write, too.
+	_ = x.conn.SetWriteDeadline(time.Now())
+	<-x.writeDone
+	switch {
+	case errors.Is(x.writeErr, os.ErrDeadlineExceeded), errors.Is(x.writeErr, syscall.EPIPE):
+		// The write was still blocked, or failed after the server had ended the
+		// connection.
+		return nil
+	}
+	return x.writeErr
+}
+
 func (x *exchange) closeConn() {
 	x.stopCancel()
 	_ = x.conn.Close()
@@ -409,7 +426,7 @@
 		x.closeConn()
 		return
 	}
-	if !x.stopCancel() || !x.writeComplete || x.conn.reader.Buffered() > 0 {
+	if !x.stopCancel() || x.writeErr != nil || x.conn.reader.Buffered() > 0 {
 		_ = x.conn.Close()
 		return
 	}
@@ -419,19 +436,27 @@
 // body is the body of a response. Closing it releases the connection.
 type body struct {
 	io.ReadCloser
-	x        *exchange
-	reusable bool
-	closed   bool
-	atEOF    bool
+	x            *exchange
+	reusable     bool
+	endsWithConn bool
+	closed       bool
+	// atEOF is set once the whole body was read.
+	atEOF bool
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		b.atEOF = true
+	if err != io.EOF {
+		return n, err
 	}
-	return n, err
+	if b.endsWithConn {
+		if err := b.x.connFailure(); err != nil {
+			return n, fmt.Errorf("%w: writing the call: %w", io.ErrUnexpectedEOF, err)
+		}
+	}
+	b.atEOF = true
+	return n, io.EOF
 }
 
 // Close ends the call. The connection is closed unless the response was read to its
