feed: a lapsed row is gone two seconds after the store's return

Cause: a removed row is kept for a time around an outage, as its engine may not have been able to renew it. That time began with the removal instead of the store's return, and its end was looked at once a second.

Change: the follower says until when a lapsed row may come back: two seconds after the return, or after the last response that had the row. The table of servers stops using it at that time. A VM without responses for longer than two polls take has had an outage, though no call failed. Event 207 tells of such rows. TestMissingServersExpire has times in place of a grace period, and checks besides that an expired server is not used before it is deleted.

--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -63,10 +63,9 @@
 	// reloadVersion the version that it will then run.
 	reloadUntil   time.Duration
 	reloadVersion int64
-	// missingSince is when the server was first missing from the list, zero if it is
-	// listed. A missing server is kept for a grace period, since its absence from
-	// one read may mean nothing.
-	missingSince time.Duration
+	// missingUntil is until when a server that is missing from the list may come back
+	// and is used; zero if it is listed.
+	missingUntil time.Duration
 }
 
 // peerReport is the last load report of another VM. It is keyed by record, so that
@@ -114,7 +113,7 @@
 		return true
 	}
 	r.server = s
-	r.missingSince = 0
+	r.missingUntil = 0
 	for m, v := range s.Models {
 		r.raiseVersion(m, v)
 	}
@@ -146,23 +145,27 @@
 	return ok
 }
 
-// MarkMissing records that a read of the whole list lacks a server.
-func (t *Table) MarkMissing(id string, now time.Duration) {
+// MarkMissing records that a server is missing from the list but may come back until a
+// time. It is used until then, unless it was missing before.
+func (t *Table) MarkMissing(id string, until time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.servers[id]; r != nil && r.missingSince == 0 {
-		r.missingSince = now
+	if r := t.servers[id]; r != nil && r.missingUntil == 0 {
+		r.missingUntil = until
 	}
 }
 
-// ExpireMissing removes the servers that have been missing for at least grace, and
-// returns their IDs.
-func (t *Table) ExpireMissing(now, grace time.Duration) []string {
+// gone reports whether a server has been missing from the list for too long.
+func (r *record) gone(now time.Duration) bool { return r.missingUntil != 0 && now >= r.missingUntil }
+
+// ExpireMissing removes the servers that have been missing for too long, and returns
+// their IDs.
+func (t *Table) ExpireMissing(now time.Duration) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []string
 	for id, r := range t.servers {
-		if r.missingSince != 0 && now-r.missingSince >= grace {
+		if r.gone(now) {
 			delete(t.servers, id)
 			out = append(out, id)
 		}
@@ -171,11 +174,11 @@
 }
 
 // Get returns a server by ID.
-func (t *Table) Get(id string) (Server, bool) {
+func (t *Table) Get(id string, now time.Duration) (Server, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.servers[id]
-	if r == nil {
+	if r == nil || r.gone(now) {
 		return Server{}, false
 	}
 	return r.server, true
@@ -429,7 +432,7 @@
 	t.expirePeers(now)
 	out := make([]Status, 0, len(t.servers))
 	for _, r := range t.servers {
-		if service == "" || r.server.Service == service {
+		if (service == "" || r.server.Service == service) && !r.gone(now) {
 			s := r.status(now)
 			s.TokensPerMilli = t.prefill[r.server.Service].tokens()
 			out = append(out, s)
--- a/internal/backend/table_test.go
+++ b/internal/backend/table_test.go
@@ -102,16 +102,31 @@
 	require.Equal(t, 1, onlyStatus(t, table, 0).Load)
 }
 
+// A server that may come back to the list must not be used beyond its time, however
+// rarely expired servers are deleted.
 func TestMissingServersExpire(t *testing.T) {
+	const until = 3 * time.Second
 	table := NewTable()
+	listed := func(now time.Duration) bool {
+		_, ok := table.Get("e", now)
+		require.Equal(t, ok, len(table.Statuses("s", now)) == 1)
+		return ok
+	}
 	table.Put(serverWithVersion(1))
-	table.MarkMissing("e", time.Second)
-	require.Empty(t, table.ExpireMissing(2*time.Second, 2*time.Second))
+	table.MarkMissing("e", until)
+	require.Empty(t, table.ExpireMissing(until-1))
+	require.True(t, listed(until-1))
 	table.Put(serverWithVersion(1))
-	require.Empty(t, table.ExpireMissing(9*time.Second, 2*time.Second), "listed again")
-	table.MarkMissing("e", time.Second)
-	require.Equal(t, []string{"e"}, table.ExpireMissing(3*time.Second, 2*time.Second))
-	require.Empty(t, table.Statuses("s", 0))
+	require.True(t, listed(until), "listed again")
+	require.Empty(t, table.ExpireMissing(9*time.Second), "listed again")
+	table.MarkMissing("e", until)
+	table.MarkMissing("e", until+time.Second)
+	require.True(t, listed(until-1))
+	require.False(t, listed(until))
+	table.MarkMissing("e", until+time.Second)
+	require.False(t, listed(until), "the first time counts")
+	require.Equal(t, []string{"e"}, table.ExpireMissing(until))
+	require.False(t, listed(0))
 }
 
 func TestPeerFailures(t *testing.T) {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -38,6 +38,7 @@
 	StoreUnreachable      = add(204, log.WarnLevel, "store unreachable")
 	StoreReachable        = add(205, log.InfoLevel, "store reachable again")
 	HistoryDropped        = add(206, log.WarnLevel, "changes are no longer in the store's history; reading the whole table")
+	RowLapsed             = add(207, log.InfoLevel, "row removed around an outage of the store; it may come back")
 	VMListFailed          = add(300, log.WarnLevel, "VM list could not be read or updated")
 	SlotTaken             = add(301, log.InfoLevel, "slot taken")
 	SlotLost              = add(302, log.WarnLevel, "slot lost")
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -18,10 +18,10 @@
 	// LongPollGrace is how much longer than the requested wait a long poll may
 	// take before it times out.
 	LongPollGrace = 500 * time.Millisecond
-	// lapseWindow is how long after the store is reachable again a removed row
-	// counts as lapsed: its writer could not renew it during the outage and may
-	// write it again.
-	lapseWindow = 2500 * time.Millisecond
+	// lapseGrace is how long after the store is reachable again a removed row may
+	// come back: its writer could not renew it during the outage. A row that is still
+	// missing then is gone.
+	lapseGrace = 2 * time.Second
 	// snapshotTimeout bounds a read of the whole table.
 	snapshotTimeout = 2 * time.Second
 )
@@ -40,10 +40,10 @@
 	// Now must return a clock that keeps running while the system is suspended.
 	Now func() time.Duration
 	// OnRow receives each row that is newer than the one known so far. OnLapsed is
-	// called instead for a row that was removed but may come back, since it lapsed
-	// while the store was unreachable.
+	// called instead for a row that was removed but may come back until the given
+	// time, since it lapsed while the store was unreachable.
 	OnRow    func(Row)
-	OnLapsed func(key string)
+	OnLapsed func(key string, until time.Duration)
 	// OnStoreError is called when a call to the store fails; it may be nil.
 	OnStoreError func()
 	// OnConfirmed receives the time at which the store was asked for the newest
@@ -60,6 +60,10 @@
 
 	complete  bool
 	storeDown bool
+	// confirmedAt is when the store was asked for the newest response; it is valid if
+	// confirmed is set.
+	confirmedAt time.Duration
+	confirmed   bool
 	// recoveredAt is when the store was last reachable again; it is valid if
 	// hadOutage is set.
 	recoveredAt time.Duration
@@ -112,13 +116,29 @@
 	}
 }
 
+// storeRecovered is called with each response, before it is applied. A VM that was paused
+// has missed the responses of that time, which is an outage as well.
 func (f *Follower) storeRecovered() {
+	now := f.options.Now()
+	if f.storeDown || f.confirmed && now-f.confirmedAt > f.replica.maxAge {
+		f.hadOutage, f.recoveredAt = true, now
+	}
 	if f.storeDown {
-		f.storeDown, f.hadOutage, f.recoveredAt = false, true, f.options.Now()
+		f.storeDown = false
 		event.StoreReachable.Log(f.options.Log, nil, log.Fields{"table": f.options.Name})
 	}
 }
 
+// lapsedUntil returns until when a lapsed row may come back. The row was still listed
+// when the store was asked for the response before.
+func (f *Follower) lapsedUntil() time.Duration {
+	until := f.confirmedAt
+	if f.hadOutage {
+		until = max(until, f.recoveredAt)
+	}
+	return until + lapseGrace
+}
+
 // StopServing stops serving the table to other VMs until the next response of
 // the store. It is for callers that found the store unreachable by other means.
 func (f *Follower) StopServing() { f.replica.stopServing() }
@@ -214,6 +234,7 @@
 
 func (f *Follower) advance(version int64, askedAt time.Duration, fromStore bool) {
 	f.replica.advance(version, askedAt, fromStore)
+	f.confirmedAt, f.confirmed = max(f.confirmedAt, askedAt), true
 	f.options.OnConfirmed(askedAt)
 }
 
@@ -221,14 +242,16 @@
 // later changes of the row, and other VMs would be sent the row again and again.
 func (f *Follower) applyRow(r Row, pageVersion int64) {
 	r.Version = min(r.Version, pageVersion)
-	if r.Removed && f.hadOutage && f.options.Now()-f.recoveredAt < lapseWindow {
+	now := f.options.Now()
+	if r.Removed && f.hadOutage && now < f.recoveredAt+lapseGrace {
 		r.Lapsed = true
 	}
 	if !f.replica.put(r) {
 		return
 	}
-	if r.Lapsed {
-		f.options.OnLapsed(r.Key)
+	if until := f.lapsedUntil(); r.Lapsed && now < until {
+		event.RowLapsed.Log(f.options.Log, nil, log.Fields{"table": f.options.Name, "row": r.Key, "version": r.Version, "grace": (until - now).Milliseconds()})
+		f.options.OnLapsed(r.Key, until)
 		return
 	}
 	f.options.OnRow(r)
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -41,8 +41,10 @@
 }
 
 type recorded struct {
-	rows          []string
-	lapsed        []string
+	rows   []string
+	lapsed []string
+	// lapsedUntil holds the last times at which the lapsed rows may come back.
+	lapsedUntil   []time.Duration
 	confirmations int
 	waits         []time.Duration
 }
@@ -60,7 +62,9 @@
 			}
 			out.rows = append(out.rows, text)
 		},
-		OnLapsed:    func(key string) { out.lapsed = append(out.lapsed, key) },
+		OnLapsed: func(key string, until time.Duration) {
+			out.lapsed, out.lapsedUntil = append(out.lapsed, key), append(out.lapsedUntil, until)
+		},
 		OnConfirmed: func(time.Duration) { out.confirmations++ },
 	})
 	for len(src.steps) > 0 {
@@ -143,6 +147,83 @@
 	require.Empty(t, out.lapsed)
 }
 
+// A removed row counts as lapsed for a time that begins with the store's return, not with
+// the removal. The writer of a row that is removed later has left, and must not be used
+// for as long again.
+func TestLapsedRowsAreGoneSoonAfterTheStoresReturn(t *testing.T) {
+	const (
+		start  = 10 * time.Second
+		outage = 5 * time.Second
+	)
+	removed := Row{Key: "a", Version: 6, Removed: true}
+	lapsed := Row{Key: "a", Version: 6, Removed: true, Lapsed: true}
+	tests := []struct {
+		name string
+		// failed is set if a call failed during the outage; otherwise the VM was only
+		// without responses for that time.
+		failed bool
+		// sinceReturn is when the removal is read, after the first response.
+		sinceReturn time.Duration
+		row         Row
+		until       time.Duration // of the lapsed row, or zero if it is gone
+	}{
+		{"removed during the outage", true, 0, removed, start + outage + lapseGrace},
+		{"removed later", true, lapseGrace * 3 / 4, removed, start + outage + lapseGrace},
+		{"removed after the time to come back", true, lapseGrace, removed, 0},
+		{"removed after a pause of the VM", false, 0, removed, start + outage + lapseGrace},
+		{"lapsed for the VM that was polled, later", true, lapseGrace * 3 / 4, lapsed, start + outage + lapseGrace},
+		{"lapsed for the VM that was polled, after the time to come back", true, lapseGrace, lapsed, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := start
+			src := &scriptedSource{t: t, steps: []response{{all: true, page: Page{Rows: []Row{row("a", 1, "1")}, Version: 5}}}}
+			var until time.Duration
+			gone := false
+			f := New(Options{
+				Source: src, LongPollWait: time.Second, Now: func() time.Duration { return now }, Log: &log.Logger{Handler: discard.New()},
+				OnRow: func(r Row) { gone = r.Removed }, OnLapsed: func(_ string, u time.Duration) { until = u }, OnConfirmed: func(time.Duration) {},
+			})
+			require.NoError(t, f.step(context.Background()))
+			if tt.failed {
+				f.storeFailed(errors.New("down"))
+			}
+			now += outage
+			if tt.sinceReturn > 0 {
+				src.steps = []response{{page: Page{Version: 5}}}
+				require.NoError(t, f.step(context.Background()))
+				now += tt.sinceReturn
+			}
+			src.steps = []response{{page: Page{Rows: []Row{tt.row}, Version: 6}}}
+			require.NoError(t, f.step(context.Background()))
+			require.Equal(t, tt.until, until)
+			require.Equal(t, tt.until == 0, gone)
+		})
+	}
+}
+
+// A row that a read of the whole table lacks was there when the store was last asked, so
+// that it cannot have been removed before.
+func TestRowsMissingFromASnapshotAreGoneSoonAfterTheLastResponse(t *testing.T) {
+	now := 10 * time.Second
+	src := &scriptedSource{t: t, steps: []response{
+		{all: true, page: Page{Rows: []Row{row("a", 1, "1")}, Version: 5}},
+		{err: ErrHistoryDropped},
+	}}
+	var until time.Duration
+	f := New(Options{
+		Source: src, LongPollWait: time.Second, Now: func() time.Duration { return now }, Log: &log.Logger{Handler: discard.New()},
+		OnRow: func(Row) {}, OnLapsed: func(_ string, u time.Duration) { until = u }, OnConfirmed: func(time.Duration) {},
+	})
+	require.NoError(t, f.step(context.Background()))
+	now += time.Second
+	require.ErrorIs(t, f.step(context.Background()), ErrHistoryDropped)
+	f.complete = false
+	src.steps = []response{{all: true, page: Page{Version: 9}}}
+	require.NoError(t, f.step(context.Background()))
+	require.Equal(t, 10*time.Second+lapseGrace, until)
+}
+
 // testMaxAge is the maxAge of the replicas in tests.
 const testMaxAge = 2 * time.Second
 
@@ -178,7 +259,7 @@
 	}}
 	f := New(Options{
 		Source: store, Relay: func() Source { return leader }, Now: func() time.Duration { return now },
-		OnRow: func(r Row) { got = append(got, string(r.Value)) }, OnLapsed: func(string) {},
+		OnRow: func(r Row) { got = append(got, string(r.Value)) }, OnLapsed: func(string, time.Duration) {},
 		OnConfirmed: func(asked time.Duration) { confirmations = append(confirmations, asked) }, Log: &log.Logger{Handler: discard.New()},
 	})
 	require.NoError(t, f.step(context.Background()))
@@ -213,7 +294,7 @@
 		}
 	}()
 	New(Options{
-		Source: store, LongPollWait: time.Second, StorePollDelay: 50 * time.Millisecond, Now: now, OnRow: func(Row) {}, OnLapsed: func(string) {},
+		Source: store, LongPollWait: time.Second, StorePollDelay: 50 * time.Millisecond, Now: now, OnRow: func(Row) {}, OnLapsed: func(string, time.Duration) {},
 		OnConfirmed: func(time.Duration) {}, Log: &log.Logger{Handler: discard.New()},
 	}).Run(ctx)
 	require.LessOrEqual(t, store.calls, 6)
@@ -250,7 +331,7 @@
 	now := time.Duration(0)
 	f := New(Options{
 		Source: &scriptedSource{t: t, steps: []response{{all: true, page: Page{Version: 2}}}}, LongPollWait: 600 * time.Millisecond,
-		Now: func() time.Duration { return now }, OnRow: func(Row) {}, OnLapsed: func(string) {},
+		Now: func() time.Duration { return now }, OnRow: func(Row) {}, OnLapsed: func(string, time.Duration) {},
 		OnConfirmed: func(time.Duration) {}, Log: &log.Logger{Handler: discard.New()},
 	})
 	require.NoError(t, f.step(context.Background()))
@@ -302,7 +383,7 @@
 	var got []string
 	f := New(Options{
 		Source: store, LongPollWait: time.Second, Now: func() time.Duration { return now }, OnRow: func(r Row) { got = append(got, string(r.Value)) },
-		OnLapsed: func(string) {}, OnConfirmed: func(time.Duration) {}, Log: &log.Logger{Handler: discard.New()},
+		OnLapsed: func(string, time.Duration) {}, OnConfirmed: func(time.Duration) {}, Log: &log.Logger{Handler: discard.New()},
 	})
 	require.NoError(t, f.step(context.Background()))
 	page, err := f.Serve(context.Background(), false, 5, 0)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -155,7 +155,7 @@
 		if g.quarantineRefusal(f) != nil {
 			return false
 		}
-		if s, listed := g.table.Get(c.server.ID); !listed || s.Draining || s.Born != c.server.Born {
+		if s, listed := g.table.Get(c.server.ID, now); !listed || s.Draining || s.Born != c.server.Born {
 			return false
 		}
 		ok, _ := g.stillAuthorized(f)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,10 +42,6 @@
 	peerIdleTimeout    = time.Minute
 	maxIdlePeerConns   = 4
 	peerTCPUserTimeout = time.Second
-	// missingServerGrace is how long a server that a read of the whole list lacks
-	// stays in use: entries that expired while the store was unreachable are back
-	// within two seconds.
-	missingServerGrace = 2 * time.Second
 	// orderLeaseTTL is how long each renewal of the lease for engine orders is valid.
 	orderLeaseTTL = 2 * time.Second
 	// orderLeaseMargin covers the time that an order takes to reach its engine.
@@ -219,7 +215,7 @@
 	}
 	g.declarations = feed.New(feed.Options{
 		Name: declarationsTable, Source: g.adapter.Declarations(), Relay: relay(declarationsTable), LongPollWait: declarationsLongPollWait,
-		Now: timer.SinceBoot, Log: g.log, OnRow: g.applyDeclaration, OnLapsed: func(string) {}, OnConfirmed: g.catalog.RecordProof,
+		Now: timer.SinceBoot, Log: g.log, OnRow: g.applyDeclaration, OnLapsed: func(string, time.Duration) {}, OnConfirmed: g.catalog.RecordProof,
 		// Polls for declarations are the shorter ones, and detect an outage first.
 		OnStoreError: func() { g.serverList.StopServing() },
 	})
@@ -302,18 +298,18 @@
 	}
 }
 
-// markServerMissing keeps a server that a read of the whole list lacks in use for
-// missingServerGrace.
-func (g *Gateway) markServerMissing(id string) {
+// markServerMissing keeps a server whose row has lapsed in use until a time, unless its
+// row comes back.
+func (g *Gateway) markServerMissing(id string, until time.Duration) {
 	delete(g.invalidServers, id)
-	g.table.MarkMissing(id, g.now())
+	g.table.MarkMissing(id, until)
 }
 
 func (g *Gateway) cleanUp(ctx context.Context) {
 	g.watchKVStores(ctx)
 	g.peers.CloseExpired()
 	g.expireQuarantines()
-	for _, id := range g.table.ExpireMissing(g.now(), missingServerGrace) {
+	for _, id := range g.table.ExpireMissing(g.now()) {
 		g.parts.RemoveHolder(id)
 		event.ServerDelisted.Log(g.log, nil, log.Fields{"server": id})
 	}
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -184,7 +184,7 @@
 	if c == nil {
 		return 0
 	}
-	if s, ok := g.table.Get(id); ok {
+	if s, ok := g.table.Get(id, g.now()); ok {
 		if service := c.Service(s.Service); service != nil && service.Engine != nil {
 			return service.Engine.CapacityTokens
 		}
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -42,7 +42,7 @@
 		{"other engine failed", func(g *Gateway, other string) { g.table.RecordPeerFailure(other, 0, 3, time.Minute, g.now()) }},
 		{"other engine loads weights", func(g *Gateway, other string) { g.table.BeginReload(other, 0, "m", 2, g.now()) }},
 		{"other engine leaves", func(g *Gateway, other string) {
-			s, _ := g.table.Get(other)
+			s, _ := g.table.Get(other, g.now())
 			s.Draining = true
 			g.table.Put(s)
 		}},
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -363,6 +363,6 @@
 	serveCall(t, g, "/stream/", "isolated-key")
 	id := a.sentAttempts()[0].Server.ID
 	g.table.Put(backend.Server{ID: id, Born: 9, Service: "model", Address: id, Zone: "z1", Slots: 8, Models: map[string]int64{"m": 1}})
-	s, _ := g.table.Get(id)
+	s, _ := g.table.Get(id, g.now())
 	require.Zero(t, g.parts.HeldTokens(engineHolder(s), "m@1/isolated", newCall("/stream/", "isolated-key").Prompt.SharedParts(), parts.NoAgeLimit))
 }
