catalog: what a team cached before its isolation is not shared

Cause: isolated teams have a salt of their own, but that of all others did not depend on who is isolated.

Change: the common salt follows from the set of isolated teams in the configuration in force, so that VMs agree on it without a message and no order of changes mixes them. Each attempt takes it anew: a call that was admitted before the change follows.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"crypto/sha256"
+	"encoding/hex"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -115,6 +117,8 @@
 	teamsByKeyHash map[keyHash]*Team
 	// kvCacheStores is sorted by address.
 	kvCacheStores []*KVCacheStore
+	// sharedCacheGroup is the cache group of the teams that are not isolated.
+	sharedCacheGroup string
 }
 
 // New returns a catalog of the given version.
@@ -146,9 +150,48 @@
 			c.teamsByKeyHash[sha256.Sum256([]byte(k))] = t
 		}
 	}
+	c.sharedCacheGroup = sharedCacheGroup(teams)
 	return c
 }
 
+// Prefixes of the names of cache groups, and the bytes of the hash in them.
+const (
+	teamCacheGroupPrefix   = "/"
+	sharedCacheGroupPrefix = "+"
+	cacheGroupHashBytes    = 8
+)
+
+// sharedCacheGroup returns the cache group of the teams that are not isolated. It depends
+// on which teams are isolated: what a team cached before it became isolated is left behind
+// in the former group.
+func sharedCacheGroup(teams []*Team) string {
+	var isolated []string
+	for _, t := range teams {
+		if t.Isolated {
+			isolated = append(isolated, strconv.Quote(t.Name))
+		}
+	}
+	if len(isolated) == 0 {
+		return ""
+	}
+	slices.Sort(isolated)
+	sum := sha256.Sum256([]byte(strings.Join(slices.Compact(isolated), "")))
+	return sharedCacheGroupPrefix + hex.EncodeToString(sum[:cacheGroupHashBytes])
+}
+
+// CacheGroup returns the name of the group of teams that share cached prompt prefixes with
+// a team. An empty team stands for calls of public routes. Teams that are not declared
+// share with nobody.
+func (c *Catalog) CacheGroup(team string) string {
+	if team == "" {
+		return c.sharedCacheGroup
+	}
+	if t := c.teams[team]; t != nil && !t.Isolated {
+		return c.sharedCacheGroup
+	}
+	return teamCacheGroupPrefix + team
+}
+
 // Version returns the version number of the catalog.
 func (c *Catalog) Version() int64 { return c.version }
 
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -43,6 +43,69 @@
 	require.True(t, c.RequiresKeys())
 }
 
+// A team that becomes isolated must not share what it cached before, whatever changes of
+// the configuration led there.
+func TestNoTeamSharesPartsWithAnIsolatedTeam(t *testing.T) {
+	names := []string{"a", "b", "c"}
+	const sets = 1 << 3
+	catalogs := make([]*Catalog, sets)
+	for set := range catalogs {
+		var teams []*Team
+		for i, name := range names {
+			teams = append(teams, &Team{Name: name, Isolated: set>>i&1 == 1})
+		}
+		catalogs[set] = New(int64(set), nil, nil, teams)
+	}
+	for n := range sets * sets * sets * sets {
+		makers := make(map[string]map[string]bool)
+		for left, step := n, 0; step < 4; left, step = left/sets, step+1 {
+			set := left % sets
+			for i, user := range names {
+				group := catalogs[set].CacheGroup(user)
+				for j, maker := range names {
+					if i != j && makers[group][maker] {
+						require.Zero(t, set>>i&1, "team %s is isolated and uses parts of %s", user, maker)
+						require.Zero(t, set>>j&1, "team %s uses parts of %s, which is isolated", user, maker)
+					}
+				}
+			}
+			for _, name := range names {
+				group := catalogs[set].CacheGroup(name)
+				if makers[group] == nil {
+					makers[group] = make(map[string]bool)
+				}
+				makers[group][name] = true
+			}
+		}
+	}
+}
+
+// VMs that have the same configuration in force must agree on the groups, whatever they
+// had before, and teams that are not isolated must share.
+func TestCacheGroup(t *testing.T) {
+	c := New(1, nil, nil, []*Team{{Name: "a"}, {Name: "b"}, {Name: "x", Isolated: true}, {Name: "y", Isolated: true}})
+	other := New(9, nil, nil, []*Team{{Name: "y", Isolated: true}, {Name: "c"}, {Name: "x", Isolated: true}})
+	open := New(1, nil, nil, []*Team{{Name: "a"}, {Name: "x"}})
+	tests := []struct {
+		name   string
+		a, b   string
+		shared bool
+	}{
+		{"two teams", c.CacheGroup("a"), c.CacheGroup("b"), true},
+		{"a team and a public route", c.CacheGroup("a"), c.CacheGroup(""), true},
+		{"two VMs", c.CacheGroup("a"), other.CacheGroup("c"), true},
+		{"an isolated team and another team", c.CacheGroup("x"), c.CacheGroup("a"), false},
+		{"two isolated teams", c.CacheGroup("x"), c.CacheGroup("y"), false},
+		{"an isolated team on two VMs", c.CacheGroup("x"), other.CacheGroup("x"), true},
+		{"a team that is not declared", c.CacheGroup("z"), c.CacheGroup("a"), false},
+		{"before a team is isolated", open.CacheGroup("a"), c.CacheGroup("a"), false},
+		{"no team is isolated", open.CacheGroup("a"), open.CacheGroup("x"), true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { require.Equal(t, tt.shared, tt.a == tt.b, "%q, %q", tt.a, tt.b) })
+	}
+}
+
 func TestKVCacheStoresAreSortedByAddress(t *testing.T) {
 	c := New(1, nil, []*Service{
 		{Name: "s2", KVCacheStore: &KVCacheStore{Address: "2", Zone: "b"}},
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/marjoramrock/marjoramrock/internal/backend"
-	"github.com/marjoramrock/marjoramrock/internal/catalog"
 	"github.com/marjoramrock/marjoramrock/internal/parts"
 	"github.com/marjoramrock/marjoramrock/internal/placement"
 )
@@ -31,13 +30,20 @@
 	tokensPerMilli float64
 }
 
-// cacheSaltFor returns the salt of the prefix cache that a team's calls use for a
-// version of a model. Isolated teams have a salt of their own.
-func cacheSaltFor(model string, version int64, team *catalog.Team) string {
-	if team != nil && team.Isolated {
-		return fmt.Sprintf("%s@%d/%s", model, version, team.Name)
+// cacheSaltFor returns the salt of the prefix cache that the calls of a group of teams
+// use for a version of a model.
+func cacheSaltFor(model string, version int64, cacheGroup string) string {
+	return fmt.Sprintf("%s@%d%s", model, version, cacheGroup)
+}
+
+// cacheGroup returns the cache group of a call by the configuration in force, which may
+// be newer than the one that the call was admitted by.
+func (g *Gateway) cacheGroup(f *forwardedCall) string {
+	team := ""
+	if f.team != nil {
+		team = f.team.Name
 	}
-	return fmt.Sprintf("%s@%d", model, version)
+	return g.catalog.Current().CacheGroup(team)
 }
 
 // chooseServer returns the server on which an attempt has the lowest expected cost.
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -33,13 +33,13 @@
 
 // viewVersions fills in the versions of the call's model that servers run.
 func (g *Gateway) viewVersions(f *forwardedCall, statuses []backend.Status, v *placement.View, now time.Duration) {
-	model := f.call.Prompt.Model
+	model, cacheGroup := f.call.Prompt.Model, g.cacheGroup(f)
 	known := make(map[int64]placement.Server)
 	for i := range v.Servers {
 		version := statuses[i].Versions[model]
 		x, ok := known[version]
 		if !ok {
-			x.CacheSalt, x.OutdatedFor = cacheSaltFor(model, version, f.team), -1
+			x.CacheSalt, x.OutdatedFor = cacheSaltFor(model, version, cacheGroup), -1
 			if since, outdated := g.catalog.OutdatedSince(model, version); outdated {
 				x.OutdatedFor = now - since
 			}
