gateway: a server whose answer says that it leaves gets no further calls

Cause: nothing read the header; the list of servers was the only source.

Refusals and failures count; 421 may come from another server and does not.

--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -63,6 +63,9 @@
 	// reloadVersion the version that it will then run.
 	reloadUntil   time.Duration
 	reloadVersion int64
+	// leaving is set once an answer of this incarnation has said that it leaves, which
+	// the list may not say yet or ever.
+	leaving bool
 	// missingUntil is until when a server that is missing from the list may come back
 	// and is used; zero if it is listed.
 	missingUntil time.Duration
@@ -181,7 +184,28 @@
 	if r == nil || r.gone(now) {
 		return Server{}, false
 	}
-	return r.server, true
+	return r.listing(), true
+}
+
+// listing returns the server as it is listed, draining also if it has said itself that
+// it leaves.
+func (r *record) listing() Server {
+	s := r.server
+	s.Draining = s.Draining || r.leaving
+	return s
+}
+
+// MarkLeaving records that an incarnation has said that it leaves, and reports whether
+// that is news.
+func (t *Table) MarkLeaving(id string, born int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.servers[id]
+	if r == nil || r.server.Born != born || r.leaving {
+		return false
+	}
+	r.leaving = true
+	return true
 }
 
 // Version returns the version of a model that a server is known to run, zero if
@@ -443,7 +467,7 @@
 
 func (r *record) status(now time.Duration) Status {
 	return Status{
-		Server: r.server, Versions: r.versions, InFlight: r.inFlight,
+		Server: r.listing(), Versions: r.versions, InFlight: r.inFlight,
 		Load: r.inFlight + r.peerLoad.Calls, Pending: r.pendingTokens + r.peerLoad.Pending,
 		InBackoff: now < r.backoffUntil, Reloading: now < r.reloadUntil, Failures: r.failures,
 	}
--- a/internal/backend/table_test.go
+++ b/internal/backend/table_test.go
@@ -129,6 +129,33 @@
 	require.False(t, listed(0))
 }
 
+// A server that has said that it leaves must not be used again before it has restarted,
+// whatever its row says.
+func TestServersThatSayThatTheyLeaveStayOut(t *testing.T) {
+	const born = 7
+	listed := serverWithVersion(1)
+	listed.Born = born
+	draining := func(table *Table) bool {
+		s, ok := table.Get("e", 0)
+		require.True(t, ok)
+		require.Equal(t, s.Draining, onlyStatus(t, table, 0).Server.Draining)
+		return s.Draining
+	}
+	table := NewTable()
+	require.False(t, table.MarkLeaving("e", born), "not listed")
+	table.Put(listed)
+	require.False(t, table.MarkLeaving("e", born-1), "another incarnation")
+	require.False(t, draining(table))
+	require.True(t, table.MarkLeaving("e", born))
+	require.False(t, table.MarkLeaving("e", born))
+	require.True(t, draining(table))
+	table.Put(listed)
+	require.True(t, draining(table), "listed as ready")
+	listed.Born++
+	table.Put(listed)
+	require.False(t, draining(table), "restarted")
+}
+
 func TestPeerFailures(t *testing.T) {
 	const backoff = time.Second
 	tests := []struct {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -81,6 +81,7 @@
 	QuarantineTrial       = add(618, log.InfoLevel, "trial call with a part in quarantine")
 	QuarantineEnded       = add(619, log.InfoLevel, "quarantine ended")
 	QuarantineStoreFailed = add(620, log.WarnLevel, "quarantines could not be read or written")
+	ServerLeaving         = add(621, log.InfoLevel, "backend server says that it leaves")
 	PeerMessageRejected   = add(700, log.WarnLevel, "peer message rejected")
 	PeerUnreachable       = add(701, log.DebugLevel, "peer unreachable")
 	PeerJoined            = add(702, log.InfoLevel, "first message from a new peer process")
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -88,7 +88,7 @@
 		<-t.done
 		resp, err = t.resp, t.err
 	} else {
-		resp, err = g.serverClient.Send(ctx, g.newAttempt(f, c, lastEventID))
+		resp, err = g.sendAttempt(ctx, g.newAttempt(f, c, lastEventID))
 	}
 	switch {
 	case errors.Is(err, upstream.ErrUnsent):
@@ -109,6 +109,16 @@
 	return resp, err
 }
 
+// sendAttempt sends an attempt. A server that says in its response that it leaves gets no
+// further calls, whatever the list of servers says.
+func (g *Gateway) sendAttempt(ctx context.Context, a *Attempt) (*Response, error) {
+	resp, err := g.serverClient.Send(ctx, a)
+	if err == nil && resp.Leaving && !resp.WrongServer && g.table.MarkLeaving(a.Server.ID, a.Server.Born) {
+		event.ServerLeaving.Log(g.log, nil, log.Fields{"request": a.Call.ID, "server": a.Server.ID, "status": resp.Status})
+	}
+	return resp, err
+}
+
 // newAttempt returns an attempt that is about to be made, and counts it.
 func (g *Gateway) newAttempt(f *forwardedCall, c serverChoice, lastEventID string) *Attempt {
 	a := &Attempt{
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -80,6 +80,8 @@
 	ReadAsNotRun bool
 	// WrongServer is set if another server than the addressed one responded.
 	WrongServer bool
+	// Leaving is set if the server says that it leaves.
+	Leaving bool
 	// Version is the version of the model that the server runs, or 0.
 	Version int64
 	Body    io.ReadCloser
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -231,7 +231,7 @@
 	r.next = t
 	go func() {
 		defer close(t.done)
-		t.resp, t.err = g.serverClient.Send(t.ctx, a)
+		t.resp, t.err = g.sendAttempt(t.ctx, a)
 	}()
 	return t, false
 }
--- a/internal/gateway/serve_test.go
+++ b/internal/gateway/serve_test.go
@@ -191,6 +191,53 @@
 	}
 }
 
+// A server that says in an answer that it leaves must get no further calls, though the
+// list of servers does not say so.
+func TestServersThatSayThatTheyLeaveGetNoCalls(t *testing.T) {
+	leaving := func(resp *Response) *Response { resp.Leaving = true; return resp }
+	wrongServer := func() *Response {
+		resp := notRunResponse(421)
+		resp.WrongServer = true
+		return resp
+	}
+	tests := []struct {
+		name, path string
+		first      func() *Response
+		left       bool
+	}{
+		{"an answer", "/idempotent/", func() *Response { return leaving(newResponse(200, "ok")) }, true},
+		{"a failure", "/idempotent/", func() *Response { return leaving(newResponse(500, "")) }, true},
+		{"a refusal", "/once/", func() *Response { return leaving(notRunResponse(503)) }, true},
+		{"a stream", "/stream/", func() *Response { return leaving(newResponse(200, eventStream("1"))) }, true},
+		{"a truncated stream", "/resumable/", func() *Response { return leaving(truncatedResponse(eventStream("1"))) }, true},
+		{"an answer of another server", "/idempotent/", func() *Response { return leaving(wrongServer()) }, false},
+		{"an answer that says nothing", "/idempotent/", func() *Response { return newResponse(200, "ok") }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g, a := newTestGateway(t, func(_ context.Context, n int, _ *Attempt) (*Response, error) {
+				if n == 1 {
+					return tt.first(), nil
+				}
+				return newResponse(200, eventStream("2")), nil
+			})
+			serveCall(t, g, tt.path, "isolated-key")
+			first := a.sentAttempts()[0].Server
+			s, _ := g.table.Get(first.ID, g.now())
+			require.Equal(t, tt.left, s.Draining)
+			s = first
+			s.Draining = false
+			g.table.Put(s)
+			for range 10 {
+				require.Equal(t, 200, serveCall(t, g, tt.path, "isolated-key").status)
+			}
+			for i, sent := range a.sentAttempts() {
+				require.False(t, tt.left && i > 0 && sent.Server.ID == first.ID, "attempt %d", i)
+			}
+		})
+	}
+}
+
 // A poll for the server list that is lost on a dead connection must time out while
 // the servers that left in the meantime may still get new calls.
 func TestLostServerListPollTimesOutInTime(t *testing.T) {
