e2e: the addresses of a VM are distinct

Addresses are drawn by internal/loopback, which draws no port twice in a process. TestAddressesOfAVMAreDistinct failed on the former freeAddress; it passes now.

--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -9,7 +9,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -23,6 +22,7 @@
 	"github.com/marjoramrock/marjoramrock/declare"
 	"github.com/marjoramrock/marjoramrock/internal/answer"
 	"github.com/marjoramrock/marjoramrock/internal/config"
+	"github.com/marjoramrock/marjoramrock/internal/loopback"
 	"github.com/marjoramrock/marjoramrock/internal/operator"
 	"github.com/marjoramrock/marjoramrock/internal/peer"
 	"github.com/marjoramrock/marjoramrock/internal/platform"
@@ -215,7 +215,7 @@
 	host := fmt.Sprintf("127.0.0.%d", 11+i)
 	v := &vm{
 		name: fmt.Sprintf("vm-%d", i+1), zone: zone, log: &bytes.Buffer{},
-		entryAddress: freeAddress(f.t, host), peerAddress: freeAddress(f.t, host), statusAddress: freeAddress(f.t, host),
+		entryAddress: loopback.FreeAddressOn(f.t, host), peerAddress: loopback.FreeAddressOn(f.t, host), statusAddress: loopback.FreeAddressOn(f.t, host),
 	}
 	f.writeSettings(v, nil)
 	return v
@@ -237,11 +237,16 @@
 	require.NoError(f.t, os.WriteFile(v.settingsPath, raw, 0o600))
 }
 
-func freeAddress(t testing.TB, host string) string {
-	l, err := net.Listen("tcp", host+":0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+// The addresses of a VM are drawn before any of them is bound, so a repeated one fails the
+// listener that comes second.
+func TestAddressesOfAVMAreDistinct(t *testing.T) {
+	const draws = 2000
+	seen := make(map[string]bool, draws)
+	for range draws {
+		address := loopback.FreeAddressOn(t, "127.0.0.11")
+		require.False(t, seen[address], address)
+		seen[address] = true
+	}
 }
 
 // startRouter starts the router of a VM and adds the VM to the platform's list.
--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -30,7 +30,13 @@
 // process that uses this package gets the same one.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
-	ip := processIP(os.Getpid())
+	return FreeAddressOn(t, processIP(os.Getpid()))
+}
+
+// FreeAddressOn is like FreeAddress for a loopback IP of the caller's choice, which other
+// processes may use as well.
+func FreeAddressOn(t testing.TB, ip string) string {
+	t.Helper()
 	for range maxAttempts {
 		address := ip + ":" + strconv.Itoa(minPort+int(nextPort.Add(1)%portCount))
 		if isFree(address) {
