gateway: garbage of buffers is bounded

Cause: the budget of buffers returns what a call releases at once, and the next buffer is made before the garbage collector has reached the former one; the more processors make buffers, the more garbage there is.

Change: once buffers of half the budget were made since the last collection, the next one waits for another. TestMemoryHeldByResponses is new: what calls hold while all responses stand still stays within the budget.

--- a/internal/gateway/buffer.go
+++ b/internal/gateway/buffer.go
@@ -4,6 +4,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"runtime"
+	"runtime/metrics"
+	"sync"
 	"sync/atomic"
 
 	"github.com/marjoramrock/marjoramrock/internal/upstream"
@@ -15,6 +18,9 @@
 	bufferShare = 0.15
 	// defaultBufferBytes is the limit if the memory of the process is not limited.
 	defaultBufferBytes = 256 << 20
+	// maxGarbageShare is the part of the limit that may be made anew between two garbage
+	// collections.
+	maxGarbageShare = 0.5
 	// minBufferBytes is the size at which a buffer starts to count. Smaller ones are
 	// bounded by the number of connections.
 	minBufferBytes = 8 << 10
@@ -24,11 +30,19 @@
 // together.
 var ErrBuffersFull = errors.New("buffers of the calls in progress are full")
 
-// bufferBudget bounds the bytes that all calls in progress hold together. It is safe
-// for concurrent use.
+// bufferBudget bounds the bytes that all calls in progress hold together, and the garbage
+// of buffers that are no longer held. It is safe for concurrent use.
 type bufferBudget struct {
 	limit int64
 	used  atomic.Int64
+	// made is the size of the buffers made since the last garbage collection that
+	// makeRoom knows of. Beyond maxGarbageShare of limit, no buffer is made before
+	// another one.
+	made atomic.Int64
+
+	mu sync.Mutex // guards the field below
+	// collections is the number of garbage collections at the time of that one.
+	collections uint64
 }
 
 func newBufferBudget(memoryLimitMB int) *bufferBudget {
@@ -47,6 +61,31 @@
 	return true
 }
 
+// makeRoom collects garbage if much of the memory of former buffers may be left when n
+// bytes are added. The collector runs often enough by itself unless several processors
+// make buffers at once.
+func (b *bufferBudget) makeRoom(n int) {
+	limit := max(int64(maxGarbageShare*float64(b.limit)), int64(n))
+	for b.made.Add(int64(n)) > limit {
+		b.mu.Lock()
+		if b.made.Load() > limit {
+			if collections() == b.collections {
+				runtime.GC()
+			}
+			b.collections = collections()
+			b.made.Store(0)
+		}
+		b.mu.Unlock()
+	}
+}
+
+// collections returns the number of garbage collections that have ended.
+func collections() uint64 {
+	sample := []metrics.Sample{{Name: "/gc/cycles/total:gc-cycles"}}
+	metrics.Read(sample)
+	return sample[0].Value.Uint64()
+}
+
 // buffer collects the bytes of one body or event.
 type buffer struct {
 	budget *bufferBudget
@@ -73,6 +112,7 @@
 			return ErrBuffersFull
 		}
 		b.taken = size
+		b.budget.makeRoom(size)
 	}
 	b.bytes = append(make([]byte, 0, size), b.bytes...)
 	return nil
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -104,6 +105,77 @@
 	require.Zero(t, g.buffers.used.Load())
 }
 
+// stallingReader is an endless reader that stops after a number of bytes until it is
+// released.
+type stallingReader struct {
+	endlessReader
+	limit   int
+	stalled *atomic.Int64
+	release <-chan struct{}
+}
+
+func (r *stallingReader) Read(p []byte) (int, error) {
+	if r.read >= r.limit {
+		r.stalled.Add(1)
+		<-r.release
+		return 0, io.ErrUnexpectedEOF
+	}
+	return r.endlessReader.Read(p[:min(len(p), r.limit-r.read)])
+}
+
+// What calls hold of their responses must stay within the budget, whatever the number of
+// processors: the heap is measured while all responses stand still.
+func TestMemoryHeldByResponses(t *testing.T) {
+	const (
+		calls, memoryMB = 100, 112
+		bodyBytes       = 4 << 20
+		eventBytes      = 200 << 10
+		// maxUncountedBytes is what a call may hold besides its part of the budget.
+		maxUncountedBytes = 64 << 10
+	)
+	for _, processors := range []int{1, 4, 16} {
+		t.Run(fmt.Sprint(processors, " processors"), func(t *testing.T) {
+			defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(processors))
+			var stalled, ended atomic.Int64
+			release := make(chan struct{})
+			g, _ := newTestGateway(t, func(_ context.Context, _ int, a *Attempt) (*Response, error) {
+				body := &stallingReader{endlessReader: endlessReader{text: "data: x\n"}, limit: bodyBytes, stalled: &stalled, release: release}
+				if a.Call.Prompt.Model != "" {
+					body.limit = eventBytes
+				}
+				return &Response{Status: 200, Header: http.Header{}, ContentLength: -1, Body: io.NopCloser(body)}, nil
+			})
+			g.buffers = newBufferBudget(memoryMB)
+			heap := func() uint64 {
+				runtime.GC()
+				runtime.GC()
+				var m runtime.MemStats
+				runtime.ReadMemStats(&m)
+				return m.HeapAlloc
+			}
+			before := heap()
+			var served sync.WaitGroup
+			for i := range calls {
+				served.Go(func() {
+					defer ended.Add(1)
+					call := newCall([]string{"/once/", "/stream/"}[i%2], "isolated-key")
+					call.ID = fmt.Sprint("held-", i)
+					g.Serve(context.Background(), call, &responseRecorder{})
+				})
+			}
+			require.Eventually(t, func() bool { return stalled.Load()+ended.Load() == calls }, 10*time.Second, time.Millisecond)
+			held, counted := heap()-before, g.buffers.used.Load()
+			t.Logf("%d calls hold %d KB, of which %d KB are counted", stalled.Load(), held>>10, counted>>10)
+			require.LessOrEqual(t, counted, g.buffers.limit)
+			require.Greater(t, counted, g.buffers.limit/2, "too few calls to come near the budget")
+			require.Less(t, held, uint64(g.buffers.limit)+calls*maxUncountedBytes)
+			close(release)
+			served.Wait()
+			require.Zero(t, g.buffers.used.Load())
+		})
+	}
+}
+
 // Comments and repeated events show no progress, so a resumable stream leaves an engine
 // that sends nothing else.
 func TestCommentsAreNoProgress(t *testing.T) {
