upstream: a call's deadline bounds the silence of its server

Cause: TCP_USER_TIMEOUT and keep-alive probes, meant to notice dead idle connections, bounded calls as well. Linux cannot tell a server that keeps its window closed from a dead connection.

Change: in a call with a later deadline, the deadline takes the place of that time and the probes rest; a connection gets both back when it becomes idle.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -62,7 +62,8 @@
 	// MaxIdlePerAddress bounds the idle connections to one address.
 	MaxIdlePerAddress int
 	// TCPUserTimeout is how long sent bytes may stay unacknowledged before the
-	// connection counts as dead. The keep-alive probes are timed to match.
+	// connection counts as dead. The keep-alive probes are timed to match. During a call
+	// with a later deadline, the deadline takes its place.
 	TCPUserTimeout time.Duration
 }
 
@@ -87,7 +88,7 @@
 		Control: func(_, _ string, c syscall.RawConn) error {
 			var err error
 			if cerr := c.Control(func(fd uintptr) {
-				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(o.TCPUserTimeout.Milliseconds()))
+				err = setUserTimeout(fd, o.TCPUserTimeout)
 			}); cerr != nil {
 				return cerr
 			}
@@ -142,6 +143,8 @@
 	reused bool
 	// idleTimeout is how long the connection may stay idle.
 	idleTimeout time.Duration
+	// patient is set while the deadline of a call takes the place of TCPUserTimeout.
+	patient bool
 }
 
 // Do makes a call. After any error other than ErrUnsent, the call may have run.
@@ -171,7 +174,7 @@
 			break
 		}
 		idle := time.Since(c.lastUsed)
-		if idle < c.idleTimeout && (r.MaxConnIdle == 0 || idle < r.MaxConnIdle) && c.reusable() {
+		if idle < c.idleTimeout && (r.MaxConnIdle == 0 || idle < r.MaxConnIdle) && c.reusable() && p.beginCall(ctx, c) == nil {
 			return c, nil
 		}
 		_ = c.Close()
@@ -181,7 +184,65 @@
 		return nil, err
 	}
 	limit := &limitedReader{r: nc}
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, idleTimeout: p.options.IdleTimeout}, nil
+	c := &conn{Conn: nc, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, idleTimeout: p.options.IdleTimeout}
+	if err := p.beginCall(ctx, c); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// beginCall lets the server be silent until the deadline of a call: it may leave the rest
+// of the call unread while it works, or stop for a moment, and the kernel cannot tell that
+// from a dead connection.
+func (p *Pool) beginCall(ctx context.Context, c *conn) error {
+	deadline, ok := ctx.Deadline()
+	if !ok || time.Until(deadline) <= p.options.TCPUserTimeout {
+		return nil
+	}
+	c.patient = true
+	return c.setSilence(time.Until(deadline), false)
+}
+
+// endCall undoes beginCall.
+func (p *Pool) endCall(c *conn) error {
+	if !c.patient {
+		return nil
+	}
+	c.patient = false
+	return c.setSilence(p.options.TCPUserTimeout, true)
+}
+
+// setSilence sets how long the server may leave sent bytes unacknowledged, and whether it
+// is probed while there are none.
+func (c *conn) setSilence(timeout time.Duration, probe bool) error {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("connection: %w", err)
+	}
+	keepAlive := 0
+	if probe {
+		keepAlive = 1
+	}
+	if cerr := raw.Control(func(fd uintptr) {
+		if err = setUserTimeout(fd, timeout); err == nil {
+			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_KEEPALIVE, keepAlive)
+		}
+	}); cerr != nil {
+		err = cerr
+	}
+	if err != nil {
+		return fmt.Errorf("connection: setting its timeout: %w", err)
+	}
+	return nil
+}
+
+func setUserTimeout(fd uintptr, d time.Duration) error {
+	return unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 }
 
 // limitedReader reads from r. While it is limited, it fails with ErrTooLarge once left
@@ -233,6 +294,11 @@
 // put returns a connection to the pool.
 func (p *Pool) put(address string, c *conn) {
 	c.lastUsed, c.reused = time.Now(), true
+	if p.endCall(c) != nil {
+		// The connection has failed.
+		_ = c.Close()
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -28,7 +28,7 @@
 	}{
 		{"reset", rounds, func(c *net.TCPConn) { _ = c.SetLinger(0) }, false},
 		{"closed with unread bytes", rounds, func(*net.TCPConn) {}, false},
-		{"request unread for the TCP user timeout", 1, func(c *net.TCPConn) {
+		{"closed after a while with unread bytes", 1, func(c *net.TCPConn) {
 			for range 40 {
 				time.Sleep(50 * time.Millisecond)
 				if _, err := io.WriteString(c, "part"); err != nil {
