gateway: idle connections to engines that have ended are closed

The review counted 339 descriptors after 20 engines had ended, 16 for each, for good; 4,100 would be used up by 240.

Cause: only a call that found a connection too old closed it, and the periodic cleanup looked at the pool of VMs alone.

Change: it looks at the pools of calls, control calls and the store, too.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,6 +75,8 @@
 	DecodeDeclaration(key string, value []byte) (Declaration, error)
 	DecodeServer(key string, value []byte) (backend.Server, error)
 	Store() Store
+	// CloseExpired closes the idle connections that will not be used again.
+	CloseExpired()
 }
 
 // Declaration is the content of a row of the operators' table. The fields that the
@@ -308,6 +310,7 @@
 func (g *Gateway) cleanUp(ctx context.Context) {
 	g.watchKVStores(ctx)
 	g.peers.CloseExpired()
+	g.adapter.CloseExpired()
 	g.expireQuarantines()
 	for _, id := range g.table.ExpireMissing(g.now()) {
 		g.parts.RemoveHolder(id)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -116,6 +116,8 @@
 	return a.respond(ctx, n, t)
 }
 
+func (a *fakeAdapter) CloseExpired() {}
+
 func (a *fakeAdapter) sentAttempts() []*Attempt {
 	a.mu.Lock()
 	defer a.mu.Unlock()
