--- /dev/null
+++ b/internal/buffer/buffer.go
@@ -0,0 +1,174 @@
+package buffer
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"runtime"
+	"runtime/metrics"
+	"sync"
+	"sync/atomic"
+)
+
+const (
+	// maxGarbageShare is the part of the limit that may be made anew between two garbage
+	// collections.
+	maxGarbageShare = 0.5
+	// minBufferBytes is the size at which a buffer starts to count. Smaller ones are
+	// bounded by the number of connections.
+	minBufferBytes = 8 << 10
+)
+
+// ErrFull means that the buffers hold as many bytes as they may together.
+var ErrFull = errors.New("buffers of the calls in progress are full")
+
+// ErrTooLarge means that a body or event exceeds its size limit.
+var ErrTooLarge = errors.New("response exceeds the size limit")
+
+// Budget bounds the bytes that all calls in progress hold together, and the garbage
+// of buffers that are no longer held. It is safe for concurrent use.
+type Budget struct {
+	limit int64
+	used  atomic.Int64
+	// made is the size of the buffers made since the last garbage collection that
+	// makeRoom knows of. Beyond maxGarbageShare of limit, no buffer is made before
+	// another one.
+	made atomic.Int64
+
+	mu sync.Mutex // guards the field below
+	// collections is the number of garbage collections at the time of that one.
+	collections uint64
+}
+
+// NewBudget returns a budget of limit bytes.
+func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
+
+// Limit returns the number of bytes that buffers may hold together.
+func (b *Budget) Limit() int64 { return b.limit }
+
+// Used returns the number of bytes that buffers hold.
+func (b *Budget) Used() int64 { return b.used.Load() }
+
+func (b *Budget) take(n int) bool {
+	if b.used.Add(int64(n)) > b.limit {
+		b.used.Add(-int64(n))
+		return false
+	}
+	return true
+}
+
+// makeRoom collects garbage if much of the memory of former buffers may be left when n
+// bytes are added. The collector runs often enough by itself unless several processors
+// make buffers at once.
+func (b *Budget) makeRoom(n int) {
+	limit := max(int64(maxGarbageShare*float64(b.limit)), int64(n))
+	for b.made.Add(int64(n)) > limit {
+		b.mu.Lock()
+		if b.made.Load() > limit {
+			if collections() == b.collections {
+				runtime.GC()
+			}
+			b.collections = collections()
+			b.made.Store(0)
+		}
+		b.mu.Unlock()
+	}
+}
+
+// collections returns the number of garbage collections that have ended.
+func collections() uint64 {
+	sample := []metrics.Sample{{Name: "/gc/cycles/total:gc-cycles"}}
+	metrics.Read(sample)
+	return sample[0].Value.Uint64()
+}
+
+// Buffer collects the bytes of one body or event.
+type Buffer struct {
+	budget *Budget
+	// limit bounds the length of bytes.
+	limit int
+	bytes []byte
+	// taken is the part of the budget that the buffer holds.
+	taken int
+}
+
+// New returns an empty buffer for at most limit bytes.
+func New(budget *Budget, limit int) *Buffer { return &Buffer{budget: budget, limit: limit} }
+
+// Bytes returns what the buffer holds. It is valid until the next change of the buffer.
+func (b *Buffer) Bytes() []byte { return b.bytes }
+
+// grow makes room for n more bytes. It returns ErrTooLarge beyond the limit
+// and ErrFull beyond the budget.
+func (b *Buffer) grow(n int) error {
+	need := len(b.bytes) + n
+	if need > b.limit {
+		return fmt.Errorf("%w: more than %d bytes", ErrTooLarge, b.limit)
+	}
+	if need <= cap(b.bytes) {
+		return nil
+	}
+	size := min(max(2*cap(b.bytes), need, minBufferBytes), b.limit)
+	if size > minBufferBytes {
+		if !b.budget.take(size - b.taken) {
+			return ErrFull
+		}
+		b.taken = size
+		b.budget.makeRoom(size)
+	}
+	b.bytes = append(make([]byte, 0, size), b.bytes...)
+	return nil
+}
+
+// Append adds bytes. It returns ErrTooLarge beyond the limit and ErrFull beyond the budget.
+func (b *Buffer) Append(p []byte) error {
+	if err := b.grow(len(p)); err != nil {
+		return err
+	}
+	b.bytes = append(b.bytes, p...)
+	return nil
+}
+
+// ReadAll reads r to its end. The error is ErrTooLarge, ErrFull, or that of r.
+func (b *Buffer) ReadAll(r io.Reader) error {
+	for {
+		if len(b.bytes) == cap(b.bytes) {
+			if err := b.grow(1); err != nil && !errors.Is(err, ErrTooLarge) {
+				return err
+			}
+		}
+		if len(b.bytes) == b.limit {
+			return b.expectEOF(r)
+		}
+		n, err := r.Read(b.bytes[len(b.bytes):cap(b.bytes)])
+		b.bytes = b.bytes[:len(b.bytes)+n]
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// expectEOF returns ErrTooLarge unless r is at its end.
+func (b *Buffer) expectEOF(r io.Reader) error {
+	var one [1]byte
+	_, err := io.ReadFull(r, one[:])
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil
+	case err == nil:
+		return fmt.Errorf("%w: more than %d bytes", ErrTooLarge, b.limit)
+	}
+	return err
+}
+
+// Reset empties the buffer and keeps its room.
+func (b *Buffer) Reset() { b.bytes = b.bytes[:0] }
+
+// Release empties the buffer and returns what it holds to the budget.
+func (b *Buffer) Release() {
+	b.budget.used.Add(-int64(b.taken))
+	b.bytes, b.taken = nil, 0
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/marjoramrock/marjoramrock/internal/buffer"
 	"github.com/marjoramrock/marjoramrock/internal/event"
 	"github.com/marjoramrock/marjoramrock/internal/parts"
 	"github.com/marjoramrock/marjoramrock/internal/timer"
@@ -186,7 +187,7 @@
 	switch {
 	case err != nil && callEnded:
 		// The call timed out or its caller left, which is no failure of the server.
-	case errors.Is(err, ErrBuffersFull), errors.Is(err, upstream.ErrNotPermitted):
+	case errors.Is(err, buffer.ErrFull), errors.Is(err, upstream.ErrNotPermitted):
 		// The cause lies with this VM.
 	case err != nil:
 		g.recordBreak(ctx, f, c, err)
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -45,7 +45,7 @@
 				failed += s.Failures
 			}
 			require.Equal(t, 1, failed, "the server counts as failing")
-			require.Zero(t, g.buffers.used.Load())
+			require.Zero(t, g.buffers.Used())
 		})
 	}
 }
@@ -102,7 +102,7 @@
 	}
 	t.Logf("heap in use: %d KB before, %d KB at its peak", before.HeapInuse>>10, peak>>10)
 	require.Less(t, peak, uint64(maxHeapOfEndlessAnswers))
-	require.Zero(t, g.buffers.used.Load())
+	require.Zero(t, g.buffers.Used())
 }
 
 // stallingReader is an endless reader that stops after a number of bytes until it is
@@ -164,14 +164,14 @@
 				})
 			}
 			require.Eventually(t, func() bool { return stalled.Load()+ended.Load() == calls }, 10*time.Second, time.Millisecond)
-			held, counted := heap()-before, g.buffers.used.Load()
+			held, counted := heap()-before, g.buffers.Used()
 			t.Logf("%d calls hold %d KB, of which %d KB are counted", stalled.Load(), held>>10, counted>>10)
-			require.LessOrEqual(t, counted, g.buffers.limit)
-			require.Greater(t, counted, g.buffers.limit/2, "too few calls to come near the budget")
-			require.Less(t, held, uint64(g.buffers.limit)+calls*maxUncountedBytes)
+			require.LessOrEqual(t, counted, g.buffers.Limit())
+			require.Greater(t, counted, g.buffers.Limit()/2, "too few calls to come near the budget")
+			require.Less(t, held, uint64(g.buffers.Limit())+calls*maxUncountedBytes)
 			close(release)
 			served.Wait()
-			require.Zero(t, g.buffers.used.Load())
+			require.Zero(t, g.buffers.Used())
 		})
 	}
 }
--- a/internal/gateway/event_reader.go
+++ b/internal/gateway/event_reader.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"github.com/marjoramrock/marjoramrock/internal/buffer"
 	"io"
 	"strconv"
 )
@@ -27,7 +28,7 @@
 // eventReader splits a stream into its events.
 type eventReader struct {
 	stream  *bufio.Reader
-	current buffer
+	current *buffer.Buffer
 	// begun is set once the first line has been read.
 	begun bool
 }
@@ -35,44 +36,44 @@
 // byteOrderMark may precede the first event of a stream.
 var byteOrderMark = []byte("\ufeff")
 
-func newEventReader(stream io.Reader, budget *bufferBudget) *eventReader {
-	return &eventReader{stream: bufio.NewReaderSize(stream, eventBufferBytes), current: buffer{budget: budget, limit: maxEventBytes}}
+func newEventReader(stream io.Reader, budget *buffer.Budget) *eventReader {
+	return &eventReader{stream: bufio.NewReaderSize(stream, eventBufferBytes), current: buffer.New(budget, maxEventBytes)}
 }
 
 // errNoEvent means that a stream contains something else than events.
 var errNoEvent = errors.New("stream contains a line that is no field of an event")
 
-func (r *eventReader) release() { r.current.release() }
+func (r *eventReader) release() { r.current.Release() }
 
 // next reads up to and including the empty line that ends an event. At the end of the
 // stream it returns io.EOF, or io.ErrUnexpectedEOF after an incomplete event, together
 // with what was read. It returns errNoEvent if a line is neither a field nor a comment.
 func (r *eventReader) next() (streamEvent, error) {
-	r.current.reset()
+	r.current.Reset()
 	var e streamEvent
 	lineStart := 0
 	for {
 		piece, err := r.stream.ReadSlice('\n')
-		if appendErr := r.current.append(piece); appendErr != nil {
+		if appendErr := r.current.Append(piece); appendErr != nil {
 			return e, appendErr
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(r.current.bytes)) > 0 {
+			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(r.current.Bytes())) > 0 {
 				err = io.ErrUnexpectedEOF
 			}
-			e.raw = r.current.bytes
+			e.raw = r.current.Bytes()
 			return e, err
 		}
-		line := bytes.TrimRight(r.current.bytes[lineStart:], "\r\n")
+		line := bytes.TrimRight(r.current.Bytes()[lineStart:], "\r\n")
 		if !r.begun {
 			line, r.begun = bytes.TrimPrefix(line, byteOrderMark), true
 		}
-		lineStart = len(r.current.bytes)
+		lineStart = len(r.current.Bytes())
 		if len(line) == 0 {
-			e.raw = r.current.bytes
+			e.raw = r.current.Bytes()
 			return e, nil
 		}
 		if !isField(line) {
--- a/internal/gateway/event_reader_test.go
+++ b/internal/gateway/event_reader_test.go
@@ -1,13 +1,12 @@
 package gateway
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"strings"
 	"testing"
 
-	"github.com/marjoramrock/marjoramrock/internal/upstream"
+	"github.com/marjoramrock/marjoramrock/internal/buffer"
 	"github.com/stretchr/testify/require"
 )
 
@@ -97,57 +96,14 @@
 			source, budget := &endlessReader{text: tt.text}, newBufferBudget(0)
 			r := newEventReader(source, budget)
 			_, err := r.next()
-			require.ErrorIs(t, err, upstream.ErrTooLarge)
+			require.ErrorIs(t, err, buffer.ErrTooLarge)
 			require.LessOrEqual(t, source.read, 2*maxEventBytes)
 			r.release()
-			require.Zero(t, budget.used.Load())
+			require.Zero(t, budget.Used())
 		})
 	}
 }
 
-func TestBuffersOfAllCallsAreBounded(t *testing.T) {
-	budget := newBufferBudget(10)
-	var held []*buffer
-	for {
-		b := &buffer{budget: budget, limit: maxResponseBytes}
-		held = append(held, b)
-		if err := b.readAll(io.LimitReader(&endlessReader{text: "x"}, 100<<10)); err != nil {
-			require.ErrorIs(t, err, ErrBuffersFull)
-			break
-		}
-		require.Len(t, b.bytes, 100<<10)
-	}
-	require.Greater(t, len(held), 5)
-	total := 0
-	for _, b := range held {
-		total += cap(b.bytes)
-	}
-	require.LessOrEqual(t, total, 3<<20)
-	for _, b := range held {
-		b.release()
-	}
-	require.Zero(t, budget.used.Load())
-}
-
-func TestBodiesAtTheSizeLimit(t *testing.T) {
-	tests := []struct {
-		size int
-		err  error
-	}{{0, nil}, {1, nil}, {minBufferBytes, nil}, {20000, nil}, {20001, upstream.ErrTooLarge}, {1 << 20, upstream.ErrTooLarge}}
-	for _, tt := range tests {
-		b := &buffer{budget: newBufferBudget(0), limit: 20000}
-		err := b.readAll(bytes.NewReader(make([]byte, tt.size)))
-		if tt.err != nil {
-			require.ErrorIs(t, err, tt.err)
-			continue
-		}
-		require.NoError(t, err)
-		require.Len(t, b.bytes, tt.size)
-	}
-	b := &buffer{budget: newBufferBudget(0), limit: 20000}
-	require.ErrorIs(t, b.readAll(failingReader{}), io.ErrUnexpectedEOF)
-}
-
 func FuzzEventReader(f *testing.F) {
 	f.Add("id: 7\ndata: x\n\nid: 8")
 	f.Add(": comment\r\n\r\n")
@@ -168,7 +124,7 @@
 					}
 					return
 				}
-				if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, upstream.ErrTooLarge) {
+				if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, buffer.ErrTooLarge) {
 					t.Fatal(err)
 				}
 				break
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/apex/log"
 	"github.com/marjoramrock/marjoramrock/internal/backend"
+	"github.com/marjoramrock/marjoramrock/internal/buffer"
 	"github.com/marjoramrock/marjoramrock/internal/catalog"
 	"github.com/marjoramrock/marjoramrock/internal/event"
 	"github.com/marjoramrock/marjoramrock/internal/feed"
@@ -131,7 +132,7 @@
 	// engines.
 	promptThroughput parts.ThroughputMeter
 	movableStreams   movableStreams
-	buffers          *bufferBudget
+	buffers          *buffer.Budget
 	// refused remembers calls that servers refused: they may write such a refusal again.
 	refused *refusedCalls
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/marjoramrock/marjoramrock/internal/buffer"
 	"net/http"
 	"time"
 )
@@ -53,9 +54,9 @@
 	if resp.NotRun || resp.WrongServer {
 		return false
 	}
-	body := &buffer{budget: g.buffers, limit: maxResponseBytes}
+	body := buffer.New(g.buffers, maxResponseBytes)
 	defer f.releaseUnlessKept(body)
-	if err := body.readAll(resp.Body); err != nil {
+	if err := body.ReadAll(resp.Body); err != nil {
 		g.recordAttempt(ctx, f, c, nil, err)
 		return false
 	}
@@ -70,7 +71,7 @@
 			return false
 		}
 	}
-	g.sendResponse(f, resp, body.bytes)
+	g.sendResponse(f, resp, body.Bytes())
 	return true
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/marjoramrock/marjoramrock/internal/buffer"
 	"github.com/marjoramrock/marjoramrock/internal/catalog"
 	"github.com/marjoramrock/marjoramrock/internal/quarantine"
 )
@@ -116,25 +117,25 @@
 // failureResponse is a complete response that reports a failure of the call.
 type failureResponse struct {
 	*Response
-	body *buffer
+	body *buffer.Buffer
 }
 
 // keepFailure keeps a response for the case that no other server answers.
-func (f *forwardedCall) keepFailure(resp *Response, body *buffer) {
+func (f *forwardedCall) keepFailure(resp *Response, body *buffer.Buffer) {
 	f.dropFailure()
 	f.failure = &failureResponse{Response: resp, body: body}
 }
 
 // releaseUnlessKept releases a buffer that does not hold the failure that is kept.
-func (f *forwardedCall) releaseUnlessKept(b *buffer) {
+func (f *forwardedCall) releaseUnlessKept(b *buffer.Buffer) {
 	if f.failure == nil || f.failure.body != b {
-		b.release()
+		b.Release()
 	}
 }
 
 func (f *forwardedCall) dropFailure() {
 	if f.failure != nil {
-		f.failure.body.release()
+		f.failure.body.Release()
 		f.failure = nil
 	}
 }
@@ -180,7 +181,7 @@
 func (g *Gateway) refuseUnserved(ctx context.Context, f *forwardedCall) {
 	f.dropTakeover()
 	if f.failure != nil {
-		g.sendResponse(f, f.failure.Response, f.failure.body.bytes)
+		g.sendResponse(f, f.failure.Response, f.failure.body.Bytes())
 		return
 	}
 	_, withdrawn := g.stillAuthorized(f)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/marjoramrock/marjoramrock/internal/buffer"
 	"github.com/marjoramrock/marjoramrock/internal/event"
 )
 
@@ -136,9 +137,9 @@
 
 // handleNonStream handles a response of an engine that is not a stream.
 func (g *Gateway) handleNonStream(ctx context.Context, st *streamState, c serverChoice, resp *Response) bool {
-	body := &buffer{budget: g.buffers, limit: maxResponseBytes}
+	body := buffer.New(g.buffers, maxResponseBytes)
 	defer st.releaseUnlessKept(body)
-	if err := body.readAll(resp.Body); err != nil {
+	if err := body.ReadAll(resp.Body); err != nil {
 		g.recordAttempt(ctx, st.forwardedCall, c, nil, err)
 		return false
 	}
@@ -151,7 +152,7 @@
 		st.keepFailure(resp, body)
 		return false
 	}
-	g.sendResponse(st.forwardedCall, resp, body.bytes)
+	g.sendResponse(st.forwardedCall, resp, body.Bytes())
 	return true
 }
 
@@ -187,7 +188,7 @@
 // copyEvents passes on the complete events of a response. It skips events that the
 // caller has from an earlier attempt. It calls onData for each event with data and
 // onProgress for each new one; comments and repeated events show no progress of the call.
-func (st *streamState) copyEvents(resp *Response, budget *bufferBudget, onData, onProgress func()) error {
+func (st *streamState) copyEvents(resp *Response, budget *buffer.Budget, onData, onProgress func()) error {
 	events := newEventReader(resp.Body, budget)
 	defer events.release()
 	if st.headerSent && !st.isContinuation(resp) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/marjoramrock/marjoramrock/internal/buffer"
 	"github.com/marjoramrock/marjoramrock/internal/socket"
 	"golang.org/x/sys/unix"
 )
@@ -31,7 +32,7 @@
 var ErrMismatchedResponse = errors.New("response to another call")
 
 // ErrTooLarge means that a response, or its head, exceeds its size limit.
-var ErrTooLarge = errors.New("response exceeds the size limit")
+var ErrTooLarge = buffer.ErrTooLarge
 
 const (
 	// readBufferBytes fits the head of a response and several events of a stream.
