quarantine: the next incarnation of an engine proves its crash

TestAVMThatReadsLateHidesNoCrash was known red and made `go test ./...` fail: 6 calls with a part that crashes engines were sent late, 3 may be.

Cause: an answer that arrives 0.3 s or more after a crash refutes it, and a VM that reads 0.5 s late still gets answers that the engine sent before. Counting only answers to later calls loses what refutes the crashes of sound engines whose answers are lost; a longer delay makes a lone answer at 0.4 s count for nothing (TestWhatPutsAPartInQuarantine).

Change: a refuted crash is kept for 10 s, and counts again once a later incarnation of the engine is seen, which cannot be if the engine had gone on.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -43,6 +43,9 @@
 	// may answer in its place.
 	answerDelay      = 300 * time.Millisecond
 	refutationPeriod = 2 * time.Second
+	// restorePeriod is how long after a crash the next incarnation of its engine may show
+	// that an answer did not refute it.
+	restorePeriod = 10 * time.Second
 )
 
 // Engine identifies an incarnation of an engine.
@@ -81,10 +84,41 @@
 	crashes map[Engine]*crash
 	// byPart holds the breaks by the parts of their calls, in order of arrival.
 	byPart map[string][]*Break
+	// answered holds, by the engine's ID, the last crash that an answer has refuted. The
+	// next incarnation proves that the engine did crash: the answer had been read late.
+	answered map[string]*answeredCrash
+}
+
+type answeredCrash struct {
+	*crash
+	engine Engine
 }
 
 func newEvidence() *evidence {
-	return &evidence{crashes: make(map[Engine]*crash), byPart: make(map[string][]*Break)}
+	return &evidence{crashes: make(map[Engine]*crash), byPart: make(map[string][]*Break), answered: make(map[string]*answeredCrash)}
+}
+
+// setAnswered removes a crash that an answer refutes, and keeps it for restore.
+func (e *evidence) setAnswered(id Engine) {
+	if _, known := e.answered[id.ID]; !known && len(e.answered) >= maxCrashes {
+		return
+	}
+	e.answered[id.ID] = &answeredCrash{crash: e.crashes[id], engine: id}
+	e.removeCrash(id)
+}
+
+// restore brings a crash back that an answer had refuted, once a later incarnation of the
+// engine shows that it has ended. It returns the breaks.
+func (e *evidence) restore(id Engine, refuted func(part string, at time.Duration) bool) []*Break {
+	a := e.answered[id.ID]
+	if a == nil || id.Born <= a.engine.Born {
+		return nil
+	}
+	delete(e.answered, id.ID)
+	for _, b := range a.breaks {
+		e.add(b, func(part string) bool { return refuted(part, b.At) })
+	}
+	return a.breaks
 }
 
 // add records a break. It reports false if the break is known or not needed.
@@ -158,6 +192,11 @@
 }
 
 func (e *evidence) expire(now time.Duration) {
+	for id, a := range e.answered {
+		if now-a.at > restorePeriod {
+			delete(e.answered, id)
+		}
+	}
 	for id, c := range e.crashes {
 		if now-c.at > evidenceTTL {
 			e.removeCrash(id)
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -104,6 +104,7 @@
 func (t *Tracker) RecordBreak(b Break) (Verdict, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.restore(b.Engine)
 	v := Verdict{}
 	refuted := make(map[string]bool)
 	for _, p := range b.Parts {
@@ -115,7 +116,7 @@
 	if !t.evidence.add(&b, func(part string) bool { return refuted[part] }) {
 		return Verdict{}, false
 	}
-	t.crashes.Store(int32(len(t.evidence.crashes)))
+	t.countCrashes()
 	for _, p := range b.Parts {
 		if e := t.active[p]; e != nil && !refuted[p] {
 			if b.At >= e.Until {
@@ -216,15 +217,36 @@
 func (t *Tracker) RecordAnswer(id Engine, at time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.restore(id)
 	c := t.evidence.crashes[id]
 	if c == nil || at <= c.at+answerDelay || at > c.at+refutationPeriod {
 		return false
 	}
-	t.evidence.removeCrash(id)
-	t.crashes.Store(int32(len(t.evidence.crashes)))
+	t.evidence.setAnswered(id)
+	t.countCrashes()
 	return true
 }
 
+// restore takes the next incarnation of an engine as proof of a crash that had been
+// refuted.
+func (t *Tracker) restore(id Engine) {
+	breaks := t.evidence.restore(id, func(part string, at time.Duration) bool {
+		last, ok := t.succeeded.get(part)
+		return ok && last >= at
+	})
+	if len(breaks) == 0 {
+		return
+	}
+	t.undecided = append(t.undecided, breaks[:min(len(breaks), maxUndecided-len(t.undecided))]...)
+	t.countCrashes()
+}
+
+// countCrashes publishes the number of crashes for HasEvidence. Those that were refuted
+// count, since the next incarnations of their engines matter.
+func (t *Tracker) countCrashes() {
+	t.crashes.Store(int32(len(t.evidence.crashes) + len(t.evidence.answered)))
+}
+
 // Known reports whether a break of an engine with the head of a response is known.
 func (t *Tracker) Known(id Engine) bool {
 	t.mu.Lock()
@@ -315,7 +337,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.evidence.expire(now)
-	t.crashes.Store(int32(len(t.evidence.crashes)))
+	t.countCrashes()
 	for p, e := range t.active {
 		if now-e.AskedAt > forgetAfter && now > e.Until {
 			delete(t.active, p)
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -70,6 +70,11 @@
 			t.RecordAnswer(Engine{ID: "e1"}, 1400*time.Millisecond)
 			t.RecordBreak(three[2].asBreak())
 		}, ""},
+		{"an engine and its next incarnation answered afterwards", three[:2], nil, func(t *Tracker) {
+			t.RecordAnswer(Engine{ID: "e1"}, 1400*time.Millisecond)
+			t.RecordAnswer(Engine{ID: "e1", Born: 7}, 2900*time.Millisecond)
+			t.RecordBreak(three[2].asBreak())
+		}, "p"},
 		{"an engine's last words were read late", three[:2], nil, func(t *Tracker) {
 			t.RecordAnswer(Engine{ID: "e1"}, 1200*time.Millisecond)
 			t.RecordBreak(three[2].asBreak())
