--- a/internal/gateway/event_reader.go
+++ b/internal/gateway/event_reader.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+
 	"github.com/marjoramrock/marjoramrock/internal/buffer"
 	"io"
 	"strconv"
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+
 	"github.com/marjoramrock/marjoramrock/internal/buffer"
 	"net/http"
 	"time"
--- a/internal/router/copies_test.go
+++ b/internal/router/copies_test.go
@@ -20,11 +20,7 @@
 // it answers another request on a connection, it sends its last answer there again.
 func startCopyingServer(t *testing.T) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	serve := func(c net.Conn) {
-		defer func() { _ = c.Close() }()
+	return startRawServer(t, func(c net.Conn) {
 		r := bufio.NewReader(c)
 		for last := ""; ; {
 			req, err := http.ReadRequest(r)
@@ -41,17 +37,7 @@
 			}
 			last = reply
 		}
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 func TestCopyOfAnAnswerIsNotTakenForThatOfTheNextServiceCall(t *testing.T) {
--- a/internal/router/cut_test.go
+++ b/internal/router/cut_test.go
@@ -19,25 +19,14 @@
 // text, as long as the next of cuts says, and closes or resets the connection.
 func startCuttingServer(t *testing.T, text string, reset bool, cuts <-chan int) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.WriteString(c, text[:<-cuts])
-			}
-			if reset {
-				_ = c.(*net.TCPConn).SetLinger(0)
-			}
-			_ = c.Close()
+	return startRawServer(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, text[:<-cuts])
 		}
-	}()
-	return l.Addr().String()
+		if reset {
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+	})
 }
 
 // A server may stop anywhere in its answer, also in the head, and close the connection.
--- a/internal/router/endless_test.go
+++ b/internal/router/endless_test.go
@@ -22,12 +22,8 @@
 // text, repeated until the connection is closed.
 func startEndlessServer(t *testing.T, start, text string) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
 	block := bytes.Repeat([]byte(text), 64<<10/len(text))
-	serve := func(c net.Conn) {
-		defer func() { _ = c.Close() }()
+	return startRawServer(t, func(c net.Conn) {
 		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 			return
 		}
@@ -35,17 +31,7 @@
 		for err == nil {
 			_, err = c.Write(block)
 		}
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // Answers without end must not take the memory of a VM: all calls at once hold a bounded
