--- a/internal/gateway/event_reader.go
+++ b/internal/gateway/event_reader.go
@@ -4,10 +4,10 @@
 	"bufio"
 	"bytes"
 	"errors"
-
-	"github.com/marjoramrock/marjoramrock/internal/buffer"
 	"io"
 	"strconv"
+
+	"github.com/marjoramrock/marjoramrock/internal/buffer"
 )
 
 const (
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-
-	"github.com/marjoramrock/marjoramrock/internal/buffer"
 	"net/http"
 	"time"
+
+	"github.com/marjoramrock/marjoramrock/internal/buffer"
 )
 
 const (
