--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -89,6 +89,7 @@
 	answered map[string]*answeredCrash
 }
 
+// answeredCrash is a crash that an answer has refuted.
 type answeredCrash struct {
 	*crash
 	engine Engine
@@ -100,10 +101,9 @@
 
 // setAnswered removes a crash that an answer refutes, and keeps it for restore.
 func (e *evidence) setAnswered(id Engine) {
-	if _, known := e.answered[id.ID]; !known && len(e.answered) >= maxCrashes {
-		return
+	if _, known := e.answered[id.ID]; known || len(e.answered) < maxCrashes {
+		e.answered[id.ID] = &answeredCrash{crash: e.crashes[id], engine: id}
 	}
-	e.answered[id.ID] = &answeredCrash{crash: e.crashes[id], engine: id}
 	e.removeCrash(id)
 }
 
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -136,6 +136,20 @@
 }
 
 // Two crashes that an answer may still refute are not enough with a third.
+// A crash that an answer refutes must not count, however many others are kept in case the
+// next incarnations of their engines prove them.
+func TestRefutedCrashesDoNotCount(t *testing.T) {
+	tr := newSoundTracker()
+	for i := range maxCrashes + 1 {
+		b := scriptedBreak{fmt.Sprint("e", i), uint64(i), 1000, "p"}.asBreak()
+		tr.RecordBreak(b)
+		require.True(t, tr.RecordAnswer(b.Engine, b.At+settleDelay))
+	}
+	require.Empty(t, tr.evidence.crashes)
+	tr.Expire(second + restorePeriod + 1)
+	require.False(t, tr.HasEvidence())
+}
+
 func TestUnsettledCrashesWait(t *testing.T) {
 	tr := newSoundTracker()
 	for i, at := range []int{1000, 1260, 1520} {
