--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// maxGarbageShare is the part of the limit that may be made anew between two garbage
+	// maxGarbageShare is the part of the limit that may be allocated between two garbage
 	// collections.
 	maxGarbageShare = 0.5
 	// enoughCollections is the number of garbage collections within a time that make one
@@ -33,10 +33,10 @@
 type Budget struct {
 	limit int64
 	used  atomic.Int64
-	// made is the size of the buffers made since the last garbage collection that
-	// makeRoom knows of. Beyond maxGarbageShare of limit, no buffer is made before
-	// another one.
-	made atomic.Int64
+	// allocated is the size of the buffers allocated since the last garbage collection
+	// that collectGarbage knows of. Beyond maxGarbageShare of limit, no buffer is
+	// allocated before another one.
+	allocated atomic.Int64
 
 	mu sync.Mutex // guards the field below
 	// collections is the number of garbage collections at the time of that one.
@@ -60,19 +60,19 @@
 	return true
 }
 
-// makeRoom collects garbage if much of the memory of former buffers may be left when n
-// bytes are added. The collector runs often enough by itself unless several processors
-// make buffers at once.
-func (b *Budget) makeRoom(n int) {
+// collectGarbage runs the garbage collector before n bytes are allocated if much of the
+// memory of former buffers may be left. The collector runs often enough by itself unless
+// several processors allocate buffers at once.
+func (b *Budget) collectGarbage(n int) {
 	limit := max(int64(maxGarbageShare*float64(b.limit)), int64(n))
-	for b.made.Add(int64(n)) > limit {
+	for b.allocated.Add(int64(n)) > limit {
 		b.mu.Lock()
-		if b.made.Load() > limit {
+		if b.allocated.Load() > limit {
 			if collections() < b.collections+enoughCollections {
 				runtime.GC()
 			}
 			b.collections = collections()
-			b.made.Store(0)
+			b.allocated.Store(0)
 		}
 		b.mu.Unlock()
 	}
@@ -117,7 +117,7 @@
 			return ErrFull
 		}
 		b.taken = size
-		b.budget.makeRoom(size)
+		b.budget.collectGarbage(size)
 	}
 	b.bytes = append(make([]byte, 0, size), b.bytes...)
 	return nil
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -144,8 +144,8 @@
 	reused bool
 	// idleTimeout is how long the connection may stay idle.
 	idleTimeout time.Duration
-	// patient is set while the deadline of a call takes the place of TCPUserTimeout.
-	patient bool
+	// extended is set while the deadline of a call takes the place of TCPUserTimeout.
+	extended bool
 }
 
 // Do makes a call. After any error other than ErrUnsent, the call may have run.
@@ -175,7 +175,7 @@
 			break
 		}
 		idle := time.Since(c.lastUsed)
-		if idle < c.idleTimeout && (r.MaxConnIdle == 0 || idle < r.MaxConnIdle) && c.reusable() && p.beginCall(ctx, c) == nil {
+		if idle < c.idleTimeout && (r.MaxConnIdle == 0 || idle < r.MaxConnIdle) && c.reusable() && p.extendTimeout(ctx, c) == nil {
 			return c, nil
 		}
 		_ = c.Close()
@@ -186,37 +186,37 @@
 	}
 	limit := &limitedReader{r: nc}
 	c := &conn{Conn: nc, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, idleTimeout: p.options.IdleTimeout}
-	if err := p.beginCall(ctx, c); err != nil {
+	if err := p.extendTimeout(ctx, c); err != nil {
 		_ = c.Close()
 		return nil, err
 	}
 	return c, nil
 }
 
-// beginCall lets the server be silent until the deadline of a call: it may leave the rest
+// extendTimeout lets the server be silent until the deadline of a call: it may leave the rest
 // of the call unread while it works, or stop for a moment, and the kernel cannot tell that
 // from a dead connection.
-func (p *Pool) beginCall(ctx context.Context, c *conn) error {
+func (p *Pool) extendTimeout(ctx context.Context, c *conn) error {
 	deadline, ok := ctx.Deadline()
 	if !ok || time.Until(deadline) <= p.options.TCPUserTimeout {
 		return nil
 	}
-	c.patient = true
-	return c.setSilence(time.Until(deadline), false)
+	c.extended = true
+	return c.setTimeout(time.Until(deadline), false)
 }
 
-// endCall undoes beginCall.
-func (p *Pool) endCall(c *conn) error {
-	if !c.patient {
+// restoreTimeout undoes extendTimeout.
+func (p *Pool) restoreTimeout(c *conn) error {
+	if !c.extended {
 		return nil
 	}
-	c.patient = false
-	return c.setSilence(p.options.TCPUserTimeout, true)
+	c.extended = false
+	return c.setTimeout(p.options.TCPUserTimeout, true)
 }
 
-// setSilence sets how long the server may leave sent bytes unacknowledged, and whether it
+// setTimeout sets how long the server may leave sent bytes unacknowledged, and whether it
 // is probed while there are none.
-func (c *conn) setSilence(timeout time.Duration, probe bool) error {
+func (c *conn) setTimeout(timeout time.Duration, probe bool) error {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return nil
@@ -295,7 +295,7 @@
 // put returns a connection to the pool.
 func (p *Pool) put(address string, c *conn) {
 	c.lastUsed, c.reused = time.Now(), true
-	if p.endCall(c) != nil {
+	if p.restoreTimeout(c) != nil {
 		// The connection has failed.
 		_ = c.Close()
 		return
