router: a call that may outlast a stop is refused

Other operators' requests that came late in a planned stop were taken and cut at its end, some that may not be repeated.

Cause: a stop takes requests as long as others run, whatever time they may take.

--- a/internal/router/complete.go
+++ b/internal/router/complete.go
@@ -99,6 +99,9 @@
 	if !ok {
 		return newRefusal(fasthttp.StatusNotFound, "no_route", fmt.Sprintf("no route to model %q", c.body.model))
 	}
+	if c.r.outlastsStop(route) {
+		return errStopping()
+	}
 	who, err := c.r.authenticate(ctx, conf, route)
 	if err != nil {
 		return err
--- a/internal/router/entry.go
+++ b/internal/router/entry.go
@@ -136,6 +136,18 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// errStopping refuses a request that the end of the process might cut.
+func errStopping() error {
+	return newRefusal(fasthttp.StatusServiceUnavailable, "stopping", "the router stops before the deadline of the route").withRetryAfter(time.Second)
+}
+
+// outlastsStop reports whether a request on a route may take longer than until the end of
+// a stop.
+func (r *Router) outlastsStop(route config.Route) bool {
+	end := timer.Instant(r.servesUntil.Load())
+	return end > 0 && r.clock.Now().Add(route.EffectiveDeadline()) > end
+}
+
 // requestContext returns a context with the route's deadline.
 func requestContext(route config.Route) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), route.EffectiveDeadline())
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -75,6 +75,9 @@
 
 	draining atomic.Bool
 	inFlight atomic.Int64
+	// servesUntil is when a stop ends the requests that are left, as a timer.Instant;
+	// zero while requests are served for as long as they take.
+	servesUntil atomic.Int64
 	// resumedAt is when the last pause of the process ended. Requests wait for
 	// proof of the configuration that is newer.
 	resumedAt     atomic.Int64
@@ -236,7 +239,8 @@
 
 // Shutdown stops the router gracefully: it reports not ready, releases its
 // slots, keeps accepting requests for the drain delay, and waits until all
-// requests have ended or ctx is done.
+// requests have ended or ctx is done. After the drain delay it refuses requests
+// that may take longer than until the deadline of ctx.
 func (r *Router) Shutdown(ctx context.Context) error {
 	r.draining.Store(true)
 	event.Draining.Log(r.log, nil, nil)
@@ -249,6 +253,9 @@
 	if err := sleep(ctx, drain); err != nil {
 		return fmt.Errorf("router: drain: %w", err)
 	}
+	if deadline, ok := ctx.Deadline(); ok {
+		r.servesUntil.Store(int64(r.clock.Now().Add(time.Until(deadline))))
+	}
 	for r.inFlight.Load() > 0 {
 		if err := sleep(ctx, 10*time.Millisecond); err != nil {
 			return fmt.Errorf("router: %d requests in progress: %w", r.inFlight.Load(), err)
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -45,6 +45,9 @@
 	if !ok {
 		return newRefusal(fasthttp.StatusNotFound, "no_route", fmt.Sprintf("no route to %q", path))
 	}
+	if r.outlastsStop(route) {
+		return errStopping()
+	}
 	who, err := r.authenticate(ctx, conf, route)
 	if err != nil {
 		return err
