router: the test of answers without end has streams, too

Rows for an event, a line and a comment without end, and a fourth kind of call. They pass on the code as it is: a stream is given up after 1 MB of an event.

--- a/internal/router/endless_test.go
+++ b/internal/router/endless_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -49,6 +50,9 @@
 		{"a body with a length", head + "Content-Length: 30000000\r\n\r\n", "x"},
 		{"a body in chunks", head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
 		{"a chunk", head + "Transfer-Encoding: chunked\r\n\r\nffffff\r\n", "x"},
+		{"an event", head + "\r\n", "data: x\n"},
+		{"a line of an event", head + "\r\ndata: ", "x"},
+		{"a comment", head + "\r\n", ": x\n"},
 		{"a chunk's length", head + "Transfer-Encoding: chunked\r\n\r\n", "0"},
 	}
 	for _, tt := range tests {
@@ -72,6 +76,20 @@
 					_, err := r.clients.call(address, req, false, time.Now().Add(5*time.Second), nil)
 					return err
 				},
+				func() error {
+					req := fasthttp.AcquireRequest()
+					req.SetRequestURI("http://" + address + pathChatCompletions)
+					resp, err := r.clients.call(address, req, true, time.Now().Add(5*time.Second), nil)
+					if err != nil {
+						return err
+					}
+					answer.ReadEvents(resp.BodyStream(), func(e answer.Event) bool {
+						err = e.Err
+						return true
+					})
+					resp.SetConnectionClose()
+					return errors.Join(err, resp.CloseBodyStream())
+				},
 				func() error {
 					_, err := r.clients.exchange(config.Engine{Name: "e", Address: address}, fasthttp.MethodGet, loadPath, nil, 5*time.Second)
 					return err
