--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -215,8 +215,8 @@
 	host := fmt.Sprintf("127.0.0.%d", 11+i)
 	v := &vm{
 		name: fmt.Sprintf("vm-%d", i+1), zone: zone, log: &bytes.Buffer{},
-		entryAddress: loopback.FreeAddressOn(f.t, host), peerAddress: loopback.FreeAddressOn(f.t, host), statusAddress: loopback.FreeAddressOn(f.t, host),
 	}
+	v.drawAddresses(f.t, host)
 	f.writeSettings(v, nil)
 	return v
 }
@@ -237,15 +237,22 @@
 	require.NoError(f.t, os.WriteFile(v.settingsPath, raw, 0o600))
 }
 
+func (v *vm) drawAddresses(t testing.TB, host string) {
+	v.entryAddress, v.peerAddress, v.statusAddress = loopback.FreeAddressOn(t, host), loopback.FreeAddressOn(t, host), loopback.FreeAddressOn(t, host)
+}
+
 // The addresses of a VM are drawn before any of them is bound, so a repeated one fails the
 // listener that comes second.
 func TestAddressesOfAVMAreDistinct(t *testing.T) {
-	const draws = 2000
-	seen := make(map[string]bool, draws)
-	for range draws {
-		address := loopback.FreeAddressOn(t, "127.0.0.11")
-		require.False(t, seen[address], address)
-		seen[address] = true
+	const vms = 700
+	seen := make(map[string]bool, 3*vms)
+	for range vms {
+		v := &vm{}
+		v.drawAddresses(t, "127.0.0.11")
+		for _, address := range []string{v.entryAddress, v.peerAddress, v.statusAddress} {
+			require.False(t, seen[address], address)
+			seen[address] = true
+		}
 	}
 }
 
--- a/e2e/rate_test.go
+++ b/e2e/rate_test.go
@@ -66,6 +66,8 @@
 }
 
 const (
+	// rateCallers is the number of callers at once.
+	rateCallers = 12
 	// maxFaultRuns bounds the runs until a team has used more than its burst. A run may
 	// use less: the tokens that a killed VM holds are lost, and the faults do not wait for
 	// the first calls.
@@ -84,7 +86,7 @@
 	best := 0.0
 	for best < wanted && time.Now().Before(end) {
 		before, windowEnd := totalTokens(f.startedRequests(name)), time.Now().Add(rateWindow)
-		parallel(12, func(i int) {
+		parallel(rateCallers, func(i int) {
 			r := rand.New(rand.NewPCG(*faultSeed, uint64(200+i)))
 			for time.Now().Before(windowEnd) {
 				call(r)
@@ -119,7 +121,7 @@
 			}
 			burst := f.declaredLimits(teamSmall).Cap
 			for run := 0; run < maxFaultRuns && totalTokens(f.startedRequests(teamSmall)) <= burst; run++ {
-				runUnderFaults(t, f, 2500*time.Millisecond, tt.faults, 12, func(_ int, r *rand.Rand) { call(r) })
+				runUnderFaults(t, f, 2500*time.Millisecond, tt.faults, rateCallers, func(_ int, r *rand.Rand) { call(r) })
 				t.Logf("run %d: %.0f tokens in all", run+1, totalTokens(f.startedRequests(teamSmall)))
 			}
 			require.NotZero(t, served.Load())
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -41,10 +41,8 @@
 }
 
 type recorded struct {
-	rows   []string
-	lapsed []string
-	// lapsedUntil holds the last times at which the lapsed rows may come back.
-	lapsedUntil   []time.Duration
+	rows          []string
+	lapsed        []string
 	confirmations int
 	waits         []time.Duration
 }
@@ -62,9 +60,7 @@
 			}
 			out.rows = append(out.rows, text)
 		},
-		OnLapsed: func(key string, until time.Duration) {
-			out.lapsed, out.lapsedUntil = append(out.lapsed, key), append(out.lapsedUntil, until)
-		},
+		OnLapsed:    func(key string, _ time.Duration) { out.lapsed = append(out.lapsed, key) },
 		OnConfirmed: func(time.Duration) { out.confirmations++ },
 	})
 	for len(src.steps) > 0 {
