weights: reloads are announced until the engine has loaded

Cause: other VMs take an engine for available 3 s after its reload was announced. Engines also stood drained while others loaded. Change: the updater repeats the announcement every 1.2 s until the load has ended. Where loads take longer than draining, an engine is drained only if a load will have ended by then; other services are updated as before. Measured: the new tests fail without each change (1 announcement in 3.6 s).

--- a/internal/weights/updater.go
+++ b/internal/weights/updater.go
@@ -38,6 +38,10 @@
 	// ordering it. It covers the delivery of one message between zones and a
 	// scheduling delay.
 	announceLead = 40 * time.Millisecond
+	// announcePeriod is the interval at which the reload of an engine is announced again
+	// until it has loaded. The other VMs take an engine that they hear nothing of for an
+	// available one after backend.reloadTimeout, which one lost message must not exceed.
+	announcePeriod = 1200 * time.Millisecond
 	// drainTimeout bounds the wait for an engine's running calls before the order.
 	// Calls that are still running then continue under the new weights.
 	drainTimeout = 700 * time.Millisecond
@@ -142,12 +146,19 @@
 	// cooldownUntil maps the ID of an engine that failed to the time at which it may
 	// be selected again.
 	cooldownUntil map[string]time.Duration
-	workers       sync.WaitGroup
+	// loadTimes holds, for each service, how long its last completed load took from the
+	// order on, and loadsBegan when the loads in progress were ordered, by engine.
+	loadTimes  map[string]time.Duration
+	loadsBegan map[string]map[string]time.Duration
+	workers    sync.WaitGroup
 }
 
 // New returns an Updater. It does nothing until Step is called.
 func New(o Options) *Updater {
-	return &Updater{options: o, inProgress: make(map[string]bool), activeLoads: make(map[string]int), cooldownUntil: make(map[string]time.Duration)}
+	return &Updater{
+		options: o, inProgress: make(map[string]bool), activeLoads: make(map[string]int), cooldownUntil: make(map[string]time.Duration),
+		loadTimes: make(map[string]time.Duration), loadsBegan: make(map[string]map[string]time.Duration),
+	}
 }
 
 // task is the update of one engine that runs an older version of a model than the
@@ -220,18 +231,57 @@
 // load at once.
 func maxConcurrentLoads(size int) int { return max(minConcurrentLoads, size/enginesPerConcurrentLoad) }
 
-// maxUnavailable returns how many engines of a service of the given size may be
-// unavailable at once: those that load, and those that drain in order to load next.
-func maxUnavailable(size int) int { return maxConcurrentLoads(size) + maxConcurrentLoads(size)/2 + 1 }
+// maxDraining returns how many engines of a service of the given size may drain at once
+// in order to load next, beside those that load.
+func maxDraining(size int) int { return maxConcurrentLoads(size)/2 + 1 }
+
+// drainAllowance returns how many engines of a service may drain beside those that load.
+// When loads take longer than draining, only as many may as loads will have ended by then:
+// an engine that is drained earlier waits for a load slot in place of serving.
+func (u *Updater) drainAllowance(service string, size int, now time.Duration) int {
+	length := u.loadTimes[service]
+	if length <= announceLead+drainTimeout {
+		return maxDraining(size)
+	}
+	ending := 0
+	for _, began := range u.loadsBegan[service] {
+		if began+length <= now+announceLead+drainTimeout {
+			ending++
+		}
+	}
+	return min(ending, maxDraining(size))
+}
+
+// beginLoad records that the load of an engine was ordered, and endLoad that it has
+// ended, completed or not.
+func (u *Updater) beginLoad(s backend.Server, now time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.loadsBegan[s.Service] == nil {
+		u.loadsBegan[s.Service] = make(map[string]time.Duration)
+	}
+	if _, ok := u.loadsBegan[s.Service][s.ID]; !ok {
+		u.loadsBegan[s.Service][s.ID] = now
+	}
+}
+
+func (u *Updater) endLoad(s backend.Server, completed bool, now time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if began, ok := u.loadsBegan[s.Service][s.ID]; ok && completed {
+		u.loadTimes[s.Service] = now - began
+	}
+	delete(u.loadsBegan[s.Service], s.ID)
+}
 
 // mayTakeOut reports whether one more engine may be taken out of service while the
-// given number is already unavailable. The first engine always may, since
-// otherwise an update might never complete.
-func (c engineCount) mayTakeOut(unavailable int) bool {
+// given number is already unavailable; draining of them may drain beside those that load.
+// The first engine always may, since otherwise an update might never complete.
+func (c engineCount) mayTakeOut(unavailable, draining int) bool {
 	if unavailable == 0 {
 		return true
 	}
-	return unavailable < maxUnavailable(c.listed) && float64(c.serving-1) >= minServingFraction*float64(c.listed)
+	return unavailable < maxConcurrentLoads(c.listed)+draining && float64(c.serving-1) >= minServingFraction*float64(c.listed)
 }
 
 // selectTasks returns the tasks to start now and marks their engines as in
@@ -253,7 +303,7 @@
 	for {
 		candidates := slices.DeleteFunc(slices.Clone(tasks), func(t task) bool {
 			s := t.server.Server
-			return u.inProgress[s.ID] || now < u.cooldownUntil[s.ID] || !counts[s.Service].mayTakeOut(inService[s.Service])
+			return u.inProgress[s.ID] || now < u.cooldownUntil[s.ID] || !counts[s.Service].mayTakeOut(inService[s.Service], u.drainAllowance(s.Service, counts[s.Service].listed, now))
 		})
 		if len(candidates) == 0 {
 			return selected
@@ -317,19 +367,20 @@
 		u.recordFailure(s, "report", err)
 		return
 	}
-	u.options.Announcer.Reloading(s, t.model, t.version)
-	announced := t.version
+	a := u.announce(s, t.model, t.version)
 	var lastOrderAt time.Duration
 	var expectedOrders int64 = -1 // negative until the first order
 	defer func() {
 		if lastOrderAt == 0 {
-			u.options.Announcer.ReloadCanceled(s, t.model, announced)
+			u.options.Announcer.ReloadCanceled(s, t.model, a.version)
 		}
 	}()
-	if !timer.Sleep(ctx, announceLead) || !u.waitDrained(ctx, s, maxLoads) {
+	if !timer.Sleep(ctx, announceLead) || !u.waitDrained(ctx, s, maxLoads, a) {
 		return
 	}
 	defer u.releaseLoadSlot(s.Service)
+	completed := false
+	defer func() { u.endLoad(s, completed, u.options.Now()) }()
 	began := u.options.Now()
 	for u.options.Now()-began < loadTimeout {
 		rep, err := u.queryReport(ctx, s)
@@ -340,6 +391,7 @@
 		target, _ := u.options.Catalog.TargetVersion(t.model)
 		if rep.Models[t.model] > t.server.Versions[t.model] {
 			u.options.Announcer.Reloaded(s, t.model, rep.Models[t.model])
+			completed = true
 			return
 		}
 		orderLost := rep.AcceptedOrders == expectedOrders && u.options.Now()-lastOrderAt > orderRetryDelay
@@ -348,11 +400,9 @@
 			if !held {
 				return
 			}
-			if announced < target.Version {
-				u.options.Announcer.Reloading(s, t.model, target.Version)
-				announced = target.Version
-			}
+			a.raise(target.Version)
 			expectedOrders, lastOrderAt = rep.AcceptedOrders, u.options.Now()
+			u.beginLoad(s, lastOrderAt)
 			if err := u.sendOrder(ctx, s, Order{Model: t.model, Version: target.Version, Holder: u.options.Holder, Fence: fence, ExpectedOrders: expectedOrders, KeepRunningCalls: true, Permit: u.holdsLease(fence)}); err != nil {
 				if errors.Is(err, ErrWrongEngine) || errors.Is(err, ErrRefused) {
 					u.recordFailure(s, "order", err)
@@ -364,10 +414,48 @@
 		if !timer.Sleep(ctx, reportPollInterval) {
 			return
 		}
+		a.renew()
 	}
 	u.recordFailure(s, "load", context.DeadlineExceeded)
 }
 
+// announcement is the announced reload of an engine.
+type announcement struct {
+	updater *Updater
+	server  backend.Server
+	model   string
+	version int64
+	// sentAt is when it was last announced.
+	sentAt time.Duration
+}
+
+// announce announces the reload of an engine.
+func (u *Updater) announce(s backend.Server, model string, version int64) *announcement {
+	a := &announcement{updater: u, server: s, model: model, version: version}
+	a.send()
+	return a
+}
+
+func (a *announcement) send() {
+	a.sentAt = a.updater.options.Now()
+	a.updater.options.Announcer.Reloading(a.server, a.model, a.version)
+}
+
+// raise announces a newer version.
+func (a *announcement) raise(version int64) {
+	if version > a.version {
+		a.version = version
+		a.send()
+	}
+}
+
+// renew repeats the announcement if it is due.
+func (a *announcement) renew() {
+	if a.updater.options.Now()-a.sentAt >= announcePeriod {
+		a.send()
+	}
+}
+
 // holdsLease returns a function that reports whether the lease is still held with the
 // given fencing token.
 func (u *Updater) holdsLease(fence int64) func() bool {
@@ -380,7 +468,7 @@
 // waitDrained waits until an engine has no running calls or drainTimeout has
 // passed, and then until it acquires a load slot. It reports false if the lease or
 // the context ended first.
-func (u *Updater) waitDrained(ctx context.Context, s backend.Server, maxLoads int) bool {
+func (u *Updater) waitDrained(ctx context.Context, s backend.Server, maxLoads int, a *announcement) bool {
 	for began := u.options.Now(); ; {
 		if _, held := u.options.Lease.Held(); !held {
 			return false
@@ -392,6 +480,7 @@
 		if !timer.Sleep(ctx, drainPollInterval) {
 			return false
 		}
+		a.renew()
 	}
 }
 
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -267,6 +267,44 @@
 	}
 }
 
+// An engine that waits long for others that load, and then loads slowly, must not come
+// back into use at the other VMs before it has loaded: it would refuse their calls.
+func TestReloadsAreAnnouncedUntilTheEngineHasLoaded(t *testing.T) {
+	tests := []struct {
+		name string
+		slow func(s *setup) (end func())
+	}{
+		{"waiting for a load slot", func(s *setup) func() {
+			s.activeLoads["s"] = minConcurrentLoads
+			return func() { s.releaseLoadSlot("s") }
+		}},
+		{"loading", func(s *setup) func() {
+			s.engines.holdLoads = true
+			return func() {
+				s.engines.mu.Lock()
+				defer s.engines.mu.Unlock()
+				s.engines.reports["a1"].Busy, s.engines.reports["a1"].Models = false, map[string]int64{"m": 2}
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSetup("a1")
+			end := tt.slow(s)
+			s.catalog.SetTargetVersion("m", 2, 0)
+			s.Step(context.Background())
+			time.Sleep(3 * announcePeriod)
+			s.announcer.mu.Lock()
+			announced := len(s.announcer.calls)
+			s.announcer.mu.Unlock()
+			end()
+			s.Wait()
+			require.GreaterOrEqual(t, announced, 3)
+			require.NotContains(t, s.announcer.calls, "canceled a1")
+		})
+	}
+}
+
 // A VM that loses the lease while an engine drains must cancel the announced
 // reload, or the engine would stay out of service.
 func TestLostLeaseCancelsReload(t *testing.T) {
@@ -305,6 +343,40 @@
 	require.NotContains(t, s.announcer.calls, "reloading a1")
 }
 
+// Engines must not stand drained for as long as others load, when loads take long: under
+// load the fleet needs them.
+func TestEnginesDrainOnlyOnceALoadSlotIsDue(t *testing.T) {
+	ids := []string{"a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8", "a9", "b1"}
+	tests := []struct {
+		name     string
+		loadTime time.Duration
+		since    time.Duration
+		want     int
+	}{
+		{"loads of unknown length", 0, 0, 4},
+		{"loads shorter than draining", drainTimeout / 2, 0, 4},
+		{"long loads that have just begun", 3 * drainTimeout, 0, 2},
+		{"long loads that end soon", 3 * drainTimeout, 2*drainTimeout + 100*time.Millisecond, 4},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSetup(ids...)
+			if tt.loadTime > 0 {
+				s.loadTimes["s"] = tt.loadTime
+			}
+			s.catalog.SetTargetVersion("m", 2, 0)
+			tasks, counts := s.pendingTasks()
+			out := len(s.selectTasks(tasks, counts))
+			for id := range s.inProgress {
+				s.beginLoad(backend.Server{ID: id, Service: "s"}, s.options.Now()-tt.since)
+			}
+			tasks, counts = s.pendingTasks()
+			out += len(s.selectTasks(tasks, counts))
+			require.Equal(t, tt.want, out)
+		})
+	}
+}
+
 // The more engines fail, the fewer are taken out of service to load.
 func TestEnoughEnginesKeepServing(t *testing.T) {
 	tests := []struct {
