quota: rates hold and urgent calls come first under a surge

Cause: VMs admitted by a level that lags.

Change: each VM may charge its equal part of the rate, for which it needs no message, and its part of the fleet's level until the leaders of all zones have confirmed its charges (Message keys 26 and 27). Silent VMs are left their part of level, rate and burst. While enough of the burst is left and confirmations are recent, a VM may exceed its part by few of its largest calls: parts of large fleets are smaller than one. Less urgent calls leave a reserve to more urgent ones, small calls do not wait for large ones, and a refused large call finds part of what accrues on its return. Retry-After is spread. The level needs one sum over all VMs in place of VMs times teams. Zones whose leaders run an older release count as confirming after 1 s.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -48,6 +48,8 @@
 	SlotInvalid           = add(305, log.ErrorLevel, "slot row cannot be parsed")
 	LoanFailed            = add(400, log.DebugLevel, "loan of rate limit tokens not obtained")
 	ReportLost            = add(401, log.DebugLevel, "reports on loans of rate limit tokens not delivered")
+	ChargesUnconfirmed    = add(402, log.WarnLevel, "other VMs have not confirmed charges to teams lately; teams get this VM's part only")
+	ChargesConfirmed      = add(403, log.InfoLevel, "other VMs confirm charges to teams again")
 	RequestRefused        = add(500, log.DebugLevel, "request refused")
 	RequestFailed         = add(501, log.WarnLevel, "request failed")
 	StreamResumed         = add(502, log.InfoLevel, "stream resumed on its engine")
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -15,6 +15,10 @@
 // the caller, and differences in clock rates.
 const proofAgeShare = 0.92
 
+// retrySpread is the part of the time until a team has tokens again by which the
+// Retry-After of refusals is spread.
+const retrySpread = 0.25
+
 // admit matches the route of a call, authenticates the caller and charges its
 // team.
 func (g *Gateway) admit(f *forwardedCall) *Refusal {
@@ -127,9 +131,11 @@
 	if f.call.TokensKnown {
 		tokens = float64(f.call.Prompt.InputTokens + f.call.Prompt.MaxOutputTokens)
 	}
-	ok, wait := g.quota.Take(f.team.Name, g.teamLimits(f.team), tokens, g.now())
+	ok, wait := g.quota.Take(f.team.Name, g.teamLimits(f.team), f.route.Priority, tokens, g.now())
 	if !ok {
 		f.detail = fmt.Sprintf("%.0f tokens", tokens)
+		// Clients that are refused together should not return together.
+		wait += time.Duration(retrySpread * rand.Float64() * float64(wait))
 		return &Refusal{Reason: ReasonOverRate, RetryAfter: max(wait, defaultRetryAfter)}
 	}
 	f.chargedTokens = tokens
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -127,7 +127,13 @@
 	// gossipRound counts the calls of sendUpdates.
 	gossipRound int
 	zoneUsage   zoneUsage
-	kvStores    kvStores
+	// confirmations tracks which charges of the zone's VMs other zones have heard.
+	confirmations *quota.Confirmations
+	epoch         uint64
+	// confirmationsLate is set while charges of this VM are not confirmed. Only cleanUp
+	// uses it.
+	confirmationsLate bool
+	kvStores          kvStores
 	// promptThroughput measures the prompt tokens that this VM adds to the caches of
 	// engines.
 	promptThroughput parts.ThroughputMeter
@@ -158,8 +164,10 @@
 		return s.Bounds.RetryAllowance * retryBudgetShare / float64(g.node.MemberCount()+1)
 	})
 	var err error
+	g.epoch = uint64(time.Now().UnixNano())
+	g.confirmations = quota.NewConfirmations(s.VM, g.epoch)
 	g.node, err = gossip.NewNode(gossip.Options{
-		VM: s.VM, Zone: s.Zone, Address: s.PeerAddress, Epoch: uint64(time.Now().UnixNano()), Now: timer.SinceBoot,
+		VM: s.VM, Zone: s.Zone, Address: s.PeerAddress, Epoch: g.epoch, Now: timer.SinceBoot,
 		OnMessage: g.handleMessage, OnInvalid: func(from string, err error) {
 			event.PeerMessageRejected.Log(g.log, err, log.Fields{"from": from})
 		},
@@ -313,6 +321,7 @@
 	g.peers.CloseExpired()
 	g.adapter.CloseExpired()
 	g.expireQuarantines()
+	g.watchQuota()
 	for _, id := range g.table.ExpireMissing(g.now()) {
 		g.parts.RemoveHolder(id)
 		event.ServerDelisted.Log(g.log, nil, log.Fields{"server": id})
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -12,16 +12,10 @@
 	"github.com/marjoramrock/marjoramrock/internal/quota"
 )
 
-// toleranceShare is the share of the tokens by which a team may exceed its rate that
-// VMs grant. The rest covers calls that VMs have not reported to each other yet.
-const toleranceShare = 0.5
-
 func (g *Gateway) teamLimits(t *catalog.Team) quota.Limits {
 	b := g.settings.Bounds
 	excess := b.RateExcessRatio*(t.Rate*time.Duration(b.RateWindow).Seconds()+t.Burst) + b.RateSlackTokens
-	// Unreported calls add up over the VMs.
-	lagShare := min(1, fullToleranceVMs/float64(g.node.MemberCount()+1))
-	return quota.Limits{Rate: t.Rate, Burst: t.Burst, Tolerance: toleranceShare * lagShare * excess}
+	return quota.Limits{Rate: t.Rate, Burst: t.Burst, Excess: excess, VMs: g.node.MemberCount() + 1}
 }
 
 func (g *Gateway) announcePart(h parts.Holder, salt string, p parts.Part, ready time.Duration) {
@@ -48,12 +42,15 @@
 }
 
 const (
-	// fullToleranceVMs is the number of VMs up to which unreported charges do not
-	// reduce the tolerance.
-	fullToleranceVMs = 12
 	// Messages to the VMs of the own zone are sent in every round if there are fewer
 	// than twice fullRateZoneVMs, otherwise in every second round.
 	fullRateZoneVMs = 8
+	// unconfirmedLag is the time after which charges count as known to others where the
+	// leader of the zone runs a release that does not confirm them.
+	unconfirmedLag = time.Second
+	// confirmationTimeout is the age of the newest confirmed charges from which on a
+	// warning is logged.
+	confirmationTimeout = 3 * time.Second
 	// maxRoundsPerMessage bounds the rounds between two messages to the own zone, so
 	// that the VM that reads from the store for the zone does not count as ended.
 	maxRoundsPerMessage = 2
@@ -63,16 +60,19 @@
 // of the zone also sends a digest of the zone to the other zones.
 func (g *Gateway) sendUpdates() {
 	g.gossipRound++
+	leads, sentAt := g.node.IsLeader(), g.now()
 	every := min(max(1, g.node.ZoneMemberCount()/fullRateZoneVMs), maxRoundsPerMessage)
 	if g.gossipRound%every == 0 {
 		m := g.outbox.takeOwnZone()
 		g.addUsageAndLoads(m, g.table.Loads())
 		m.KVCacheStores = g.kvStores.watchedStates(g.now())
 		m.Quarantines = g.activeQuarantines()
+		m.Confirmed = g.confirmUsage(leads)
 		g.sendMessage(m, gossip.OwnZone)
+		g.confirmations.RecordSent(m.Sequence, sentAt)
 	}
 	digest := g.outbox.takeOtherZones()
-	if _, other := g.node.Leader(); other {
+	if !leads {
 		return
 	}
 	digest.Digest = true
@@ -81,21 +81,97 @@
 	for _, member := range members {
 		vms = append(vms, member.VM)
 	}
+	states := g.zoneUsage.states()
 	digest.Members = g.zoneUsage.addUsage(members, g.gossipRound%fullDigestRounds == 0)
 	g.addUsageAndLoads(digest, g.table.Loads(vms...))
 	digest.Quarantines = g.activeQuarantines()
+	for _, h := range g.confirmations.Heard() {
+		digest.Heard = append(digest.Heard, gossip.Heard{VM: h.VM, Epoch: h.Epoch, Sequence: h.Sequence})
+	}
 	g.sendMessage(digest, gossip.OtherZones)
+	g.confirmations.RecordSent(digest.Sequence, sentAt)
+	g.confirmations.RecordDigest(digest.Sequence, sequencesByVM(states, members))
+}
+
+// confirmUsage returns what this VM, if it leads its zone, confirms to the VMs there. It
+// applies the confirmation of its own charges.
+func (g *Gateway) confirmUsage(leads bool) []byte {
+	if !leads {
+		return nil
+	}
+	states := g.zoneUsage.states()
+	// A message of a leader is never without confirmations, so that those of older
+	// releases can be told apart.
+	states[g.settings.VM] = quota.Heard{Epoch: g.epoch}
+	confirmed, at := g.confirmations.Confirmed(sequencesByVM(states, g.node.RecentZoneMembers(zoneSilenceTimeout)), g.now())
+	g.quota.Confirm(at)
+	if confirmed == nil {
+		confirmed = make(map[string]uint64)
+	}
+	confirmed[g.settings.VM] = 0
+	return quota.EncodeConfirmed(confirmed, func(vm string) uint64 { return states[vm].Epoch })
+}
+
+// sequencesByVM returns the sequence numbers of the states of the given VMs.
+func sequencesByVM(states map[string]quota.Heard, members []gossip.Member) map[string]uint64 {
+	out := make(map[string]uint64, len(members))
+	for _, m := range members {
+		if s, ok := states[m.VM]; ok && s.Epoch == m.Epoch {
+			out[m.VM] = s.Sequence
+		}
+	}
+	return out
+}
+
+// recordConfirmations applies what a message confirms of this VM's charges. The
+// Confirmed of other zones is not for this VM.
+func (g *Gateway) recordConfirmations(m *gossip.Message, now time.Duration) {
+	if m.Zone == g.settings.Zone {
+		if at, ok := g.confirmations.SentAt(m.Confirmed); ok {
+			g.quota.Confirm(at)
+		}
+		if leader, _ := g.node.Leader(); len(m.Confirmed) == 0 && !m.Delta && m.Address == leader {
+			g.quota.Confirm(now - unconfirmedLag)
+		}
+		return
+	}
+	if !m.Digest {
+		return
+	}
+	heard := make([]quota.Heard, 0, len(m.Heard))
+	for _, h := range m.Heard {
+		heard = append(heard, quota.Heard{VM: h.VM, Epoch: h.Epoch, Sequence: h.Sequence})
+	}
+	g.confirmations.RecordHeard(m.Zone, quota.Heard{VM: m.VM, Epoch: m.Epoch, Sequence: m.Sequence}, heard, now)
 }
 
 // addUsageAndLoads adds this VM's charges, and the given loads, to a message.
 func (g *Gateway) addUsageAndLoads(m *gossip.Message, loads map[string]backend.Load) {
-	m.Usage = g.quota.Totals()
+	m.Usage = g.quota.Totals(g.now())
 	m.Loads = make(map[string]gossip.Load, len(loads))
 	for id, l := range loads {
 		m.Loads[id] = gossip.Load{Calls: l.Calls, PendingTokens: l.Pending}
 	}
 }
 
+// watchQuota updates the metrics of refusals, and logs when confirmations stop and come
+// back.
+func (g *Gateway) watchQuota() {
+	for reason, n := range g.quota.Refusals() {
+		g.metrics.setGauge("rate_refusals_"+string(reason), n)
+	}
+	age := g.quota.ConfirmedAge(g.now())
+	g.metrics.setGauge("rate_confirmed_age_ms", age.Milliseconds())
+	if late := age > confirmationTimeout; late != g.confirmationsLate {
+		g.confirmationsLate = late
+		if late {
+			event.ChargesUnconfirmed.Log(g.log, nil, log.Fields{"ms": age.Milliseconds()})
+		} else {
+			event.ChargesConfirmed.Log(g.log, nil, nil)
+		}
+	}
+}
+
 // broadcastDelta sends changes to all VMs immediately.
 func (g *Gateway) broadcastDelta(m *gossip.Message) {
 	m.Delta = true
@@ -130,8 +206,9 @@
 		}
 	}
 	for _, x := range m.Members {
-		g.quota.UpdatePeer(x.VM, x.Epoch, x.Usage, now)
+		g.quota.UpdatePeer(x.VM, x.Epoch, x.Usage, now-quota.RelayDelay)
 	}
+	g.recordConfirmations(m, now)
 	for _, x := range m.KVCacheStores {
 		g.updateKVStore(x, nil)
 	}
--- a/internal/gateway/outbox.go
+++ b/internal/gateway/outbox.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/marjoramrock/marjoramrock/internal/gossip"
+	"github.com/marjoramrock/marjoramrock/internal/quota"
 )
 
 // maxPartsPerMessage bounds the parts in a message. Further parts are left out: an
@@ -89,7 +90,9 @@
 
 type vmUsage struct {
 	epoch uint64
-	usage map[string]float64
+	// sequence is that of the message with the charges.
+	sequence uint64
+	usage    map[string]float64
 	// unreported holds the charges that no digest has contained.
 	unreported map[string]float64
 }
@@ -105,6 +108,7 @@
 		v = &vmUsage{epoch: m.Epoch, usage: make(map[string]float64), unreported: make(map[string]float64)}
 		x.vms[m.VM] = v
 	}
+	v.sequence = m.Sequence
 	for team, n := range m.Usage {
 		if v.usage[team] != n {
 			v.usage[team], v.unreported[team] = n, n
@@ -112,6 +116,17 @@
 	}
 }
 
+// states returns the messages with the charges that are held.
+func (x *zoneUsage) states() map[string]quota.Heard {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	out := make(map[string]quota.Heard, len(x.vms))
+	for vm, v := range x.vms {
+		out[vm] = quota.Heard{VM: vm, Epoch: v.epoch, Sequence: v.sequence}
+	}
+	return out
+}
+
 func (x *zoneUsage) remove(vm string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -222,6 +222,9 @@
 		{"last call of a quarantine", Message{Quarantines: []Quarantine{{AskedMillis: math.MinInt64}}}, false},
 		{"end of a quarantine", Message{Quarantines: []Quarantine{{LeftMillis: math.MaxInt64}}}, false},
 		{"hold of a quarantine", Message{Quarantines: []Quarantine{{HoldMillis: math.MaxInt64}}}, false},
+		{"confirmations", Message{Confirmed: make([]byte, maxConfirmedBytes), Heard: []Heard{{VM: "b", Epoch: math.MaxUint64, Sequence: 3}}}, true},
+		{"too many confirmed states", Message{Confirmed: make([]byte, maxConfirmedBytes+1)}, false},
+		{"too many digests", Message{Heard: make([]Heard, maxHeard+1)}, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -57,6 +57,20 @@
 	Answered  []Answered `cbor:"21,keyasint,omitempty"`
 	// Quarantines lists the parts in quarantine.
 	Quarantines []Quarantine `cbor:"22,keyasint,omitempty"`
+	// Confirmed lists the states of VMs of the own zone that the sender, the leader of
+	// the zone, and the leaders of the other zones have heard; see
+	// quota.EncodeConfirmed.
+	Confirmed []byte `cbor:"26,keyasint,omitempty"`
+	// Heard lists the newest digest from each other zone that the sender has heard.
+	Heard []Heard `cbor:"27,keyasint,omitempty"`
+}
+
+// Heard is a digest, by its sender and sequence number.
+type Heard struct {
+	_        struct{} `cbor:",toarray"`
+	VM       string
+	Epoch    uint64
+	Sequence uint64
 }
 
 // Break is a call that an engine broke off before it generated anything.
@@ -199,6 +213,10 @@
 	// maxCount bounds the counts of calls, failures and tokens in a message. Sums and
 	// products of such counts fit an int64.
 	maxCount = 1 << 40
+	// maxConfirmedBytes and maxHeard bound the confirmations in a message: those of 2,048
+	// VMs of a zone, and of 64 zones.
+	maxConfirmedBytes = 8 << 10
+	maxHeard          = 64
 	// maxUsage bounds the tokens charged since a process started: sums up to it are exact.
 	maxUsage = 1 << 53
 	// maxMillis bounds the times in a message, in milliseconds; no VM knows of anything
@@ -240,6 +258,9 @@
 			return fmt.Errorf("%w: part on %q", errOutOfRange, x.Engine)
 		}
 	}
+	if len(m.Confirmed) > maxConfirmedBytes || len(m.Heard) > maxHeard {
+		return fmt.Errorf("%w: confirmations", errOutOfRange)
+	}
 	return m.checkQuarantineTimes()
 }
 
