gateway: test that charges are confirmed by other zones

Guards against a VM that takes its charges for known while another zone has not heard them. go test ./internal/gateway -run Confirmed -count=5 passes.

--- a/internal/gateway/gossip_test.go
+++ b/internal/gateway/gossip_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/marjoramrock/marjoramrock/internal/gossip"
 	"github.com/stretchr/testify/require"
@@ -39,3 +40,27 @@
 		require.Equal(t, s.Server.ID == "p1", s.InBackoff)
 	}
 }
+
+// Charges must count as known to others only once the leaders of the other zones that are
+// heard have them: VMs cut off from each other would charge the same tokens otherwise.
+func TestChargesAreConfirmedByOtherZones(t *testing.T) {
+	g, _ := newTestGateway(t, respondWith(newResponse(200, "ok")))
+	for _, sub := range g.subscriptions {
+		sub.Cancel()
+	}
+	g.quota.UpdatePeer("far", 1, nil, g.now())
+	heard := []gossip.Heard{{VM: "unrelated", Epoch: 1, Sequence: 1}}
+	digest := func() {
+		g.handleMessage(&gossip.Message{VM: "far", Zone: "far", Epoch: 1, Sequence: 5, Digest: true, Heard: heard}, false)
+	}
+	digest()
+	time.Sleep(30 * time.Millisecond)
+	sentAt := g.now()
+	g.sendUpdates()
+	g.sendUpdates()
+	require.GreaterOrEqual(t, g.quota.ConfirmedAge(g.now()), 30*time.Millisecond, "the other zone has heard nothing")
+	heard = []gossip.Heard{{VM: g.settings.VM, Epoch: g.epoch, Sequence: 1 << 20}}
+	digest()
+	g.sendUpdates()
+	require.LessOrEqual(t, g.quota.ConfirmedAge(g.now()), g.now()-sentAt)
+}
