backend, placement, gossip, quota: engine memory and refusals without a run

Cause: placement sees slots only, and an engine that refuses calls while it loads weights keeps getting first attempts, each of which costs a retry. Change: Table counts the tokens that calls hold on each engine and a backoff after refusals that other VMs are not told of; messages carry the tokens (key 28); placement counts an engine over its memory as one without a free slot; RetryBudget says when the next retry will be available. The gateway does not use these yet. Result: go test ./internal/backend ./internal/placement ./internal/gossip ./internal/quota passes.

--- /dev/null
+++ b/internal/backend/memory_test.go
@@ -0,0 +1,55 @@
+package backend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A part that several calls share takes memory once, and what a call holds must be
+// released with the incarnation that it ran on.
+func TestHeldTokens(t *testing.T) {
+	table := NewTable()
+	table.Put(serverWithVersion(1))
+	shared := []Part{{Key: "a", Tokens: 600}}
+	first, second := table.Hold("e", 100, shared), table.Hold("e", 50, shared)
+	table.SetPeerLoads("vm2", map[string]Load{"e": {Calls: 1, Held: 30}}, 0)
+	require.Equal(t, 780, onlyStatus(t, table, 0).HeldTokens)
+	first()
+	require.Equal(t, 680, onlyStatus(t, table, 0).HeldTokens)
+	require.Equal(t, 50, onlyStatus(t, table, peerLoadTTL).HeldTokens-600, "reports of silent VMs expire")
+	next := serverWithVersion(1)
+	next.Born++
+	table.Put(next)
+	second()
+	require.Zero(t, onlyStatus(t, table, 0).HeldTokens, "a new incarnation holds nothing")
+}
+
+// An engine that loads weights refuses for seconds: the backoff must grow with each
+// probe, not with each of the calls that were under way together, and must outlast the
+// answers of calls that the engine had begun before.
+func TestRefusalBackoff(t *testing.T) {
+	table := NewTable()
+	table.Put(serverWithVersion(1))
+	refusing := func(now time.Duration) bool { return onlyStatus(t, table, now).Refusing }
+	for range 3 {
+		n, backoff := table.RecordRefusal("e", time.Second)
+		require.Equal(t, 1, n)
+		require.Equal(t, minRefusalBackoff, backoff)
+	}
+	table.RecordSuccess("e", time.Second)
+	table.RecordAccepted("e", time.Second-1)
+	require.True(t, refusing(time.Second))
+	require.False(t, onlyStatus(t, table, time.Second).InBackoff, "a refusal is no failure")
+	now := time.Second + minRefusalBackoff
+	require.False(t, refusing(now))
+	table.BeginProbe("e", now)
+	require.True(t, refusing(now), "one call probes")
+	n, backoff := table.RecordRefusal("e", now)
+	require.Equal(t, 2, n)
+	require.Equal(t, 2*minRefusalBackoff, backoff)
+	table.BeginProbe("e", now+backoff)
+	table.RecordAccepted("e", now+backoff)
+	require.False(t, refusing(now+backoff))
+}
--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -24,6 +24,13 @@
 	// replacedBackoff excludes a server whose address answers as another one until
 	// the list has caught up.
 	replacedBackoff = 3 * time.Second
+	// minRefusalBackoff and maxRefusalBackoff bound how long a server that refused a call
+	// without running it is excluded on this VM. Engines that load weights refuse for
+	// about two seconds.
+	minRefusalBackoff = 300 * time.Millisecond
+	maxRefusalBackoff = 1200 * time.Millisecond
+	// refusalProbeTime excludes such a server after its backoff while one call probes it.
+	refusalProbeTime = 200 * time.Millisecond
 )
 
 // Server is a listed backend server.
@@ -52,11 +59,22 @@
 	// pendingTokens counts the prompt tokens sent to the server for calls that have
 	// not produced their first event.
 	pendingTokens int
+	// heldTokens counts the tokens that the calls of this VM hold in the server's memory
+	// for themselves, and heldParts the shared parts that they hold.
+	heldTokens int
+	heldParts  map[string]*heldPart
 	// peerLoad is the sum of the loads last reported by the other VMs.
 	peerLoad Load
 	// failures counts consecutive failures; the server is excluded until backoffUntil.
 	failures     int
 	backoffUntil time.Duration
+	// refusals counts the consecutive calls of this VM that the server refused without
+	// running them, the last one at refusedAt; it is excluded until refusedUntil. Other VMs
+	// are not told. probing is set while the outcome of a call that was sent since is open.
+	refusals     int
+	refusedAt    time.Duration
+	refusedUntil time.Duration
+	probing      bool
 	// lastSuccess is the time of its last successful answer to this VM.
 	lastSuccess time.Duration
 	// reloadUntil is until when an announced load order excludes the server, and
@@ -78,16 +96,18 @@
 	loads      map[*record]Load
 }
 
-// Load is the calls of one VM on a server, and the prompt tokens that the server has
-// yet to process for them.
+// Load is the calls of one VM on a server, the prompt tokens that the server has yet to
+// process for them, and the tokens that they hold in its memory beside shared parts.
 type Load struct {
 	Calls   int
 	Pending int
+	Held    int
 }
 
 func (l *Load) add(o Load) {
 	l.Calls += o.Calls
 	l.Pending += o.Pending
+	l.Held += o.Held
 }
 
 // Table holds the records of all listed servers by ID. It is safe for
@@ -368,7 +388,7 @@
 	out := make(map[string]Load)
 	for id, r := range t.servers {
 		if r.inFlight > 0 {
-			out[id] = Load{Calls: r.inFlight, Pending: r.pendingTokens}
+			out[id] = Load{Calls: r.inFlight, Pending: r.pendingTokens, Held: r.heldTokens}
 		}
 	}
 	for _, vm := range vms {
@@ -407,7 +427,7 @@
 		return
 	}
 	for r, l := range p.loads {
-		r.peerLoad.add(Load{Calls: -l.Calls, Pending: -l.Pending})
+		r.peerLoad.add(Load{Calls: -l.Calls, Pending: -l.Pending, Held: -l.Held})
 	}
 	delete(t.peers, vm)
 }
@@ -443,9 +463,15 @@
 	// TokensPerMilli is the number of prompt tokens that the server processes in a
 	// millisecond.
 	TokensPerMilli float64 `json:"rate"`
-	InBackoff      bool    `json:"resting"`
-	Reloading      bool    `json:"reloading"`
-	Failures       int     `json:"failures"`
+	// HeldTokens is what calls hold in the server's memory: those of all VMs beside shared
+	// parts, and the shared parts of the calls of this VM.
+	HeldTokens int  `json:"held"`
+	InBackoff  bool `json:"resting"`
+	// Refusing is set while the server is excluded because it refused calls of this VM
+	// without running them.
+	Refusing  bool `json:"refusing"`
+	Reloading bool `json:"reloading"`
+	Failures  int  `json:"failures"`
 }
 
 // Statuses returns the state of all servers of a service, in no particular order. An
@@ -469,6 +495,7 @@
 	return Status{
 		Server: r.listing(), Versions: r.versions, InFlight: r.inFlight,
 		Load: r.inFlight + r.peerLoad.Calls, Pending: r.pendingTokens + r.peerLoad.Pending,
+		HeldTokens: r.heldTokens + r.heldPartTokens() + r.peerLoad.Held, Refusing: now < r.refusedUntil,
 		InBackoff: now < r.backoffUntil, Reloading: now < r.reloadUntil, Failures: r.failures,
 	}
 }
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -93,6 +93,12 @@
 	m.Loads = make(map[string]gossip.Load, len(loads))
 	for id, l := range loads {
 		m.Loads[id] = gossip.Load{Calls: l.Calls, PendingTokens: l.Pending}
+		if l.Held > 0 {
+			if m.HeldTokens == nil {
+				m.HeldTokens = make(map[string]int)
+			}
+			m.HeldTokens[id] = l.Held
+		}
 	}
 }
 
@@ -169,7 +175,7 @@
 func (g *Gateway) updatePeerLoads(m *gossip.Message, now time.Duration) {
 	loads := make(map[string]backend.Load, len(m.Loads))
 	for id, l := range m.Loads {
-		loads[id] = backend.Load{Calls: l.Calls, Pending: l.PendingTokens}
+		loads[id] = backend.Load{Calls: l.Calls, Pending: l.PendingTokens, Held: m.HeldTokens[id]}
 	}
 	source := m.VM
 	if m.Digest {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -57,6 +57,9 @@
 	Answered  []Answered `cbor:"21,keyasint,omitempty"`
 	// Quarantines lists the parts in quarantine.
 	Quarantines []Quarantine `cbor:"22,keyasint,omitempty"`
+	// HeldTokens is the number of tokens that the calls of Loads hold in the memory of
+	// each engine, beside the shared parts of their prompts.
+	HeldTokens map[string]int `cbor:"28,keyasint,omitempty"`
 }
 
 // Break is a call that an engine broke off before it generated anything.
@@ -230,6 +233,11 @@
 			return fmt.Errorf("%w: load on %q", errOutOfRange, id)
 		}
 	}
+	for id, n := range m.HeldTokens {
+		if !isCount(n) {
+			return fmt.Errorf("%w: tokens held on %q", errOutOfRange, id)
+		}
+	}
 	for _, x := range m.Failed {
 		if !isCount(x.Failures) || x.BackoffMillis < 0 || x.BackoffMillis > maxMillis {
 			return fmt.Errorf("%w: failures of %q", errOutOfRange, x.Server.ID)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -36,6 +36,9 @@
 	// backoffCostMillis reserves servers that failed for calls that have no other
 	// server.
 	backoffCostMillis = 10000.0
+	// refusingCostMillis reserves servers that refused calls a moment ago for calls that
+	// have no other server. It exceeds backoffCostMillis: a refusal costs a retry.
+	refusingCostMillis = 20000.0
 	// reloadingCostMillis reserves engines that load weights for calls that have no
 	// other engine: they refuse calls until the weights are loaded.
 	reloadingCostMillis = 100000.0
@@ -76,6 +79,11 @@
 	// LastResort is set if the server has failed, is loading weights or is in a zone that
 	// seems to be partitioned.
 	LastResort bool
+	// Free is the number of servers that have room for the call and neither fail, refuse
+	// calls nor load weights. OnlyFailed is set if the selected server has room but is
+	// in backoff after failures.
+	Free       int
+	OnlyFailed bool
 }
 
 // Choose returns the server on which an attempt has the lowest expected cost. It
@@ -86,16 +94,23 @@
 // weights by their costs. It looks at each server of the service once.
 func Choose(c *Call, v *View, random func() float64) (Choice, bool) {
 	var best Choice
-	leastCost, found := 0.0, false
+	leastCost, found, free := 0.0, false, 0
 	for i := range v.Servers {
 		if v.Servers[i].Excluded {
 			continue
 		}
 		choice, cost, ok := attemptCost(c, v, i, random)
+		if s := &v.Servers[i]; ok && s.hasRoom(c) && !s.InBackoff && !s.Refusing && !s.Reloading {
+			free++
+		}
 		if ok && (!found || cost < leastCost) {
 			best, leastCost, found = choice, cost, true
 		}
 	}
+	if found {
+		s := &v.Servers[best.Index]
+		best.Free, best.OnlyFailed = free, s.InBackoff && !s.Refusing && !s.Reloading && s.hasRoom(c)
+	}
 	return best, found
 }
 
@@ -103,8 +118,8 @@
 // the server cannot take the call.
 func attemptCost(c *Call, v *View, i int, random func() float64) (Choice, float64, bool) {
 	s := &v.Servers[i]
-	choice := Choice{Index: i, LastResort: s.InBackoff || s.Reloading || s.Zone != v.Zone && v.SilentZones[s.Zone]}
-	cost := random()*min(maxJitterMillis, jitterMillisPerVM*float64(v.VMs)) + QueuedCallCostMillis*float64(s.callsOverSlots())
+	choice := Choice{Index: i, LastResort: s.InBackoff || s.Refusing || s.Reloading || s.Zone != v.Zone && v.SilentZones[s.Zone]}
+	cost := random()*min(maxJitterMillis, jitterMillisPerVM*float64(v.VMs)) + QueuedCallCostMillis*float64(max(s.callsOverSlots(), s.callsOverMemory(c)))
 	if s.Zone != v.Zone {
 		cost += crossZoneCostMillis
 		if v.SilentZones[s.Zone] {
@@ -114,6 +129,9 @@
 	if s.InBackoff {
 		cost += backoffCostMillis
 	}
+	if s.Refusing {
+		cost += refusingCostMillis
+	}
 	if c.Model == "" {
 		return choice, cost + plainCallCostMillis*float64(s.Load), true
 	}
@@ -149,6 +167,35 @@
 	return max(0, s.Load+1-s.Slots)
 }
 
+// callsOverMemory returns by how many calls of its size a server would exceed its memory
+// if it got the call.
+func (s *Server) callsOverMemory(c *Call) int {
+	need := max(c.MemoryTokens, c.HeadroomTokens)
+	if s.CapacityTokens <= 0 || c.MemoryTokens <= 0 || s.Load < s.Slots/minCallsShare {
+		return 0
+	}
+	over := s.MemoryTokens + need - s.CapacityTokens
+	if over <= 0 {
+		return 0
+	}
+	return (over + c.MemoryTokens - 1) / c.MemoryTokens
+}
+
+// hasRoom reports whether a server can begin the call soon. The calls that may wait on a
+// server beyond its slots keep it busy until VMs have learned of the calls that ended.
+func (s *Server) hasRoom(c *Call) bool {
+	return s.callsOverSlots() <= s.Slots/waitingCallsShare && s.callsOverMemory(c) == 0
+}
+
+const (
+	// waitingCallsShare divides the slots of a server into the number of calls that may
+	// wait there.
+	waitingCallsShare = 4
+	// minCallsShare divides the slots of a server into the number of calls up to which its
+	// memory counts as sufficient: what calls hold is an upper estimate.
+	minCallsShare = 4
+)
+
 // queueDelay returns how long a call may wait on an engine before it begins.
 func (s *Server) queueDelay() time.Duration {
 	return time.Duration((float64(s.PendingTokens)/s.TokensPerMilli + QueuedCallCostMillis*float64(s.callsOverSlots())) * float64(time.Millisecond))
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -15,6 +15,12 @@
 	// a LinkMbps of zero means that the time of a transfer is not known.
 	BytesPerToken float64
 	LinkMbps      float64
+	// MemoryTokens is what the call will hold in an engine's memory, HeadroomTokens the
+	// free memory that an engine needs to count as one with room: it is at least that of
+	// the largest calls, since otherwise small calls would take the room that large ones
+	// wait for.
+	MemoryTokens   int
+	HeadroomTokens int
 }
 
 // Server is what is known of a server.
@@ -28,6 +34,13 @@
 	// TokensPerMilli how many it processes in a millisecond.
 	PendingTokens  int
 	TokensPerMilli float64
+	// MemoryTokens is what calls hold in the server's memory, CapacityTokens its size, or
+	// zero if that is not known.
+	MemoryTokens   int
+	CapacityTokens int
+	// Refusing is set while calls keep away because the server refused calls without
+	// running them.
+	Refusing bool
 	// Excluded servers are not selected. InBackoff is set while a server fails,
 	// Reloading while it loads weights.
 	Excluded  bool
--- a/internal/quota/retry_budget.go
+++ b/internal/quota/retry_budget.go
@@ -65,14 +65,40 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.advance(service, now)
+	if !r.allows(w, 0, leave) {
+		return false
+	}
+	w.retries[w.step%windowSteps]++
+	return true
+}
+
+// allows reports whether a retry is possible once the given number of the oldest steps
+// have ended, if there are no calls and retries until then.
+func (r *RetryBudget) allows(w *window, ended int64, leave float64) bool {
 	calls, retries := 0.0, 0.0
-	for i := range windowSteps {
+	for n := range windowSteps - ended {
+		i := (w.step + windowSteps - n) % windowSteps
 		calls += w.calls[i]
 		retries += w.retries[i]
 	}
-	if retries+1 > (1-leave)*(r.ratio*calls+r.slack()) {
-		return false
+	return retries+1 <= (1-leave)*(r.ratio*calls+r.slack())
+}
+
+// NextRetry returns the time until the next retry will be available if there are no
+// further calls and retries, and the whole window if the budget is too small for any.
+// Further calls make it available earlier.
+func (r *RetryBudget) NextRetry(service string, now time.Duration, leave float64) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.advance(service, now)
+	if r.allows(w, 0, leave) {
+		return 0
 	}
-	w.retries[w.step%windowSteps]++
-	return true
+	length := r.window / windowSteps
+	for n := int64(1); n < windowSteps; n++ {
+		if r.allows(w, n, leave) {
+			return time.Duration(w.step+n)*length - now
+		}
+	}
+	return r.window
 }
