gateway: calls that no engine can take wait in a queue

The gateway waits there for an engine or a retry, avoids engines that refused a moment ago and counts what calls hold in engines' memory. Result: go test ./internal/gateway passes; no load test yet.

--- a/internal/backend/memory.go
+++ b/internal/backend/memory.go
@@ -50,6 +50,19 @@
 	}
 }
 
+// Slots returns the sum of the slots of the servers of a service.
+func (t *Table) Slots(service string, now time.Duration) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, r := range t.servers {
+		if r.server.Service == service && !r.gone(now) {
+			n += r.server.Slots
+		}
+	}
+	return n
+}
+
 func (r *record) heldPartTokens() int {
 	n := 0
 	for _, h := range r.heldParts {
@@ -60,8 +73,8 @@
 
 // RecordRefusal records that a server refused a call of this VM without running it. It
 // excludes the server on this VM for a time that doubles with each consecutive refusal,
-// up to maxRefusalBackoff, and returns the number of refusals and the time. Calls that
-// were sent before the first refusal arrived count as one.
+// up to maxRefusalBackoff, and returns the number of refusals and the time. It returns
+// zeros for a call that was sent before the last refusal arrived, which does not count.
 func (t *Table) RecordRefusal(id string, now time.Duration) (refusals int, backoff time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -70,7 +83,7 @@
 		return 0, 0
 	}
 	if r.refusals > 0 && !r.probing {
-		return r.refusals, max(0, r.refusedUntil-now)
+		return 0, 0
 	}
 	r.refusals++
 	backoff = min(minRefusalBackoff<<min(r.refusals-1, 8), maxRefusalBackoff)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -30,12 +30,16 @@
 	errRetryBudget = errors.New("retry budget exhausted")
 )
 
-// nextServer returns the server of the next attempt. If none can take the call, it
-// waits for one for up to half the latency goal.
+// nextServer returns the server of the next attempt. If none can take the call, the call
+// waits in the queue of its service or, if the service has none, for up to half the
+// latency goal.
 func (g *Gateway) nextServer(ctx context.Context, f *forwardedCall) (serverChoice, error) {
 	if f.takeover != nil {
 		return f.takeover.choice, nil
 	}
+	if f.queued() {
+		return g.nextQueuedServer(ctx, f)
+	}
 	waitUntil := g.now() + f.route.LatencyGoal/2
 	for waited := false; ; waited = true {
 		if c, ok := g.chooseServer(f, f.service); ok {
@@ -84,7 +88,9 @@
 func (g *Gateway) send(ctx context.Context, f *forwardedCall, c serverChoice, lastEventID string) (*Response, error) {
 	var resp *Response
 	var err error
+	sentAt := g.now()
 	if t := f.takeover; t != nil {
+		sentAt = t.sentAt
 		f.takeover, f.lastChoice, f.progress = nil, c, attemptProgress{}
 		<-t.done
 		resp, err = t.resp, t.err
@@ -101,6 +107,7 @@
 		}
 	default:
 		f.possibleRuns++
+		g.table.RecordAccepted(c.server.ID, sentAt)
 		f.progress.head = resp.Status == http.StatusOK
 	}
 	if err == nil && !resp.WrongServer {
@@ -134,6 +141,7 @@
 	}
 	a.NewConn = f.sentTo[c.server.ID] || f.refusedBefore
 	f.sentTo[c.server.ID] = true
+	g.table.BeginProbe(c.server.ID, g.now())
 	if c.StoreReachable && c.cacheSalt != "" && g.needsSaving(f, c.cacheSalt) {
 		a.SaveTo = f.kvStore.Address
 	}
@@ -183,7 +191,6 @@
 func (g *Gateway) recordAttempt(ctx context.Context, f *forwardedCall, c serverChoice, resp *Response, err error) {
 	s := c.server
 	callEnded := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errServerSilent)
-	model := f.call.Prompt.Model
 	switch {
 	case err != nil && callEnded:
 		// The call timed out or its caller left, which is no failure of the server.
@@ -194,11 +201,14 @@
 		g.recordFailure(s, ctx.Err() != nil || errors.Is(err, upstream.ErrUnsent))
 	case resp.WrongServer:
 		g.table.RecordReplaced(s.ID, g.now())
-	case resp.Version > 0 && model != "":
-		if resp.Version != c.version {
-			g.table.SetVersion(s.ID, s.Born, model, resp.Version)
-			g.announceVersion(s, model, resp.Version)
+	case resp.NotRun && f.queued():
+		if n, backoff := g.table.RecordRefusal(s.ID, g.now()); n > 0 {
+			g.metrics.incrementCounter("engine_refusals")
+			event.EngineRefused.Log(g.log, nil, log.Fields{"server": s.ID, "refusals": n, "ms": backoff.Milliseconds(), "request": f.call.ID})
 		}
+		g.noteVersion(f, c, resp)
+	default:
+		g.noteVersion(f, c, resp)
 	}
 	if err != nil || resp.NotRun || resp.WrongServer {
 		f.excluded[s.ID] = true
@@ -213,6 +223,15 @@
 	}
 }
 
+// noteVersion records the version that an engine states if it is not the expected one.
+func (g *Gateway) noteVersion(f *forwardedCall, c serverChoice, resp *Response) {
+	s, model := c.server, f.call.Prompt.Model
+	if resp.Version > 0 && model != "" && resp.Version != c.version {
+		g.table.SetVersion(s.ID, s.Born, model, resp.Version)
+		g.announceVersion(s, model, resp.Version)
+	}
+}
+
 // recordPrefill records that an engine is about to process the parts of a prompt.
 func (g *Gateway) recordPrefill(f *forwardedCall, c serverChoice, save bool) {
 	if c.cacheSalt == "" || f.engine == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,7 +132,9 @@
 	// engines.
 	promptThroughput parts.ThroughputMeter
 	movableStreams   movableStreams
-	buffers          *buffer.Budget
+	// queues holds the calls that wait for an engine or a retry.
+	queues  *callQueues
+	buffers *buffer.Budget
 	// refused remembers calls that servers refused: they may write such a refusal again.
 	refused *refusedCalls
 
@@ -154,6 +156,7 @@
 		refused: newRefusedCalls(), invalidServers: make(map[string]bool),
 	}
 	g.announcer = &announcer{g: g}
+	g.queues = newCallQueues(g.clock)
 	g.retries = quota.NewRetryBudget(s.Bounds.RetryRatio*retryBudgetShare, time.Duration(s.Bounds.RetryWindow), func() float64 {
 		return s.Bounds.RetryAllowance * retryBudgetShare / float64(g.node.MemberCount()+1)
 	})
@@ -386,12 +389,16 @@
 }
 
 // ServeFor refuses from now on calls that may run for longer than the given time, after
-// which the process ends.
-func (g *Gateway) ServeFor(left time.Duration) { g.servesUntil.Store(int64(g.now() + left)) }
+// which the process ends, also those that wait.
+func (g *Gateway) ServeFor(left time.Duration) {
+	g.servesUntil.Store(int64(g.now() + left))
+	g.queues.recheckAll()
+}
 
 // Close stops the background work, releases the lease for orders and removes the
 // VM from the store.
 func (g *Gateway) Close() {
+	g.queues.close()
 	for _, sub := range g.subscriptions {
 		sub.Cancel()
 	}
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -161,6 +161,9 @@
 			now+time.Duration(p.ReadyInMillis)*time.Millisecond)
 	}
 	g.handleQuarantineUpdates(m)
+	if len(m.Recovered)+len(m.CanceledReloads)+len(m.Versions) > 0 {
+		g.queues.wakeAll()
+	}
 	if sameZone && !m.Delta {
 		g.outbox.addForwarded(m)
 	}
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -40,6 +40,8 @@
 	done chan struct{}
 	resp *Response
 	err  error
+	// releaseMemory ends what Gateway.holdMemory counted for the attempt.
+	releaseMemory func()
 	// decided is closed once the attempt is either rejected or continues the call.
 	decided chan struct{}
 }
@@ -228,6 +230,7 @@
 	t.ctx, t.cancel = context.WithCancelCause(r.callCtx)
 	a := g.newAttempt(r.call, c, r.lastEventID)
 	g.table.Begin(c.server.ID, c.UncachedTokens)
+	t.releaseMemory = g.holdMemory(r.call, c)
 	r.next = t
 	go func() {
 		defer close(t.done)
@@ -263,6 +266,7 @@
 func (g *Gateway) endTakeover(t *takeover) {
 	g.table.PromptRead(t.choice.server.ID, t.choice.UncachedTokens)
 	g.table.End(t.choice.server.ID)
+	t.releaseMemory()
 }
 
 // finish ends the attempt and adds to f what was done to take the call over. Unless the
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -60,10 +60,14 @@
 // outcomeAnswered is the outcome of a call whose response was passed on completely.
 const outcomeAnswered = "answered"
 
+// metricName returns a text as part of the name of a metric.
+func metricName(text string) string {
+	return strings.ReplaceAll(strings.ReplaceAll(text, " ", "_"), "'", "")
+}
+
 // recordOutcome counts and logs the end of a call.
 func (g *Gateway) recordOutcome(f *forwardedCall) {
-	outcome := strings.ReplaceAll(strings.ReplaceAll(f.outcome, " ", "_"), "'", "")
-	g.metrics.incrementCounter("calls_" + outcome)
+	g.metrics.incrementCounter("calls_" + metricName(f.outcome))
 	duration := g.now() - f.startedAt
 	fields := log.Fields{
 		"request": f.call.ID, "outcome": f.outcome, "status": f.status, "server": f.lastChoice.server.ID,
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -46,7 +46,8 @@
 		defer func() { running.finish(f, answered) }()
 	}
 	g.table.Begin(c.server.ID, 0)
-	defer g.table.End(c.server.ID)
+	defer g.endLoad(f, c.server.ID)
+	defer g.holdMemory(f, c)()
 	resp, err := g.send(ctx, f, c, "")
 	if err != nil {
 		return false
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -63,6 +63,10 @@
 	// its proof.
 	generation int64
 	proofAge   time.Duration
+	// returned is set if the call counts as one that was refused before, and retryAfter
+	// when a call that the queue refused may return.
+	returned   bool
+	retryAfter time.Duration
 	// lastChoice is the server of the last attempt.
 	lastChoice  serverChoice
 	status      int
@@ -193,7 +197,7 @@
 		g.recordPartRefusal(f, quarantined)
 		g.refuse(f, *quarantined)
 	case f.possibleRuns == 0:
-		g.refuse(f, Refusal{Reason: ReasonUnavailable, RetryAfter: defaultRetryAfter})
+		g.refuse(f, Refusal{Reason: ReasonUnavailable, RetryAfter: max(defaultRetryAfter, f.retryAfter)})
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		g.refuse(f, Refusal{Reason: ReasonTimedOut})
 	default:
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -73,7 +73,8 @@
 	defer g.watchBeginning(f, cancel)()
 	pendingTokens := c.UncachedTokens
 	g.table.Begin(c.server.ID, pendingTokens)
-	defer g.table.End(c.server.ID)
+	defer g.endLoad(f, c.server.ID)
+	defer g.holdMemory(f, c)()
 	promptRead := func() { g.table.PromptRead(c.server.ID, pendingTokens); pendingTokens = 0 }
 	defer promptRead()
 	sentAt := g.now()
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -80,10 +80,9 @@
 	// seems to be partitioned.
 	LastResort bool
 	// Free is the number of servers that have room for the call and neither fail, refuse
-	// calls nor load weights. OnlyFailed is set if the selected server has room but is
-	// in backoff after failures.
-	Free       int
-	OnlyFailed bool
+	// calls nor load weights. HasRoom is set if the selected server has room.
+	Free    int
+	HasRoom bool
 }
 
 // Choose returns the server on which an attempt has the lowest expected cost. It
@@ -108,8 +107,7 @@
 		}
 	}
 	if found {
-		s := &v.Servers[best.Index]
-		best.Free, best.OnlyFailed = free, s.InBackoff && !s.Refusing && !s.Reloading && s.hasRoom(c)
+		best.Free, best.HasRoom = free, v.Servers[best.Index].hasRoom(c)
 	}
 	return best, found
 }
@@ -170,7 +168,7 @@
 // callsOverMemory returns by how many calls of its size a server would exceed its memory
 // if it got the call.
 func (s *Server) callsOverMemory(c *Call) int {
-	need := max(c.MemoryTokens, c.HeadroomTokens)
+	need := max(c.MemoryTokens+max(0, c.SharedTokens-s.HeldTokens), c.HeadroomTokens)
 	if s.CapacityTokens <= 0 || c.MemoryTokens <= 0 || s.Load < s.Slots/minCallsShare {
 		return 0
 	}
@@ -184,13 +182,14 @@
 // hasRoom reports whether a server can begin the call soon. The calls that may wait on a
 // server beyond its slots keep it busy until VMs have learned of the calls that ended.
 func (s *Server) hasRoom(c *Call) bool {
-	return s.callsOverSlots() <= s.Slots/waitingCallsShare && s.callsOverMemory(c) == 0
+	return s.callsOverSlots() <= max(minWaitingCalls, s.Slots/waitingCallsShare) && s.callsOverMemory(c) == 0
 }
 
 const (
 	// waitingCallsShare divides the slots of a server into the number of calls that may
-	// wait there.
+	// wait there; that number is at least minWaitingCalls.
 	waitingCallsShare = 4
+	minWaitingCalls   = 4
 	// minCallsShare divides the slots of a server into the number of calls up to which its
 	// memory counts as sufficient: what calls hold is an upper estimate.
 	minCallsShare = 4
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -15,10 +15,10 @@
 	// a LinkMbps of zero means that the time of a transfer is not known.
 	BytesPerToken float64
 	LinkMbps      float64
-	// MemoryTokens is what the call will hold in an engine's memory, HeadroomTokens the
-	// free memory that an engine needs to count as one with room: it is at least that of
-	// the largest calls, since otherwise small calls would take the room that large ones
-	// wait for.
+	// MemoryTokens is what the call will hold in an engine's memory beside shared parts, or
+	// zero if that does not matter. HeadroomTokens is the free memory that an engine needs to
+	// count as one with room: what the largest calls hold, since small calls would otherwise
+	// take the room that large ones wait for.
 	MemoryTokens   int
 	HeadroomTokens int
 }
