--- a/internal/backend/memory.go
+++ b/internal/backend/memory.go
@@ -1,6 +1,10 @@
 package backend
 
-import "time"
+import (
+	"maps"
+	"math"
+	"time"
+)
 
 // Part is a part of a prompt that calls share in the memory of an engine.
 type Part struct {
@@ -8,48 +12,98 @@
 	Tokens int
 }
 
-// heldPart is a part that calls of this VM hold.
+const (
+	// heldMeanTime is the time constant of heldPart.mean.
+	heldMeanTime = 2 * time.Second
+	// maxIdleParts is the number of parts of a server beyond which those are deleted that
+	// no call has held for several times heldMeanTime.
+	maxIdleParts = 64
+)
+
+// heldPart is a part that calls of this VM hold or held recently.
 type heldPart struct {
 	tokens int
 	calls  int
+	// mean is the recent mean of calls, as of updatedAt.
+	mean      float64
+	updatedAt time.Duration
+}
+
+// add changes the number of calls that hold the part.
+func (h *heldPart) add(calls int, now time.Duration) {
+	h.mean += (float64(h.calls) - h.mean) * (1 - math.Exp(-float64(now-h.updatedAt)/float64(heldMeanTime)))
+	h.updatedAt = now
+	h.calls += calls
+}
+
+// share returns this VM's share of the part while its calls hold it. The shares of VMs
+// that hold a part at random times, with the same mean, add up to one part on average
+// while any VM holds it: the share is 1 for a part that is rarely used and falls to one by
+// the number of VMs for one that all use all the time.
+func (h *heldPart) share(vms int) float64 {
+	switch {
+	case h.calls == 0:
+		return 0
+	case h.mean <= 0:
+		return 1
+	}
+	return math.Expm1(-float64(vms)*h.mean) / (float64(vms) * math.Expm1(-h.mean))
+}
+
+// SetVMs sets the number of VMs that send calls to the servers.
+func (t *Table) SetVMs(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.vms = max(1, n)
 }
 
 // Hold counts the tokens that a call holds in the memory of a server: its own ones, and
-// shared parts, each of which is counted once for all calls of this VM. The returned
-// function must be called at the end of the call. It refers to the incarnation that
-// Hold found.
-func (t *Table) Hold(id string, own int, shared []Part) (release func()) {
+// shared parts, each of which is counted once for all calls of this VM, and by this VM's
+// share if other VMs seem to use it, too. The returned function must be called at the end
+// of the call. It refers to the incarnation that Hold found.
+func (t *Table) Hold(id string, own int, shared []Part, now time.Duration) (release func(now time.Duration)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.servers[id]
 	if r == nil {
-		return func() {}
+		return func(time.Duration) {}
 	}
 	r.heldTokens += own
-	for _, p := range shared {
+	if r.heldParts == nil {
+		r.heldParts = make(map[string]*heldPart)
+	}
+	if len(r.heldParts) > maxIdleParts {
+		maps.DeleteFunc(r.heldParts, func(_ string, h *heldPart) bool { return h.calls == 0 && now-h.updatedAt > 4*heldMeanTime })
+	}
+	held := make([]*heldPart, len(shared))
+	for i, p := range shared {
 		h := r.heldParts[p.Key]
 		if h == nil {
-			h = &heldPart{tokens: p.Tokens}
-			if r.heldParts == nil {
-				r.heldParts = make(map[string]*heldPart)
-			}
+			h = &heldPart{tokens: p.Tokens, updatedAt: now, mean: 2 / float64(t.vms)}
 			r.heldParts[p.Key] = h
 		}
-		h.calls++
+		h.add(1, now)
+		held[i] = h
 	}
-	return func() {
+	return func(now time.Duration) {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		r.heldTokens -= own
-		for _, p := range shared {
-			h := r.heldParts[p.Key]
-			if h.calls--; h.calls == 0 {
-				delete(r.heldParts, p.Key)
-			}
+		for _, h := range held {
+			h.add(-1, now)
 		}
 	}
 }
 
+// heldHere returns what the calls of this VM hold in the memory of the server.
+func (r *record) heldHere(vms int) int {
+	n := float64(r.heldTokens)
+	for _, h := range r.heldParts {
+		n += float64(h.tokens) * h.share(vms)
+	}
+	return int(n)
+}
+
 // Slots returns the sum of the slots of the servers of a service.
 func (t *Table) Slots(service string, now time.Duration) int {
 	t.mu.Lock()
@@ -63,14 +117,6 @@
 	return n
 }
 
-func (r *record) heldPartTokens() int {
-	n := 0
-	for _, h := range r.heldParts {
-		n += h.tokens
-	}
-	return n
-}
-
 // RecordRefusal records that a server refused a call of this VM without running it. It
 // excludes the server on this VM for a time that doubles with each consecutive refusal,
 // up to maxRefusalBackoff, and returns the number of refusals and the time. It returns
--- a/internal/backend/memory_test.go
+++ b/internal/backend/memory_test.go
@@ -13,16 +13,16 @@
 	table := NewTable()
 	table.Put(serverWithVersion(1))
 	shared := []Part{{Key: "a", Tokens: 600}}
-	first, second := table.Hold("e", 100, shared), table.Hold("e", 50, shared)
+	first, second := table.Hold("e", 100, shared, 0), table.Hold("e", 50, shared, 0)
 	table.SetPeerLoads("vm2", map[string]Load{"e": {Calls: 1, Held: 30}}, 0)
 	require.Equal(t, 780, onlyStatus(t, table, 0).HeldTokens)
-	first()
+	first(0)
 	require.Equal(t, 680, onlyStatus(t, table, 0).HeldTokens)
 	require.Equal(t, 50, onlyStatus(t, table, peerLoadTTL).HeldTokens-600, "reports of silent VMs expire")
 	next := serverWithVersion(1)
 	next.Born++
 	table.Put(next)
-	second()
+	second(0)
 	require.Zero(t, onlyStatus(t, table, 0).HeldTokens, "a new incarnation holds nothing")
 }
 
@@ -53,3 +53,19 @@
 	table.RecordAccepted("e", now+backoff)
 	require.False(t, refusing(now+backoff))
 }
+
+// A part that all VMs use at all times must not be counted by each of them, and one that
+// a single VM uses must be counted whole, or engines look full or empty to all VMs.
+func TestSharesOfHeldParts(t *testing.T) {
+	held := func(busy time.Duration) int {
+		table := NewTable()
+		table.SetVMs(10)
+		table.Put(serverWithVersion(1))
+		table.Begin("e", 0)
+		table.Hold("e", 0, []Part{{Key: "a", Tokens: 1000}}, 0)
+		table.Hold("e", 0, []Part{{Key: "a", Tokens: 1000}}, busy)
+		return table.Loads()["e"].Held
+	}
+	require.Equal(t, 1000, held(0))
+	require.InDelta(t, 158, held(time.Minute), 1, "with one call at a time, a VM holds the part for 63 % of the time")
+}
--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -60,7 +60,7 @@
 	// not produced their first event.
 	pendingTokens int
 	// heldTokens counts the tokens that the calls of this VM hold in the server's memory
-	// for themselves, and heldParts the shared parts that they hold.
+	// for themselves; heldParts has the shared parts that they hold or held recently.
 	heldTokens int
 	heldParts  map[string]*heldPart
 	// peerLoad is the sum of the loads last reported by the other VMs.
@@ -97,7 +97,7 @@
 }
 
 // Load is the calls of one VM on a server, the prompt tokens that the server has yet to
-// process for them, and the tokens that they hold in its memory beside shared parts.
+// process for them, and the tokens that they hold in its memory.
 type Load struct {
 	Calls   int
 	Pending int
@@ -116,13 +116,15 @@
 	mu      sync.Mutex // guards the fields below
 	servers map[string]*record
 	peers   map[string]*peerReport
+	// vms is the number of VMs that send calls to the servers.
+	vms int
 	// prefill holds the prefill rates by service.
 	prefill map[string]*prefillRate
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{servers: make(map[string]*record), peers: make(map[string]*peerReport), prefill: make(map[string]*prefillRate)}
+	return &Table{vms: 1, servers: make(map[string]*record), peers: make(map[string]*peerReport), prefill: make(map[string]*prefillRate)}
 }
 
 // Put adds or updates the listing of one server. It reports whether the server is
@@ -388,7 +390,7 @@
 	out := make(map[string]Load)
 	for id, r := range t.servers {
 		if r.inFlight > 0 {
-			out[id] = Load{Calls: r.inFlight, Pending: r.pendingTokens, Held: r.heldTokens}
+			out[id] = Load{Calls: r.inFlight, Pending: r.pendingTokens, Held: r.heldHere(t.vms)}
 		}
 	}
 	for _, vm := range vms {
@@ -447,7 +449,7 @@
 	defer t.mu.Unlock()
 	t.expirePeers(now)
 	if r := t.servers[id]; r != nil {
-		return r.status(now).Load
+		return r.status(now, t.vms).Load
 	}
 	return 0
 }
@@ -463,8 +465,7 @@
 	// TokensPerMilli is the number of prompt tokens that the server processes in a
 	// millisecond.
 	TokensPerMilli float64 `json:"rate"`
-	// HeldTokens is what calls hold in the server's memory: those of all VMs beside shared
-	// parts, and the shared parts of the calls of this VM.
+	// HeldTokens estimates what the calls of all VMs hold in the server's memory.
 	HeldTokens int  `json:"held"`
 	InBackoff  bool `json:"resting"`
 	// Refusing is set while the server is excluded because it refused calls of this VM
@@ -483,7 +484,7 @@
 	out := make([]Status, 0, len(t.servers))
 	for _, r := range t.servers {
 		if (service == "" || r.server.Service == service) && !r.gone(now) {
-			s := r.status(now)
+			s := r.status(now, t.vms)
 			s.TokensPerMilli = t.prefill[r.server.Service].tokens()
 			out = append(out, s)
 		}
@@ -491,11 +492,11 @@
 	return out
 }
 
-func (r *record) status(now time.Duration) Status {
+func (r *record) status(now time.Duration, vms int) Status {
 	return Status{
 		Server: r.listing(), Versions: r.versions, InFlight: r.inFlight,
 		Load: r.inFlight + r.peerLoad.Calls, Pending: r.pendingTokens + r.peerLoad.Pending,
-		HeldTokens: r.heldTokens + r.heldPartTokens() + r.peerLoad.Held, Refusing: now < r.refusedUntil,
+		HeldTokens: r.heldHere(vms) + r.peerLoad.Held, Refusing: now < r.refusedUntil,
 		InBackoff: now < r.backoffUntil, Reloading: now < r.reloadUntil, Failures: r.failures,
 	}
 }
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -63,6 +63,7 @@
 // of the zone also sends a digest of the zone to the other zones.
 func (g *Gateway) sendUpdates() {
 	g.gossipRound++
+	g.table.SetVMs(g.node.MemberCount() + 1)
 	every := min(max(1, g.node.ZoneMemberCount()/fullRateZoneVMs), maxRoundsPerMessage)
 	if g.gossipRound%every == 0 {
 		m := g.outbox.takeOwnZone()
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -208,7 +208,8 @@
 	for i, p := range shared {
 		held[i] = backend.Part{Key: c.cacheSalt + "/" + p.ID, Tokens: p.Tokens}
 	}
-	return g.table.Hold(c.server.ID, f.ownTokens(), held)
+	end := g.table.Hold(c.server.ID, f.ownTokens(), held, g.now())
+	return func() { end(g.now()) }
 }
 
 // headroom returns the memory that an engine must have free to get a call.
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -58,7 +58,8 @@
 	// Quarantines lists the parts in quarantine.
 	Quarantines []Quarantine `cbor:"22,keyasint,omitempty"`
 	// HeldTokens is the number of tokens that the calls of Loads hold in the memory of
-	// each engine, beside the shared parts of their prompts.
+	// each engine, with the sender's share of the parts that they have in common with
+	// calls of other VMs.
 	HeldTokens map[string]int `cbor:"28,keyasint,omitempty"`
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -176,7 +176,8 @@
 	if over <= 0 {
 		return 0
 	}
-	return (over + c.MemoryTokens - 1) / c.MemoryTokens
+	perCall := max(1, s.MemoryTokens/max(1, s.Load))
+	return (over + perCall - 1) / perCall
 }
 
 // hasRoom reports whether a server can begin the call soon. The calls that may wait on a
