--- a/internal/backend/memory.go
+++ b/internal/backend/memory.go
@@ -15,6 +15,10 @@
 const (
 	// heldMeanTime is the time constant of heldPart.mean.
 	heldMeanTime = 2 * time.Second
+	// firstMean is the number of calls of all VMs that are assumed to hold a part that is
+	// new to this VM. In a simulated burst the estimate of an engine's memory was 25 %
+	// too high with 0, 8 % with 1, and 2 % too low with 2.
+	firstMean = 2.0
 	// maxIdleParts is the number of parts of a server beyond which those are deleted that
 	// no call has held for several times heldMeanTime.
 	maxIdleParts = 64
@@ -79,7 +83,7 @@
 	for i, p := range shared {
 		h := r.heldParts[p.Key]
 		if h == nil {
-			h = &heldPart{tokens: p.Tokens, updatedAt: now, mean: 2 / float64(t.vms)}
+			h = &heldPart{tokens: p.Tokens, updatedAt: now, mean: firstMean / float64(t.vms)}
 			r.heldParts[p.Key] = h
 		}
 		h.add(1, now)
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -206,6 +206,8 @@
 		{"usage of a member", Message{Members: []Member{{Usage: map[string]float64{"t": math.Inf(-1)}}}}, false},
 		{"negative calls", Message{Loads: map[string]Load{"e": {Calls: -1}}}, false},
 		{"pending tokens", Message{Loads: map[string]Load{"e": {PendingTokens: math.MaxInt}}}, false},
+		{"tokens held", Message{HeldTokens: map[string]int{"e": math.MaxInt}}, false},
+		{"negative tokens held", Message{HeldTokens: map[string]int{"e": -1}}, false},
 		{"failures", Message{Failed: []Failure{{Failures: math.MaxInt}}}, false},
 		{"negative backoff", Message{Failed: []Failure{{BackoffMillis: -1}}}, false},
 		{"backoff", Message{Failed: []Failure{{BackoffMillis: math.MaxInt64}}}, false},
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -164,3 +164,17 @@
 	require.False(t, r.Take("s", 0, 0.25))
 	require.True(t, r.Take("s", 0, 0))
 }
+
+// A call that waits for a retry must learn when there will be one: not before retries of
+// the window have lapsed.
+func TestNextRetry(t *testing.T) {
+	r := NewRetryBudget(0, 10*time.Second, func() float64 { return 2 })
+	require.Zero(t, r.NextRetry("s", 0, 0))
+	r.Take("s", 0, 0)
+	r.Take("s", 3*time.Second, 0)
+	next := r.NextRetry("s", 4500*time.Millisecond, 0)
+	require.Equal(t, 5500*time.Millisecond, next)
+	require.False(t, r.Take("s", 4500*time.Millisecond+next-1, 0))
+	require.True(t, r.Take("s", 4500*time.Millisecond+next, 0))
+	require.Equal(t, 10*time.Second, r.NextRetry("s", 11*time.Second, 0.9), "never")
+}
