placement: calls avoid idle engines while engines refuse calls

Cause: an engine that refuses calls looks idle and attracts them. Change: for two seconds after a refusal a VM keeps away from engines with less than half of the mean load, except for one in 16 first attempts, and unless the engine accepted a call of the VM within the last second.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -24,6 +24,11 @@
 	// retrySpread is the share by which the time is prolonged at random, so that refused
 	// callers do not return together.
 	retrySpread = 0.5
+	// refusalMemory is how long a refusal of an engine makes calls avoid idle engines;
+	// engines that load weights refuse for two seconds. explorationShare is the share of
+	// first attempts that do not avoid them.
+	refusalMemory    = 2 * time.Second
+	explorationShare = 1.0 / 16
 	// confidence is the number of standard deviations by which the calls that may begin
 	// in a call's time must fall short before it is refused at once.
 	confidence = 2.0
@@ -90,6 +95,10 @@
 	rate         rateMeter
 	promises     promises
 	sizes        sizeMeter
+	// refused is set once an engine has refused a call without running it, the last one at
+	// refusedAt.
+	refused   bool
+	refusedAt time.Duration
 }
 
 // NewQueue returns an empty queue.
@@ -128,6 +137,20 @@
 	return n
 }
 
+// RecordRefusal records that an engine refused a call without running it.
+func (q *Queue) RecordRefusal(now time.Duration) { q.refused, q.refusedAt = true, now }
+
+// AvoidIdle reports whether a call keeps away from engines that run far fewer calls than
+// others: in the last moments engines refused calls, and those look idle. VMs that send
+// few calls would meet each of them anew. A part of the first attempts goes there all the
+// same, so that engines that no longer refuse get calls again.
+func (q *Queue) AvoidIdle(attempts int, now time.Duration, random func() float64) bool {
+	if !q.refused || now-q.refusedAt >= refusalMemory {
+		return false
+	}
+	return attempts > 0 || random() >= explorationShare
+}
+
 // Headroom records the tokens that a call holds in an engine's memory, and returns those
 // of the largest recent call of the service.
 func (q *Queue) Headroom(tokens int, now time.Duration) int {
--- a/internal/backend/memory.go
+++ b/internal/backend/memory.go
@@ -158,6 +158,7 @@
 	defer t.mu.Unlock()
 	if r := t.servers[id]; r != nil && sentAt >= r.refusedAt {
 		r.refusals, r.refusedUntil, r.probing = 0, 0, false
+		r.acceptedAt = max(r.acceptedAt, sentAt)
 	}
 }
 
--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -31,6 +31,8 @@
 	maxRefusalBackoff = 1200 * time.Millisecond
 	// refusalProbeTime excludes such a server after its backoff while one call probes it.
 	refusalProbeTime = 200 * time.Millisecond
+	// acceptanceAge is how long a call that a server accepted shows that it accepts calls.
+	acceptanceAge = time.Second
 )
 
 // Server is a listed backend server.
@@ -75,6 +77,8 @@
 	refusedAt    time.Duration
 	refusedUntil time.Duration
 	probing      bool
+	// acceptedAt is when the last call of this VM was sent that the server runs.
+	acceptedAt time.Duration
 	// lastSuccess is the time of its last successful answer to this VM.
 	lastSuccess time.Duration
 	// reloadUntil is until when an announced load order excludes the server, and
@@ -470,7 +474,9 @@
 	InBackoff  bool `json:"resting"`
 	// Refusing is set while the server is excluded because it refused calls of this VM
 	// without running them.
-	Refusing  bool `json:"refusing"`
+	Refusing bool `json:"refusing"`
+	// Accepting is set if the server accepted a call of this VM in the last moments.
+	Accepting bool `json:"accepting"`
 	Reloading bool `json:"reloading"`
 	Failures  int  `json:"failures"`
 }
@@ -497,6 +503,7 @@
 		Server: r.listing(), Versions: r.versions, InFlight: r.inFlight,
 		Load: r.inFlight + r.peerLoad.Calls, Pending: r.pendingTokens + r.peerLoad.Pending,
 		HeldTokens: r.heldHere(vms) + r.peerLoad.Held, Refusing: now < r.refusedUntil,
+		Accepting: r.refusals == 0 && r.acceptedAt > 0 && now-r.acceptedAt < acceptanceAge,
 		InBackoff: now < r.backoffUntil, Reloading: now < r.reloadUntil, Failures: r.failures,
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -204,6 +204,7 @@
 	case resp.NotRun && f.queued():
 		if n, backoff := g.table.RecordRefusal(s.ID, g.now()); n > 0 {
 			g.metrics.incrementCounter("engine_refusals")
+			g.queues.with(f.service, func(s *serviceQueue) { s.RecordRefusal(g.now()) })
 			event.EngineRefused.Log(g.log, nil, log.Fields{"server": s.ID, "refusals": n, "ms": backoff.Milliseconds(), "request": f.call.ID})
 		}
 		g.noteVersion(f, c, resp)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -53,7 +53,12 @@
 	statuses, v := g.viewServers(f, service)
 	pc := placementCall(f)
 	if f.queued() {
-		pc.MemoryTokens, pc.HeadroomTokens = f.ownTokens(), g.headroom(f)
+		g.queues.with(service, func(s *serviceQueue) {
+			now := g.now()
+			pc.MemoryTokens = f.ownTokens()
+			pc.HeadroomTokens = min(s.Headroom(pc.MemoryTokens, now), f.engine.CapacityTokens/maxHeadroomShare)
+			pc.AvoidIdle = s.AvoidIdle(f.attempts, now, rand.Float64)
+		})
 	}
 	choice, ok := placement.Choose(pc, v, rand.Float64)
 	if !ok {
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -212,13 +212,6 @@
 	return func() { end(g.now()) }
 }
 
-// headroom returns the memory that an engine must have free to get a call.
-func (g *Gateway) headroom(f *forwardedCall) int {
-	n := 0
-	g.queues.with(f.service, func(s *serviceQueue) { n = s.Headroom(f.ownTokens(), g.now()) })
-	return min(n, f.engine.CapacityTokens/maxHeadroomShare)
-}
-
 // endLoad ends what Table.Begin counted, and lets waiting calls look for a server.
 func (g *Gateway) endLoad(f *forwardedCall, server string) {
 	g.table.End(server)
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -22,7 +22,7 @@
 		v.Servers[i] = placement.Server{
 			Zone: s.Server.Zone, Load: s.Load, Slots: s.Server.Slots, PendingTokens: s.Pending, TokensPerMilli: s.TokensPerMilli,
 			Excluded: s.Server.Draining || f.excluded[s.Server.ID], InBackoff: s.InBackoff, Reloading: s.Reloading,
-			Refusing: s.Refusing, MemoryTokens: s.HeldTokens,
+			Refusing: s.Refusing, Accepting: s.Accepting, MemoryTokens: s.HeldTokens,
 		}
 		if f.queued() {
 			v.Servers[i].CapacityTokens = f.engine.CapacityTokens
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -36,6 +36,10 @@
 	// backoffCostMillis reserves servers that failed for calls that have no other
 	// server.
 	backoffCostMillis = 10000.0
+	// suspectCostMillis keeps a call that avoids idle servers away from those with less
+	// than suspectLoadShare of the mean load.
+	suspectCostMillis = 5000.0
+	suspectLoadShare  = 0.5
 	// refusingCostMillis reserves servers that refused calls a moment ago for calls that
 	// have no other server. It exceeds backoffCostMillis: a refusal costs a retry.
 	refusingCostMillis = 20000.0
@@ -94,6 +98,11 @@
 func Choose(c *Call, v *View, random func() float64) (Choice, bool) {
 	var best Choice
 	leastCost, found, free := 0.0, false, 0
+	// Servers with less load are suspected of refusing calls.
+	suspectLoad := -1.0
+	if c.AvoidIdle {
+		suspectLoad = suspectLoadShare * v.meanLoad()
+	}
 	for i := range v.Servers {
 		if v.Servers[i].Excluded {
 			continue
@@ -102,6 +111,9 @@
 		if s := &v.Servers[i]; ok && s.hasRoom(c) && !s.InBackoff && !s.Refusing && !s.Reloading {
 			free++
 		}
+		if s := &v.Servers[i]; !s.Accepting && float64(s.Load) < suspectLoad {
+			cost += suspectCostMillis
+		}
 		if ok && (!found || cost < leastCost) {
 			best, leastCost, found = choice, cost, true
 		}
@@ -112,6 +124,18 @@
 	return best, found
 }
 
+// meanLoad returns the mean number of calls on the servers that may be selected.
+func (v *View) meanLoad() float64 {
+	calls, servers := 0, 0
+	for i := range v.Servers {
+		if s := &v.Servers[i]; !s.Excluded && !s.Reloading {
+			calls += s.Load
+			servers++
+		}
+	}
+	return float64(calls) / float64(max(1, servers))
+}
+
 // attemptCost returns the expected cost of an attempt on server i. It reports false if
 // the server cannot take the call.
 func attemptCost(c *Call, v *View, i int, random func() float64) (Choice, float64, bool) {
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -112,3 +112,45 @@
 		})
 	}
 }
+
+// Engines that refuse calls look idle: calls must keep away from them once some engine
+// has refused one, but not from an idle engine that accepted a call a moment ago.
+func TestIdleServersAreAvoidedWhileServersRefuse(t *testing.T) {
+	server := func(load int, accepting bool) Server {
+		return Server{Load: load, Slots: 32, TokensPerMilli: 30, Version: 1, OutdatedFor: -1, Accepting: accepting}
+	}
+	for _, tt := range []struct {
+		name             string
+		avoid, accepting bool
+		want             int
+	}{{"no engine refused", false, false, 0}, {"an engine refused", true, false, 1}, {"the idle engine accepts", true, true, 0}} {
+		v := &View{Servers: []Server{server(2, tt.accepting), server(20, false), server(21, false)}, MaxOutdated: time.Minute}
+		c, ok := Choose(&Call{Model: "m", InputTokens: 100, AvoidIdle: tt.avoid, LatencyGoal: time.Second}, v, func() float64 { return 0 })
+		require.True(t, ok)
+		require.Equal(t, tt.want, c.Index, tt.name)
+	}
+}
+
+// A server without room must not count as free, and calls must prefer one with memory.
+func TestServersWithoutRoom(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		first Server
+		free  int
+		want  int
+	}{
+		{"room", Server{}, 2, 0},
+		{"slots and queue full", Server{Load: 40, Slots: 32}, 1, 1},
+		{"memory full", Server{Load: 8, Slots: 32, MemoryTokens: 99500, CapacityTokens: 100000}, 1, 1},
+		{"too few calls for a full memory", Server{Load: 7, Slots: 32, MemoryTokens: 99500, CapacityTokens: 100000}, 2, 0},
+		{"refuses", Server{Refusing: true}, 1, 1},
+	} {
+		s := tt.first
+		s.TokensPerMilli, s.Version, s.OutdatedFor = 30, 1, -1
+		v := &View{Servers: []Server{s, {Load: 20, Slots: 32, TokensPerMilli: 30, Version: 1, OutdatedFor: -1}}, MaxOutdated: time.Minute}
+		c, ok := Choose(&Call{Model: "m", InputTokens: 100, MemoryTokens: 1000, LatencyGoal: time.Second}, v, func() float64 { return 0 })
+		require.True(t, ok)
+		require.Equal(t, tt.free, c.Free, tt.name)
+		require.Equal(t, tt.want, c.Index, tt.name)
+	}
+}
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -21,6 +21,9 @@
 	// take the room that large ones wait for.
 	MemoryTokens   int
 	HeadroomTokens int
+	// AvoidIdle is set while some servers refuse calls: those that run far fewer calls than
+	// the others may be the ones, and look the most attractive.
+	AvoidIdle bool
 }
 
 // Server is what is known of a server.
@@ -41,6 +44,8 @@
 	// Refusing is set while calls keep away because the server refused calls without
 	// running them.
 	Refusing bool
+	// Accepting is set if the server accepted a call of this VM in the last moments.
+	Accepting bool
 	// Excluded servers are not selected. InBackoff is set while a server fails,
 	// Reloading while it loads weights.
 	Excluded  bool
