--- a/internal/admission/load_test.go
+++ b/internal/admission/load_test.go
@@ -495,6 +495,7 @@
 		{name: "engines load weights in turns", loading: simEngines / 5, minShare: all, minWorst: [4]float64{0.95, 0.9, 0.9, 0.9}},
 	} {
 		t.Run(sc.name, func(t *testing.T) {
+			t.Parallel()
 			vms, slack, maxRefusals := cmp.Or(sc.vms, 12), 0.03, 50
 			if vms > 12 {
 				slack, maxRefusals = 0.1, 400
