--- a/internal/backend/memory.go
+++ b/internal/backend/memory.go
@@ -89,6 +89,7 @@
 		h.add(1, now)
 		held[i] = h
 	}
+	r.sumHeld(t.vms)
 	return func(now time.Duration) {
 		t.mu.Lock()
 		defer t.mu.Unlock()
@@ -96,16 +97,17 @@
 		for _, h := range held {
 			h.add(-1, now)
 		}
+		r.sumHeld(t.vms)
 	}
 }
 
-// heldHere returns what the calls of this VM hold in the memory of the server.
-func (r *record) heldHere(vms int) int {
+// sumHeld updates heldHere after heldTokens or heldParts has changed.
+func (r *record) sumHeld(vms int) {
 	n := float64(r.heldTokens)
 	for _, h := range r.heldParts {
 		n += float64(h.tokens) * h.share(vms)
 	}
-	return int(n)
+	r.heldHere = int(n)
 }
 
 // Slots returns the sum of the slots of the servers of a service.
--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -65,6 +65,8 @@
 	// for themselves; heldParts has the shared parts that they hold or held recently.
 	heldTokens int
 	heldParts  map[string]*heldPart
+	// heldHere is the sum of both, with this VM's shares of the parts.
+	heldHere int
 	// peerLoad is the sum of the loads last reported by the other VMs.
 	peerLoad Load
 	// failures counts consecutive failures; the server is excluded until backoffUntil.
@@ -394,7 +396,7 @@
 	out := make(map[string]Load)
 	for id, r := range t.servers {
 		if r.inFlight > 0 {
-			out[id] = Load{Calls: r.inFlight, Pending: r.pendingTokens, Held: r.heldHere(t.vms)}
+			out[id] = Load{Calls: r.inFlight, Pending: r.pendingTokens, Held: r.heldHere}
 		}
 	}
 	for _, vm := range vms {
@@ -453,7 +455,7 @@
 	defer t.mu.Unlock()
 	t.expirePeers(now)
 	if r := t.servers[id]; r != nil {
-		return r.status(now, t.vms).Load
+		return r.status(now).Load
 	}
 	return 0
 }
@@ -490,7 +492,7 @@
 	out := make([]Status, 0, len(t.servers))
 	for _, r := range t.servers {
 		if (service == "" || r.server.Service == service) && !r.gone(now) {
-			s := r.status(now, t.vms)
+			s := r.status(now)
 			s.TokensPerMilli = t.prefill[r.server.Service].tokens()
 			out = append(out, s)
 		}
@@ -498,11 +500,11 @@
 	return out
 }
 
-func (r *record) status(now time.Duration, vms int) Status {
+func (r *record) status(now time.Duration) Status {
 	return Status{
 		Server: r.listing(), Versions: r.versions, InFlight: r.inFlight,
 		Load: r.inFlight + r.peerLoad.Calls, Pending: r.pendingTokens + r.peerLoad.Pending,
-		HeldTokens: r.heldHere(vms) + r.peerLoad.Held, Refusing: now < r.refusedUntil,
+		HeldTokens: r.heldHere + r.peerLoad.Held, Refusing: now < r.refusedUntil,
 		Accepting: r.refusals == 0 && r.acceptedAt > 0 && now-r.acceptedAt < acceptanceAge,
 		InBackoff: now < r.backoffUntil, Reloading: now < r.reloadUntil, Failures: r.failures,
 	}
