placement: less urgent calls leave room in the engines' queues

Change: as many calls of priority 0 may wait at an engine as it has slots, half as many of priority 1, a quarter of the others.

--- a/internal/admission/load_test.go
+++ b/internal/admission/load_test.go
@@ -286,7 +286,7 @@
 		pc.InputTokens += simPartTokens
 	}
 	if s.queued {
-		pc.MemoryTokens = c.own + c.output
+		pc.MemoryTokens, pc.Priority = c.own+c.output, c.priority
 		pc.HeadroomTokens = c.vm.queue.Headroom(pc.MemoryTokens, s.now)
 	}
 	pc.AvoidIdle = s.queued && c.vm.queue.AvoidIdle(c.attempts, s.now, s.random.Float64)
@@ -381,7 +381,14 @@
 	if e.lost || s.now < e.loadingUntil || len(e.waiting) >= simEngineQueue {
 		c.excluded[engine] = true
 		if e.lost {
-			v.table.RecordFailure(id, s.now)
+			n, backoff := v.table.RecordFailure(id, s.now)
+			s.after(200*time.Millisecond, func() {
+				for _, o := range s.vms {
+					if o != v {
+						o.table.RecordPeerFailure(id, int64(engine), n, backoff, s.now)
+					}
+				}
+			})
 		} else if s.queued {
 			v.table.RecordRefusal(id, s.now)
 			v.queue.RecordRefusal(s.now)
--- a/internal/backend/memory.go
+++ b/internal/backend/memory.go
@@ -103,11 +103,10 @@
 
 // sumHeld updates heldHere after heldTokens or heldParts has changed.
 func (r *record) sumHeld(vms int) {
-	n := float64(r.heldTokens)
+	r.heldHere = r.heldTokens
 	for _, h := range r.heldParts {
-		n += float64(h.tokens) * h.share(vms)
+		r.heldHere += int(float64(h.tokens) * h.share(vms))
 	}
-	r.heldHere = int(n)
 }
 
 // Slots returns the sum of the slots of the servers of a service.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -55,7 +55,7 @@
 	if f.queued() {
 		g.queues.with(service, func(s *serviceQueue) {
 			now := g.now()
-			pc.MemoryTokens = f.ownTokens()
+			pc.MemoryTokens, pc.Priority = f.ownTokens(), f.queuePriority()
 			pc.HeadroomTokens = min(s.Headroom(pc.MemoryTokens, now), f.engine.CapacityTokens/maxHeadroomShare)
 			pc.AvoidIdle = s.AvoidIdle(f.attempts, now, rand.Float64)
 		})
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -220,12 +220,20 @@
 	}
 }
 
-// admissionCall returns what the queue depends on of a call. A call whose response has
+// queuePriority returns the priority of a call in the queue. A call whose response has
 // begun is the most urgent: it is lost if it does not go on.
+func (f *forwardedCall) queuePriority() int {
+	if f.headerSent {
+		return 0
+	}
+	return f.priority()
+}
+
+// admissionCall returns what the queue depends on of a call.
 func (g *Gateway) admissionCall(f *forwardedCall) admission.Call {
 	now := g.now()
 	p := &f.call.Prompt
-	c := admission.Call{Priority: f.priority(), Route: f.route.Name, Tokens: p.InputTokens + p.MaxOutputTokens}
+	c := admission.Call{Priority: f.queuePriority(), Route: f.route.Name, Tokens: p.InputTokens + p.MaxOutputTokens}
 	if f.team != nil {
 		c.Team = f.team.Name
 	}
@@ -234,9 +242,6 @@
 		goal = (f.deadline - f.startedAt) / maxWaitGoals
 	}
 	if f.attempts > 0 && f.possibleRuns > 0 {
-		if f.headerSent {
-			c.Priority = 0
-		}
 		c.GoalStart = min(now+goal/2, f.deadline)
 		c.LatestStart = c.GoalStart
 		return c
--- a/internal/gateway/queue_test.go
+++ b/internal/gateway/queue_test.go
@@ -14,7 +14,7 @@
 // ends one of them.
 func fillEngines(g *Gateway) (endOne func()) {
 	for _, id := range []string{"e1", "e2"} {
-		for range 12 {
+		for range 16 {
 			g.table.Begin(id, 0)
 		}
 	}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -207,14 +207,16 @@
 // hasRoom reports whether a server can begin the call soon. The calls that may wait on a
 // server beyond its slots keep it busy until VMs have learned of the calls that ended.
 func (s *Server) hasRoom(c *Call) bool {
-	return s.callsOverSlots() <= max(minWaitingCalls, s.Slots/waitingCallsShare) && s.callsOverMemory(c) == 0
+	return s.callsOverSlots() <= max(minWaitingCalls, s.Slots>>min(max(c.Priority, 0), maxPriorityShift)) && s.callsOverMemory(c) == 0
 }
 
 const (
-	// waitingCallsShare divides the slots of a server into the number of calls that may
-	// wait there; that number is at least minWaitingCalls.
-	waitingCallsShare = 4
-	minWaitingCalls   = 4
+	// As many calls of priority 0 may wait on a server as it has slots, and half as many of
+	// each lower priority down to maxPriorityShift: servers serve by priority, and VMs that
+	// hold back less urgent calls leave room for the urgent ones of other VMs. At least
+	// minWaitingCalls may wait.
+	maxPriorityShift = 2
+	minWaitingCalls  = 4
 	// minCallsShare divides the slots of a server into the number of calls up to which its
 	// memory counts as sufficient: what calls hold is an upper estimate.
 	minCallsShare = 4
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -138,19 +138,24 @@
 		first Server
 		free  int
 		want  int
+		// urgentFree is free for a call of priority 0 and no stated size.
+		urgentFree int
 	}{
-		{"room", Server{}, 2, 0},
-		{"slots and queue full", Server{Load: 40, Slots: 32}, 1, 1},
-		{"memory full", Server{Load: 8, Slots: 32, MemoryTokens: 99500, CapacityTokens: 100000}, 1, 1},
-		{"too few calls for a full memory", Server{Load: 7, Slots: 32, MemoryTokens: 99500, CapacityTokens: 100000}, 2, 0},
-		{"refuses", Server{Refusing: true}, 1, 1},
+		{"room", Server{}, 2, 0, 2},
+		{"slots and queue full", Server{Load: 40, Slots: 32}, 1, 1, 2},
+		{"queue full of less urgent calls", Server{Load: 64, Slots: 32}, 1, 1, 1},
+		{"memory full", Server{Load: 8, Slots: 32, MemoryTokens: 99500, CapacityTokens: 100000}, 1, 1, 2},
+		{"too few calls for a full memory", Server{Load: 7, Slots: 32, MemoryTokens: 99500, CapacityTokens: 100000}, 2, 0, 2},
+		{"refuses", Server{Refusing: true}, 1, 1, 1},
 	} {
 		s := tt.first
 		s.TokensPerMilli, s.Version, s.OutdatedFor = 30, 1, -1
 		v := &View{Servers: []Server{s, {Load: 20, Slots: 32, TokensPerMilli: 30, Version: 1, OutdatedFor: -1}}, MaxOutdated: time.Minute}
-		c, ok := Choose(&Call{Model: "m", InputTokens: 100, MemoryTokens: 1000, LatencyGoal: time.Second}, v, func() float64 { return 0 })
+		c, ok := Choose(&Call{Model: "m", InputTokens: 100, MemoryTokens: 1000, Priority: 2, LatencyGoal: time.Second}, v, func() float64 { return 0 })
 		require.True(t, ok)
 		require.Equal(t, tt.free, c.Free, tt.name)
+		urgent, _ := Choose(&Call{Model: "m", InputTokens: 100, LatencyGoal: time.Second}, v, func() float64 { return 0 })
+		require.Equal(t, tt.urgentFree, urgent.Free, tt.name)
 		require.Equal(t, tt.want, c.Index, tt.name)
 	}
 }
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -21,6 +21,8 @@
 	// take the room that large ones wait for.
 	MemoryTokens   int
 	HeadroomTokens int
+	// Priority is 0 for the most urgent calls.
+	Priority int
 	// AvoidIdle is set while some servers refuse calls: those that run far fewer calls than
 	// the others may be the ones, and look the most attractive.
 	AvoidIdle bool
