--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -172,7 +172,7 @@
 	}
 	found := after == nil
 	for _, w := range s.Order(timer.SinceBoot()) {
-		if found && s.calls[w] != nil && !(l.noRetry && w.NeedsRetry) {
+		if found && s.calls[w] != nil && (!l.noRetry || !w.NeedsRetry) {
 			s.calls[w].signal(l)
 			return
 		}
