--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -61,6 +61,7 @@
 func (g *Gateway) sendUpdates() {
 	g.gossipRound++
 	leads, sentAt := g.node.IsLeader(), g.now()
+	g.table.SetVMs(g.node.MemberCount() + 1)
 	every := min(max(1, g.node.ZoneMemberCount()/fullRateZoneVMs), maxRoundsPerMessage)
 	if g.gossipRound%every == 0 {
 		m := g.outbox.takeOwnZone()
@@ -151,6 +152,12 @@
 	m.Loads = make(map[string]gossip.Load, len(loads))
 	for id, l := range loads {
 		m.Loads[id] = gossip.Load{Calls: l.Calls, PendingTokens: l.Pending}
+		if l.Held > 0 {
+			if m.HeldTokens == nil {
+				m.HeldTokens = make(map[string]int)
+			}
+			m.HeldTokens[id] = l.Held
+		}
 	}
 }
 
@@ -232,6 +239,9 @@
 			now+time.Duration(p.ReadyInMillis)*time.Millisecond)
 	}
 	g.handleQuarantineUpdates(m)
+	if len(m.Recovered)+len(m.CanceledReloads)+len(m.Versions) > 0 {
+		g.queues.wakeAll()
+	}
 	if sameZone && !m.Delta {
 		g.outbox.addForwarded(m)
 	}
@@ -246,7 +256,7 @@
 func (g *Gateway) updatePeerLoads(m *gossip.Message, now time.Duration) {
 	loads := make(map[string]backend.Load, len(m.Loads))
 	for id, l := range m.Loads {
-		loads[id] = backend.Load{Calls: l.Calls, Pending: l.PendingTokens}
+		loads[id] = backend.Load{Calls: l.Calls, Pending: l.PendingTokens, Held: m.HeldTokens[id]}
 	}
 	source := m.VM
 	if m.Digest {
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -63,6 +63,10 @@
 	Confirmed []byte `cbor:"26,keyasint,omitempty"`
 	// Heard lists the newest digest from each other zone that the sender has heard.
 	Heard []Heard `cbor:"27,keyasint,omitempty"`
+	// HeldTokens is the number of tokens that the calls of Loads hold in the memory of
+	// each engine, with the sender's share of the parts that they have in common with
+	// calls of other VMs.
+	HeldTokens map[string]int `cbor:"28,keyasint,omitempty"`
 }
 
 // Heard is a digest, by its sender and sequence number.
@@ -248,6 +252,11 @@
 			return fmt.Errorf("%w: load on %q", errOutOfRange, id)
 		}
 	}
+	for id, n := range m.HeldTokens {
+		if !isCount(n) {
+			return fmt.Errorf("%w: tokens held on %q", errOutOfRange, id)
+		}
+	}
 	for _, x := range m.Failed {
 		if !isCount(x.Failures) || x.BackoffMillis < 0 || x.BackoffMillis > maxMillis {
 			return fmt.Errorf("%w: failures of %q", errOutOfRange, x.Server.ID)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -36,6 +36,13 @@
 	// backoffCostMillis reserves servers that failed for calls that have no other
 	// server.
 	backoffCostMillis = 10000.0
+	// suspectCostMillis keeps a call that avoids idle servers away from those with less
+	// than suspectLoadShare of the mean load.
+	suspectCostMillis = 5000.0
+	suspectLoadShare  = 0.5
+	// refusingCostMillis reserves servers that refused calls a moment ago for calls that
+	// have no other server. It exceeds backoffCostMillis: a refusal costs a retry.
+	refusingCostMillis = 20000.0
 	// reloadingCostMillis reserves engines that load weights for calls that have no
 	// other engine: they refuse calls until the weights are loaded.
 	reloadingCostMillis = 100000.0
@@ -76,6 +83,10 @@
 	// LastResort is set if the server has failed, is loading weights or is in a zone that
 	// seems to be partitioned.
 	LastResort bool
+	// Free is the number of servers that have room for the call and neither fail, refuse
+	// calls nor load weights. HasRoom is set if the selected server has room.
+	Free    int
+	HasRoom bool
 }
 
 // Choose returns the server on which an attempt has the lowest expected cost. It
@@ -86,25 +97,51 @@
 // weights by their costs. It looks at each server of the service once.
 func Choose(c *Call, v *View, random func() float64) (Choice, bool) {
 	var best Choice
-	leastCost, found := 0.0, false
+	leastCost, found, free := 0.0, false, 0
+	// Servers with less load are suspected of refusing calls.
+	suspectLoad := -1.0
+	if c.AvoidIdle {
+		suspectLoad = suspectLoadShare * v.meanLoad()
+	}
 	for i := range v.Servers {
 		if v.Servers[i].Excluded {
 			continue
 		}
 		choice, cost, ok := attemptCost(c, v, i, random)
+		if s := &v.Servers[i]; ok && s.hasRoom(c) && !s.InBackoff && !s.Refusing && !s.Reloading {
+			free++
+		}
+		if s := &v.Servers[i]; !s.Accepting && float64(s.Load) < suspectLoad {
+			cost += suspectCostMillis
+		}
 		if ok && (!found || cost < leastCost) {
 			best, leastCost, found = choice, cost, true
 		}
 	}
+	if found {
+		best.Free, best.HasRoom = free, v.Servers[best.Index].hasRoom(c)
+	}
 	return best, found
 }
 
+// meanLoad returns the mean number of calls on the servers that may be selected.
+func (v *View) meanLoad() float64 {
+	calls, servers := 0, 0
+	for i := range v.Servers {
+		if s := &v.Servers[i]; !s.Excluded && !s.Reloading {
+			calls += s.Load
+			servers++
+		}
+	}
+	return float64(calls) / float64(max(1, servers))
+}
+
 // attemptCost returns the expected cost of an attempt on server i. It reports false if
 // the server cannot take the call.
 func attemptCost(c *Call, v *View, i int, random func() float64) (Choice, float64, bool) {
 	s := &v.Servers[i]
-	choice := Choice{Index: i, LastResort: s.InBackoff || s.Reloading || s.Zone != v.Zone && v.SilentZones[s.Zone]}
-	cost := random()*min(maxJitterMillis, jitterMillisPerVM*float64(v.VMs)) + QueuedCallCostMillis*float64(s.callsOverSlots())
+	choice := Choice{Index: i, LastResort: s.InBackoff || s.Refusing || s.Reloading || s.Zone != v.Zone && v.SilentZones[s.Zone]}
+	cost := random()*min(maxJitterMillis, jitterMillisPerVM*float64(v.VMs)) + QueuedCallCostMillis*float64(max(s.callsOverSlots(), s.callsOverMemory(c)))
 	if s.Zone != v.Zone {
 		cost += crossZoneCostMillis
 		if v.SilentZones[s.Zone] {
@@ -114,6 +151,9 @@
 	if s.InBackoff {
 		cost += backoffCostMillis
 	}
+	if s.Refusing {
+		cost += refusingCostMillis
+	}
 	if c.Model == "" {
 		return choice, cost + plainCallCostMillis*float64(s.Load), true
 	}
@@ -149,6 +189,39 @@
 	return max(0, s.Load+1-s.Slots)
 }
 
+// callsOverMemory returns by how many calls of its size a server would exceed its memory
+// if it got the call.
+func (s *Server) callsOverMemory(c *Call) int {
+	need := max(c.MemoryTokens+max(0, c.SharedTokens-s.HeldTokens), c.HeadroomTokens)
+	if s.CapacityTokens <= 0 || c.MemoryTokens <= 0 || s.Load < s.Slots/minCallsShare {
+		return 0
+	}
+	over := s.MemoryTokens + need - s.CapacityTokens
+	if over <= 0 {
+		return 0
+	}
+	perCall := max(1, s.MemoryTokens/max(1, s.Load))
+	return (over + perCall - 1) / perCall
+}
+
+// hasRoom reports whether a server can begin the call soon. The calls that may wait on a
+// server beyond its slots keep it busy until VMs have learned of the calls that ended.
+func (s *Server) hasRoom(c *Call) bool {
+	return s.callsOverSlots() <= max(minWaitingCalls, s.Slots>>min(max(c.Priority, 0), maxPriorityShift)) && s.callsOverMemory(c) == 0
+}
+
+const (
+	// As many calls of priority 0 may wait on a server as it has slots, and half as many of
+	// each lower priority down to maxPriorityShift: servers serve by priority, and VMs that
+	// hold back less urgent calls leave room for the urgent ones of other VMs. At least
+	// minWaitingCalls may wait.
+	maxPriorityShift = 2
+	minWaitingCalls  = 4
+	// minCallsShare divides the slots of a server into the number of calls up to which its
+	// memory counts as sufficient: what calls hold is an upper estimate.
+	minCallsShare = 4
+)
+
 // queueDelay returns how long a call may wait on an engine before it begins.
 func (s *Server) queueDelay() time.Duration {
 	return time.Duration((float64(s.PendingTokens)/s.TokensPerMilli + QueuedCallCostMillis*float64(s.callsOverSlots())) * float64(time.Millisecond))
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -15,6 +15,17 @@
 	// a LinkMbps of zero means that the time of a transfer is not known.
 	BytesPerToken float64
 	LinkMbps      float64
+	// MemoryTokens is what the call will hold in an engine's memory beside shared parts, or
+	// zero if that does not matter. HeadroomTokens is the free memory that an engine needs to
+	// count as one with room: what the largest calls hold, since small calls would otherwise
+	// take the room that large ones wait for.
+	MemoryTokens   int
+	HeadroomTokens int
+	// Priority is 0 for the most urgent calls.
+	Priority int
+	// AvoidIdle is set while some servers refuse calls: those that run far fewer calls than
+	// the others may be the ones, and look the most attractive.
+	AvoidIdle bool
 }
 
 // Server is what is known of a server.
@@ -28,6 +39,15 @@
 	// TokensPerMilli how many it processes in a millisecond.
 	PendingTokens  int
 	TokensPerMilli float64
+	// MemoryTokens is what calls hold in the server's memory, CapacityTokens its size, or
+	// zero if that is not known.
+	MemoryTokens   int
+	CapacityTokens int
+	// Refusing is set while calls keep away because the server refused calls without
+	// running them.
+	Refusing bool
+	// Accepting is set if the server accepted a call of this VM in the last moments.
+	Accepting bool
 	// Excluded servers are not selected. InBackoff is set while a server fails,
 	// Reloading while it loads weights.
 	Excluded  bool
