gateway: the queue in front of the engines is on where the platform's contracts call for it

Cause: what is new is to change nothing for the earlier deployments, whose engines declare slots and memory, too.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -162,7 +162,8 @@
 	t.Helper()
 	a := &fakeAdapter{store: &memoryStore{rows: make(map[string]lease.Record)}, respond: respond}
 	g, err := New(Settings{
-		VM: "vm1", Zone: "z1", PeerAddress: loopback.FreeAddress(t), FirstStart: true, Bounds: testBounds,
+		QueueCalls: true,
+		VM:         "vm1", Zone: "z1", PeerAddress: loopback.FreeAddress(t), FirstStart: true, Bounds: testBounds,
 	}, a, &log.Logger{Handler: discard.New()})
 	require.NoError(t, err)
 	t.Cleanup(g.Close)
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -191,7 +191,7 @@
 // queued reports whether a call waits in the queue of its service: the configuration must
 // state the slots and the memory of its engines.
 func (f *forwardedCall) queued() bool {
-	return f.engine != nil && f.engine.Slots > 0 && f.engine.CapacityTokens > 0
+	return f.mayQueue && f.engine != nil && f.engine.Slots > 0 && f.engine.CapacityTokens > 0
 }
 
 // ownTokens returns what a call holds in an engine's memory beside shared parts.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -63,6 +63,8 @@
 	// its proof.
 	generation int64
 	proofAge   time.Duration
+	// mayQueue is set if calls may wait for engines.
+	mayQueue bool
 	// returned is set if the call counts as one that was refused before, and retryAfter
 	// when a call that the queue refused may return.
 	returned   bool
@@ -80,7 +82,7 @@
 func (g *Gateway) Serve(ctx context.Context, call *Call, writer ResponseWriter) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	f := &forwardedCall{call: call, writer: writer, startedAt: g.now(), excluded: make(map[string]bool), sentTo: make(map[string]bool)}
+	f := &forwardedCall{call: call, writer: writer, startedAt: g.now(), mayQueue: g.settings.QueueCalls, excluded: make(map[string]bool), sentTo: make(map[string]bool)}
 	defer g.releaseTrial(f)
 	if r := g.admit(f); r != nil {
 		g.refuse(f, *r)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -29,6 +29,12 @@
 	FirstStart bool `json:"first"`
 	// MemoryLimitMB is the memory limit of the process, in megabytes.
 	MemoryLimitMB int    `json:"memory"`
+	// Contracts names what the platform has agreed with its users. Only the adapter knows
+	// the names.
+	Contracts []string `json:"contracts"`
+	// QueueCalls makes calls wait for engines whose slots and memory are declared, in place
+	// of sending them to engines that are full or refuse calls. The adapter sets it.
+	QueueCalls bool `json:"-"`
 	Bounds        Bounds `json:"bounds"`
 }
 
