--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -28,14 +28,14 @@
 	// FirstStart is set if the whole system starts for the first time.
 	FirstStart bool `json:"first"`
 	// MemoryLimitMB is the memory limit of the process, in megabytes.
-	MemoryLimitMB int    `json:"memory"`
+	MemoryLimitMB int `json:"memory"`
 	// Contracts names what the platform has agreed with its users. Only the adapter knows
 	// the names.
 	Contracts []string `json:"contracts"`
 	// QueueCalls makes calls wait for engines whose slots and memory are declared, in place
 	// of sending them to engines that are full or refuse calls. The adapter sets it.
-	QueueCalls bool `json:"-"`
-	Bounds        Bounds `json:"bounds"`
+	QueueCalls bool   `json:"-"`
+	Bounds     Bounds `json:"bounds"`
 }
 
 // Bounds are the limits that operators guarantee to their users.
