gateway: rollouts of software versions, first state

Cause: operators can order a rollout, and the gateway neither knew the order nor the software version of a server. Change: orders, grants, counts, the record and the owner's step. It is off unless bounds.expose is set.

--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -35,7 +35,10 @@
 	Address  string
 	Zone     string
 	Draining bool
-	Slots    int
+	// Release is the version of the server's software, which says nothing of the versions
+	// of models.
+	Release string
+	Slots   int
 	// Orders counts the orders that the server has accepted.
 	Orders int64
 	// Models maps each model that the server runs to its version.
@@ -432,6 +435,20 @@
 	return 0
 }
 
+// CallsOn returns the number of calls of all VMs on the servers of a service that match.
+func (t *Table) CallsOn(service string, matches func(Server) bool, now time.Duration) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expirePeers(now)
+	calls := 0
+	for _, r := range t.servers {
+		if r.server.Service == service && matches(r.server) {
+			calls += r.status(now).Load
+		}
+	}
+	return calls
+}
+
 // Status is a snapshot of the state of one server.
 type Status struct {
 	Server Server `json:"server"`
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -154,7 +154,7 @@
 // permit returns a function that reports whether an attempt that was decided at a time
 // may still be written: the process has not been paused for long since, the key has not
 // been withdrawn, its proof is young enough, no part of its prompt is in quarantine,
-// time is left, and the server has not left.
+// time is left, the server has not left, and no rollout keeps calls from it.
 func (g *Gateway) permit(f *forwardedCall, c serverChoice, decidedAt time.Duration) func() bool {
 	decided := *f
 	f = &decided
@@ -169,6 +169,9 @@
 		if s, listed := g.table.Get(c.server.ID, now); !listed || s.Draining || s.Born != c.server.Born {
 			return false
 		}
+		if !g.rollouts.mayRun(c.server.Service, c.server.Release, c.targetOnly, now) {
+			return false
+		}
 		ok, _ := g.stillAuthorized(f)
 		return ok
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -28,6 +28,8 @@
 	// tokensPerMilli is the number of prompt tokens that the engine processes in a
 	// millisecond.
 	tokensPerMilli float64
+	// targetOnly is that of the restriction that the choice was made under.
+	targetOnly bool
 }
 
 // cacheSaltFor returns the salt of the prefix cache that the calls of a group of teams
@@ -48,7 +50,7 @@
 
 // chooseServer returns the server on which an attempt has the lowest expected cost.
 func (g *Gateway) chooseServer(f *forwardedCall, service string) (serverChoice, bool) {
-	statuses, v := g.viewServers(f, service)
+	statuses, v, targetOnly := g.viewServers(f, service)
 	choice, ok := placement.Choose(placementCall(f), v, rand.Float64)
 	if !ok {
 		return serverChoice{}, false
@@ -57,6 +59,7 @@
 	return serverChoice{
 		Choice: choice, server: s.Server, version: seen.Version, cacheSalt: seen.CacheSalt,
 		pendingTokens: s.Pending, calls: s.Load, tokensPerMilli: s.TokensPerMilli,
+		targetOnly: targetOnly,
 	}, true
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/marjoramrock/marjoramrock/internal/parts"
 	"github.com/marjoramrock/marjoramrock/internal/quarantine"
 	"github.com/marjoramrock/marjoramrock/internal/quota"
+	"github.com/marjoramrock/marjoramrock/internal/rollout"
 	"github.com/marjoramrock/marjoramrock/internal/timer"
 	"github.com/marjoramrock/marjoramrock/internal/upstream"
 	"github.com/marjoramrock/marjoramrock/internal/weights"
@@ -62,6 +63,8 @@
 	Join(ctx context.Context, vm, address string) error
 	VMs(ctx context.Context) (map[string]string, error)
 	Leave(ctx context.Context, vm string) error
+	// ReportRollout tells the platform the state of a rollout.
+	ReportRollout(ctx context.Context, service string, state rollout.State, to string) error
 }
 
 // Adapter translates between the gateway and the platform.
@@ -86,6 +89,8 @@
 	Catalog *catalog.Catalog
 	Model   string
 	Version int64
+	// Rollout lacks its revision, which is the version of the row.
+	Rollout *rollout.Order
 }
 
 // Gateway is one running gateway process.
@@ -124,6 +129,8 @@
 	beginningCalls    beginningCalls
 	// reviewPending is set while a review of the evidence is due.
 	reviewPending atomic.Bool
+	rollouts      *rollouts
+	rolloutOwner  *rolloutOwner
 	// gossipRound counts the calls of sendUpdates.
 	gossipRound int
 	zoneUsage   zoneUsage
@@ -151,7 +158,7 @@
 		settings: s, log: logger.WithField("vm", s.VM), clock: timer.NewSystemClock(), adapter: a, serverClient: a,
 		metrics: newGatewayMetrics(), catalog: catalog.NewTracker(), table: backend.NewTable(), parts: parts.NewDirectory(),
 		quota: quota.NewEstimator(s.FirstStart), buffers: newBufferBudget(s.MemoryLimitMB), quarantine: quarantine.NewTracker(),
-		refused: newRefusedCalls(), invalidServers: make(map[string]bool),
+		refused: newRefusedCalls(), invalidServers: make(map[string]bool), rollouts: newRollouts(s),
 	}
 	g.announcer = &announcer{g: g}
 	g.retries = quota.NewRetryBudget(s.Bounds.RetryRatio*retryBudgetShare, time.Duration(s.Bounds.RetryWindow), func() float64 {
@@ -183,6 +190,7 @@
 	g.orderLease = lease.New(a.Store(), "orders", holder, lease.Timing{
 		TTL: orderLeaseTTL, ExpiryMargin: orderLeaseMargin, HandoverDelay: time.Duration(s.Bounds.OrderHandover) + extraHandoverDelay,
 	}, timer.SinceBoot)
+	g.rolloutOwner = newRolloutOwner(g)
 	g.history = weights.NewHistory(a.Store(), g.catalog, timer.SinceBoot)
 	g.orderer = weights.New(weights.Options{
 		Holder: holder, Catalog: g.catalog, Table: g.table, Engines: a, Lease: g.orderLease, History: g.history, Announcer: g.announcer,
@@ -218,14 +226,17 @@
 	}
 	g.declarations = feed.New(feed.Options{
 		Name: declarationsTable, Source: g.adapter.Declarations(), Relay: relay(declarationsTable), LongPollWait: declarationsLongPollWait,
-		Now: timer.SinceBoot, Log: g.log, OnRow: g.applyDeclaration, OnLapsed: func(string, time.Duration) {}, OnConfirmed: g.catalog.RecordProof,
+		Now: timer.SinceBoot, Log: g.log, OnRow: g.applyDeclaration, OnLapsed: func(key string, _ time.Duration) { g.withdrawRollout(key) }, OnConfirmed: func(askedAt time.Duration) {
+			g.catalog.RecordProof(askedAt)
+			g.rollouts.confirmTable(askedAt)
+		},
 		// Polls for declarations are the shorter ones, and detect an outage first.
 		OnStoreError: func() { g.serverList.StopServing() },
 	})
 	longPollWait, pollDelay := serverPollTimes(time.Duration(g.settings.Bounds.ServerDrain))
 	g.serverList = feed.New(feed.Options{
 		Name: serversTable, Source: g.adapter.ServerList(), Relay: relay(serversTable), LongPollWait: longPollWait, StorePollDelay: pollDelay,
-		Now: timer.SinceBoot, Log: g.log, OnRow: g.applyServer, OnLapsed: g.markServerMissing, OnConfirmed: func(time.Duration) {},
+		Now: timer.SinceBoot, Log: g.log, OnRow: g.applyServer, OnLapsed: g.markServerMissing, OnConfirmed: func(time.Duration) { g.rollouts.completeList(g.now()) },
 	})
 }
 
@@ -246,6 +257,9 @@
 		g.clock.Every(orderStepPeriod, func() { g.stepOrders(ctx) }),
 		g.clock.Every(cleanupPeriod, func() { g.cleanUp(ctx) }),
 	)
+	if g.rollouts.enabled {
+		g.subscriptions = append(g.subscriptions, g.clock.Every(rolloutStepPeriod, func() { g.stepRollouts(ctx) }))
+	}
 }
 
 func (g *Gateway) now() time.Duration { return timer.SinceBoot() }
@@ -253,9 +267,14 @@
 // applyDeclaration applies a row of the operators' declarations.
 func (g *Gateway) applyDeclaration(r feed.Row) {
 	if r.Removed {
+		g.withdrawRollout(r.Key)
 		return
 	}
 	d, err := g.adapter.DecodeDeclaration(r.Key, r.Value)
+	if errors.Is(err, ErrInvalidRollout) {
+		event.RolloutInvalid.Log(g.log, err, log.Fields{"row": r.Key, "version": r.Version})
+		return
+	}
 	if err != nil {
 		event.ConfigInvalid.Log(g.log, err, log.Fields{"row": r.Key, "version": r.Version})
 		return
@@ -266,6 +285,11 @@
 	if d.Model != "" && g.catalog.SetTargetVersion(d.Model, d.Version, g.now()) {
 		event.VersionDeclared.Log(g.log, nil, log.Fields{"model": d.Model, "version": d.Version})
 	}
+	if d.Rollout != nil {
+		o := *d.Rollout
+		o.Revision = r.Version
+		g.orderRollout(r.Key, o)
+	}
 }
 
 // applyServer applies a row of the list of backend servers. It logs a row that cannot be
@@ -286,10 +310,13 @@
 		return
 	}
 	delete(g.invalidServers, r.Key)
+	if g.rollouts.observe(s.Service, s.Release, g.now()) {
+		event.ReleaseHeldBack.Log(g.log, nil, log.Fields{"server": s.ID, "service": s.Service, "release": s.Release})
+	}
 	if g.table.Put(s) {
 		g.parts.RemoveHolder(s.ID)
 		event.ServerListed.Log(g.log, nil, log.Fields{
-			"server": s.ID, "service": s.Service, "address": s.Address, "zone": s.Zone, "draining": s.Draining, "models": s.Models,
+			"server": s.ID, "service": s.Service, "address": s.Address, "zone": s.Zone, "draining": s.Draining, "models": s.Models, "release": s.Release,
 		})
 	}
 }
@@ -366,7 +393,7 @@
 		return false
 	}
 	age, ok := g.catalog.ProofAge(g.now())
-	return ok && age < g.maxProofAge()
+	return ok && age < g.maxProofAge() && g.rollouts.settled()
 }
 
 // ServerCount returns the number of known backend servers.
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -69,7 +69,9 @@
 		g.addUsageAndLoads(m, g.table.Loads())
 		m.KVCacheStores = g.kvStores.watchedStates(g.now())
 		m.Quarantines = g.activeQuarantines()
+		m.Grants = g.rolloutOwner.activeGrants()
 		g.sendMessage(m, gossip.OwnZone)
+		g.sendRolloutCounts()
 	}
 	digest := g.outbox.takeOtherZones()
 	if _, other := g.node.Leader(); other {
@@ -84,7 +86,9 @@
 	digest.Members = g.zoneUsage.addUsage(members, g.gossipRound%fullDigestRounds == 0)
 	g.addUsageAndLoads(digest, g.table.Loads(vms...))
 	digest.Quarantines = g.activeQuarantines()
+	digest.Grants = g.rolloutOwner.activeGrants()
 	g.sendMessage(digest, gossip.OtherZones)
+	g.sendMemberCounts(members)
 }
 
 // addUsageAndLoads adds this VM's charges, and the given loads, to a message.
@@ -155,6 +159,7 @@
 			now+time.Duration(p.ReadyInMillis)*time.Millisecond)
 	}
 	g.handleQuarantineUpdates(m)
+	g.handleRollouts(m, now)
 	if sameZone && !m.Delta {
 		g.outbox.addForwarded(m)
 	}
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"net/http"
 	"sync"
@@ -17,8 +18,11 @@
 var (
 	// errServerSilent means that the server sends nothing.
 	errServerSilent = errors.New("server sent nothing in time")
-	// errStreamMoved means that the engine is about to load weights.
-	errStreamMoved = errors.New("engine is about to load weights")
+	// errStreamMoved means that a sound server is to be left. The causes that wrap it say
+	// why.
+	errStreamMoved = errors.New("stream moved")
+	errReloading   = fmt.Errorf("%w: engine is about to load weights", errStreamMoved)
+	errReplaced    = fmt.Errorf("%w: a rollout replaces the server", errStreamMoved)
 )
 
 // acceptTimeout is how long a sound server waits, with what it has sent not passed on,
@@ -221,12 +225,16 @@
 		reserve = moveReserve
 	}
 	c, ok := g.chooseServer(r.call, r.call.service)
+	if ok && errors.Is(cause, errReplaced) {
+		ok = g.rollouts.isTarget(c.server.Service, c.server.Release)
+	}
 	if !ok || c.LastResort || !g.retries.Take(r.call.service, g.now(), reserve) {
 		return nil, false
 	}
 	t = &takeover{choice: c, sentAt: g.now(), cause: cause, done: make(chan struct{}), decided: make(chan struct{})}
 	t.ctx, t.cancel = context.WithCancelCause(r.callCtx)
 	a := g.newAttempt(r.call, c, r.lastEventID)
+	g.rollouts.sampleCall(r.call, c.server, t.sentAt, false)
 	g.table.Begin(c.server.ID, c.UncachedTokens)
 	r.next = t
 	go func() {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/marjoramrock/marjoramrock/internal/lease"
 	"github.com/marjoramrock/marjoramrock/internal/loopback"
 	"github.com/marjoramrock/marjoramrock/internal/parts"
+	"github.com/marjoramrock/marjoramrock/internal/rollout"
 	"github.com/marjoramrock/marjoramrock/internal/timer"
 	"github.com/marjoramrock/marjoramrock/internal/weights"
 	"github.com/stretchr/testify/require"
@@ -41,6 +42,8 @@
 type memoryStore struct {
 	mu   sync.Mutex
 	rows map[string]lease.Record
+	// reports holds the states of rollouts that the platform was told.
+	reports []string
 }
 
 func (m *memoryStore) Read(_ context.Context, name string) (lease.Record, error) {
@@ -71,6 +74,20 @@
 func (m *memoryStore) Join(context.Context, string, string) error     { return nil }
 func (m *memoryStore) Leave(context.Context, string) error            { return nil }
 func (m *memoryStore) VMs(context.Context) (map[string]string, error) { return nil, nil }
+
+func (m *memoryStore) ReportRollout(_ context.Context, service string, state rollout.State, to string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reports = append(m.reports, service+" "+string(state)+" "+to)
+	return nil
+}
+
+func (m *memoryStore) reported() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]string(nil), m.reports...)
+}
+
 func (a *fakeAdapter) Order(context.Context, backend.Server, weights.Order) error {
 	return errors.New("orders not supported")
 }
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -65,7 +65,7 @@
 			return
 		}
 		for _, a := range g.movableStreams.onEngine(id) {
-			go a.handOver(errStreamMoved)
+			go a.handOver(errReloading)
 		}
 	})
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -47,20 +47,25 @@
 	}
 	g.table.Begin(c.server.ID, 0)
 	defer g.table.End(c.server.ID)
+	sample := g.sampleAttempt(f, c)
 	resp, err := g.send(ctx, f, c, "")
 	if err != nil {
+		sample.broken(ctx, err, g.now())
 		return false
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.NotRun || resp.WrongServer {
 		return false
 	}
+	sample.firstByte(g.now())
 	body := buffer.New(g.buffers, maxResponseBytes)
 	defer f.releaseUnlessKept(body)
 	if err := body.ReadAll(resp.Body); err != nil {
+		sample.broken(ctx, err, g.now())
 		g.recordAttempt(ctx, f, c, nil, err)
 		return false
 	}
+	sample.answered(resp.Status >= http.StatusInternalServerError, g.now())
 	g.recordSuccess(c.server)
 	if resp.Status == http.StatusOK && !resp.EndsWithConn {
 		g.recordProgress(f, true)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -8,6 +8,7 @@
 	"github.com/marjoramrock/marjoramrock/internal/buffer"
 	"github.com/marjoramrock/marjoramrock/internal/catalog"
 	"github.com/marjoramrock/marjoramrock/internal/quarantine"
+	"github.com/marjoramrock/marjoramrock/internal/rollout"
 )
 
 // defaultRetryAfter is the Retry-After of a refusal that has no better estimate.
@@ -25,6 +26,10 @@
 	// startedAt is when the call arrived; the call times out at deadline.
 	startedAt time.Duration
 	deadline  time.Duration
+	// side is that of the servers of a rollout that the call is sent to, chosen under the
+	// order of sideRevision.
+	side         rollout.Side
+	sideRevision int64
 	// excluded holds the IDs of the servers that must not be selected again.
 	excluded map[string]bool
 	// sentTo holds the IDs of the servers that have had an attempt.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -55,6 +55,18 @@
 	RateWindow      config.Duration `json:"span"`
 	RateExcessRatio float64         `json:"over"`
 	RateSlackTokens float64         `json:"slack"`
+	// Exposure limits rollouts of software versions; nil turns them off.
+	Exposure *ExposureBounds `json:"expose,omitempty"`
+}
+
+// ExposureBounds limit what a bad software version may get.
+type ExposureBounds struct {
+	// Share is the part of the requests of a service between the order of a rollout and its
+	// deadline, and Slack the number in addition, that a bad version may get.
+	Share float64 `json:"share"`
+	Slack float64 `json:"slack"`
+	// Rollback is how long after its 50th bad answer a version may still get requests.
+	Rollback config.Duration `json:"rollback"`
 }
 
 // LoadSettings reads and checks a settings file. The error lists all problems.
@@ -107,6 +119,17 @@
 	if s.Bounds.RetryRatio < 0 || s.Bounds.RetryAllowance < 0 {
 		report("bounds.repeats", "below zero; write a share of the calls such as 0.2")
 	}
+	if x := s.Bounds.Exposure; x != nil {
+		if x.Share <= 0 || x.Share > 1 {
+			report("bounds.expose.share", "not above zero and at most one; write a share of the requests such as 0.1")
+		}
+		if x.Slack < 0 {
+			report("bounds.expose.slack", "below zero; write a number of requests such as 50")
+		}
+		if time.Duration(x.Rollback) <= 0 {
+			report("bounds.expose.rollback", "not above zero; write a duration such as \"5s\"")
+		}
+	}
 	if len(e.Problems) > 0 {
 		return e
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -89,8 +89,10 @@
 		defer g.movableStreams.add(c.server.ID, running)()
 		st.running = running
 	}
+	sample := g.sampleAttempt(f, c)
 	resp, err := g.send(ctx, f, c, st.lastEventID)
 	if err != nil {
+		sample.broken(ctx, err, g.now())
 		g.removeParts(f, c)
 		return false
 	}
@@ -100,6 +102,7 @@
 		return false
 	}
 	if resp.Status != http.StatusOK {
+		sample.answered(resp.Status >= http.StatusInternalServerError, g.now())
 		return g.handleNonStream(ctx, st, c, resp)
 	}
 	err = st.copyEvents(resp, g.buffers, func() { g.recordProgress(f, false); g.recordAnswer(f, c.server) }, func() {
@@ -107,6 +110,7 @@
 			g.table.RecordPrefill(c.server.Service, c.UncachedTokens+c.pendingTokens, g.now()-sentAt)
 		}
 		promptRead()
+		sample.firstByte(g.now())
 		if f.firstByteAt == 0 {
 			f.firstByteAt = g.now()
 			g.markPartsReady(f, c)
@@ -119,14 +123,20 @@
 		return true
 	case err != nil && errors.Is(context.Cause(ctx), errStreamMoved):
 		f.excluded[c.server.ID] = true
-		event.StreamMoved.Log(g.log, nil, log.Fields{"request": f.call.ID, "server": c.server.ID, "last": st.lastEventID})
+		moved := event.StreamMoved
+		if errors.Is(context.Cause(ctx), errReplaced) {
+			moved = event.RolloutStreamMoved
+		}
+		moved.Log(g.log, nil, log.Fields{"request": f.call.ID, "server": c.server.ID, "last": st.lastEventID})
 		return false
 	case err != nil:
+		sample.broken(ctx, err, g.now())
 		g.recordAttempt(ctx, f, c, nil, err)
 		// The connection must not be used again, even if the response was read to its end.
 		cancel(err)
 		return false
 	}
+	sample.answered(false, g.now())
 	g.recordSuccess(c.server)
 	if f.progress.events > 0 && !resp.EndsWithConn {
 		g.recordProgress(f, true)
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -10,25 +10,26 @@
 )
 
 // viewServers returns the servers of a service, and what the placement of a call
-// depends on of each.
-func (g *Gateway) viewServers(f *forwardedCall, service string) ([]backend.Status, *placement.View) {
+// depends on of each. The last result is that of restriction.targetOnly.
+func (g *Gateway) viewServers(f *forwardedCall, service string) ([]backend.Status, *placement.View, bool) {
 	now := g.now()
 	statuses := g.table.Statuses(service, now)
 	v := &placement.View{
 		Zone: g.settings.Zone, SilentZones: g.node.SilentZones(zoneSilenceTimeout), VMs: g.node.MemberCount() + 1,
 		Servers: make([]placement.Server, len(statuses)), MaxOutdated: time.Duration(g.settings.Bounds.OutdatedVersion),
 	}
+	x := g.rollouts.restrict(f, service, statuses, now)
 	for i, s := range statuses {
 		v.Servers[i] = placement.Server{
 			Zone: s.Server.Zone, Load: s.Load, Slots: s.Server.Slots, PendingTokens: s.Pending, TokensPerMilli: s.TokensPerMilli,
-			Excluded: s.Server.Draining || f.excluded[s.Server.ID], InBackoff: s.InBackoff, Reloading: s.Reloading,
+			Excluded: s.Server.Draining || f.excluded[s.Server.ID] || x.excludes(i), InBackoff: s.InBackoff, Reloading: s.Reloading,
 		}
 	}
 	if f.call.Prompt.Model != "" {
 		g.viewVersions(f, statuses, v, now)
 		g.viewParts(f, statuses, v, now)
 	}
-	return statuses, v
+	return statuses, v, x.targetOnly
 }
 
 // viewVersions fills in the versions of the call's model that servers run.
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -57,6 +57,11 @@
 	Answered  []Answered `cbor:"21,keyasint,omitempty"`
 	// Quarantines lists the parts in quarantine.
 	Quarantines []Quarantine `cbor:"22,keyasint,omitempty"`
+	// Grants lists the rollouts that the sender owns. Rollouts holds the sender's counts,
+	// and MemberRollouts those of other VMs of its zone.
+	Grants         []Grant          `cbor:"23,keyasint,omitempty"`
+	Rollouts       []RolloutCounts  `cbor:"24,keyasint,omitempty"`
+	MemberRollouts []MemberRollouts `cbor:"25,keyasint,omitempty"`
 }
 
 // Break is a call that an engine broke off before it generated anything.
@@ -240,6 +245,9 @@
 			return fmt.Errorf("%w: part on %q", errOutOfRange, x.Engine)
 		}
 	}
+	if err := m.checkRollouts(); err != nil {
+		return err
+	}
 	return m.checkQuarantineTimes()
 }
 
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -386,15 +386,35 @@
 	return count
 }
 
-// Broadcast sends a message to the VMs that scope selects. It fills in the sender
-// and the sequence number of m.
-func (n *Node) Broadcast(m *Message, scope Scope) error {
+// SendTo sends a message to the VM at an address. It fills in the sender and the sequence
+// number of m.
+func (n *Node) SendTo(m *Message, address string) error {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return fmt.Errorf("gossip: address of a VM: %w", err)
+	}
+	raw, err := n.stamp(m)
+	if err != nil {
+		return err
+	}
+	n.send(raw, []netip.AddrPort{to})
+	return nil
+}
+
+// stamp fills in the sender and the sequence number of m, and encodes it.
+func (n *Node) stamp(m *Message) ([]byte, error) {
 	m.VM, m.Zone, m.Address, m.Epoch = n.options.VM, n.options.Zone, n.options.Address, n.options.Epoch
 	n.mu.Lock()
 	n.sequence++
 	m.Sequence = n.sequence
 	n.mu.Unlock()
-	raw, err := encode(m)
+	return encode(m)
+}
+
+// Broadcast sends a message to the VMs that scope selects. It fills in the sender
+// and the sequence number of m.
+func (n *Node) Broadcast(m *Message, scope Scope) error {
+	raw, err := n.stamp(m)
 	if err != nil {
 		return err
 	}
