--- /dev/null
+++ b/internal/gateway/rollout_test.go
@@ -0,0 +1,364 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/marjoramrock/marjoramrock/internal/backend"
+	"github.com/marjoramrock/marjoramrock/internal/catalog"
+	"github.com/marjoramrock/marjoramrock/internal/config"
+	"github.com/marjoramrock/marjoramrock/internal/feed"
+	"github.com/marjoramrock/marjoramrock/internal/gossip"
+	"github.com/marjoramrock/marjoramrock/internal/loopback"
+	"github.com/marjoramrock/marjoramrock/internal/rollout"
+	"github.com/stretchr/testify/require"
+)
+
+// memoryFeed is a table whose changes VMs receive.
+type memoryFeed struct {
+	mu      sync.Mutex
+	rows    map[string]feed.Row
+	version int64
+	changed chan struct{}
+	// mute makes the feed respond to nothing.
+	mute bool
+}
+
+func newMemoryFeed() *memoryFeed {
+	return &memoryFeed{rows: make(map[string]feed.Row), changed: make(chan struct{})}
+}
+
+// put writes a row, or removes it if the value is nil.
+func (m *memoryFeed) put(key string, value any) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.version++
+	r := feed.Row{Key: key, Version: m.version, Removed: value == nil}
+	if value != nil {
+		r.Value, _ = json.Marshal(value)
+	}
+	m.rows[key] = r
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *memoryFeed) setMute(mute bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.mute = mute
+}
+
+func (m *memoryFeed) page(after int64) (feed.Page, chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := feed.Page{Version: m.version}
+	for _, r := range m.rows {
+		if r.Version > after && !(after == 0 && r.Removed) {
+			p.Rows = append(p.Rows, r)
+		}
+	}
+	return p, m.changed
+}
+
+func (m *memoryFeed) Snapshot(ctx context.Context) (feed.Page, error) { return m.Changes(ctx, 0, 0) }
+
+func (m *memoryFeed) Changes(ctx context.Context, after int64, wait time.Duration) (feed.Page, error) {
+	p, changed := m.page(after)
+	if len(p.Rows) == 0 && wait > 0 {
+		select {
+		case <-changed:
+		case <-time.After(wait / 10):
+		case <-ctx.Done():
+		}
+		p, _ = m.page(after)
+	}
+	m.mu.Lock()
+	mute := m.mute
+	m.mu.Unlock()
+	if mute {
+		<-ctx.Done()
+	}
+	return p, ctx.Err()
+}
+
+// rolloutAdapter reads declarations and servers from feeds.
+type rolloutAdapter struct {
+	*fakeAdapter
+	operators, servers *memoryFeed
+}
+
+func (a *rolloutAdapter) Declarations() feed.Source { return a.operators }
+func (a *rolloutAdapter) ServerList() feed.Source   { return a.servers }
+
+func (a *rolloutAdapter) DecodeDeclaration(_ string, value []byte) (Declaration, error) {
+	o := &rollout.Order{}
+	err := json.Unmarshal(value, o)
+	return Declaration{Rollout: o}, err
+}
+
+func (a *rolloutAdapter) DecodeServer(_ string, value []byte) (backend.Server, error) {
+	var s backend.Server
+	err := json.Unmarshal(value, &s)
+	return s, err
+}
+
+func (a *rolloutAdapter) list(id, service, release string) {
+	a.servers.put(id, backend.Server{ID: id, Service: service, Address: id, Zone: "z1", Slots: 6, Release: release, Models: map[string]int64{"m": 1}})
+}
+
+// scriptedController returns the decision that the test sets, and keeps the last view.
+type scriptedController struct {
+	mu       sync.Mutex
+	decision rollout.Decision
+	view     rollout.View
+}
+
+func (c *scriptedController) Step(v rollout.View) rollout.Decision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view = v
+	return c.decision
+}
+
+func (c *scriptedController) set(state rollout.State, share float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.decision = rollout.Decision{State: state, Share: share}
+}
+
+func (c *scriptedController) lastView() rollout.View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view
+}
+
+// rolloutTest is a fleet of VMs in front of a plain service, whose servers of release v1
+// are a1 and a2, and a service of engines, whose server of v1 is e1.
+type rolloutTest struct {
+	*testing.T
+	adapter    *rolloutAdapter
+	controller *scriptedController
+	catalog    *catalog.Catalog
+}
+
+func newRolloutTest(t *testing.T) *rolloutTest {
+	first, a := newTestGateway(t, func(context.Context, int, *Attempt) (*Response, error) {
+		return newResponse(200, eventStream("1")), nil
+	})
+	r := &rolloutTest{T: t, adapter: &rolloutAdapter{a, newMemoryFeed(), newMemoryFeed()}, controller: &scriptedController{}, catalog: first.catalog.Current()}
+	r.controller.set(rollout.Running, 0)
+	r.adapter.list("a1", "plain", "v1")
+	r.adapter.list("a2", "plain", "v1")
+	r.adapter.list("e1", "model", "v1")
+	return r
+}
+
+// start starts a VM.
+func (r *rolloutTest) start(vm string) *Gateway {
+	bounds := testBounds
+	bounds.OrderHandover = config.Duration(100 * time.Millisecond)
+	bounds.Exposure = &ExposureBounds{Share: 0.1, Slack: 50, Rollback: config.Duration(5 * time.Second)}
+	g, err := New(Settings{VM: vm, Zone: "z1", PeerAddress: loopback.FreeAddress(r), Bounds: bounds}, r.adapter, &log.Logger{Handler: discard.New()})
+	require.NoError(r, err)
+	r.Cleanup(g.Close)
+	g.rolloutOwner.newController = func() rolloutController { return r.controller }
+	g.catalog.Put(r.catalog)
+	require.Eventually(r, g.Ready, 5*time.Second, 5*time.Millisecond)
+	return g
+}
+
+// order orders a rollout of the plain service.
+func (r *rolloutTest) order(to string) {
+	r.adapter.operators.put("row", rollout.Order{Service: "plain", To: to, Duration: time.Minute})
+}
+
+// used sends 60 calls and returns how many were sent to each release.
+func (r *rolloutTest) used(g *Gateway) map[string]int {
+	r.Helper()
+	before := len(r.adapter.sentAttempts())
+	out := make(map[string]int)
+	for range 60 {
+		if serveCall(r.T, g, "/public/", "").refusal != nil {
+			out["refused"]++
+		}
+	}
+	for _, a := range r.adapter.sentAttempts()[before:] {
+		out[a.Server.Release]++
+	}
+	return out
+}
+
+// eventually waits until all calls go to a release.
+func (r *rolloutTest) eventually(g *Gateway, release string) {
+	r.Helper()
+	require.Eventually(r, func() bool { return r.used(g)[release] == 60 }, 8*time.Second, 10*time.Millisecond)
+}
+
+// stopOwner ends the periodic work of a VM, as if its process hung.
+func stopOwner(g *Gateway) {
+	for _, sub := range g.subscriptions {
+		sub.Cancel()
+	}
+}
+
+// A new version got calls without a grant, and still got some after its share had expired
+// with its owner, or after the end of its rollout.
+func TestNewReleaseGetsCallsOnlyByGrant(t *testing.T) {
+	tests := []struct {
+		name  string
+		state rollout.State
+		after string
+	}{
+		{"owner dies", rollout.Running, "v1"},
+		{"rolled back", rollout.RolledBack, "v1"},
+		{"done", rollout.Done, "v2"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRolloutTest(t)
+			g := r.start("vm1")
+			r.order("v2")
+			r.adapter.list("b1", "plain", "v2")
+			require.Eventually(t, func() bool { return len(r.adapter.store.reported()) == 1 && r.controller.lastView().NewServers == 1 }, 5*time.Second, 5*time.Millisecond)
+			require.Equal(t, map[string]int{"v1": 60}, r.used(g))
+			r.controller.set(rollout.Running, 0.5)
+			require.Eventually(t, func() bool { u := r.used(g); return u["v1"] > 0 && u["v2"] > 0 }, 5*time.Second, 5*time.Millisecond)
+			if tt.state == rollout.Running {
+				stopOwner(g)
+				time.Sleep(rollout.GrantTTL)
+				require.Equal(t, map[string]int{"v1": 60}, r.used(g))
+				return
+			}
+			r.controller.set(tt.state, 1)
+			require.Eventually(t, func() bool { return len(r.adapter.store.reported()) == 2 }, 5*time.Second, 5*time.Millisecond)
+			require.Equal(t, []string{"plain running v2", "plain " + string(tt.state) + " v2"}, r.adapter.store.reported())
+			require.Equal(t, map[string]int{tt.after: 60}, r.used(g))
+			stopOwner(g)
+			time.Sleep(rollout.GrantTTL)
+			require.Equal(t, map[string]int{tt.after: 60}, r.used(g), "final states do not expire")
+			require.Equal(t, map[string]int{tt.after: 60}, r.used(r.start("vm2")), "a VM that starts reads the record")
+		})
+	}
+}
+
+// A successor started the rollout anew: the deadline moved, and earlier exposures did not
+// count.
+func TestSuccessorContinuesRollout(t *testing.T) {
+	r := newRolloutTest(t)
+	g1, g2 := r.start("vm1"), r.start("vm2")
+	g1.node.AddMember("vm2", g2.settings.PeerAddress)
+	g2.node.AddMember("vm1", g1.settings.PeerAddress)
+	require.Eventually(t, func() bool { _, other := g2.node.Leader(); return other }, 5*time.Second, 5*time.Millisecond)
+	r.adapter.list("b1", "plain", "v2")
+	r.order("v2")
+	r.controller.set(rollout.Running, 0.5)
+	require.Eventually(t, func() bool { return r.used(g2)["v2"] > 0 }, 5*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool {
+		_, rec, err := g2.readRollout(context.Background(), "plain")
+		return err == nil && rec.Exposures > 0 && rec.Requests > rec.Exposures
+	}, 5*time.Second, 5*time.Millisecond, "counts of the other VM are not recorded")
+	_, before, err := g2.readRollout(context.Background(), "plain")
+	require.NoError(t, err)
+
+	g1.Close()
+	require.Eventually(t, func() bool { return len(g2.rolloutOwner.activeGrants()) == 1 }, 8*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return r.used(g2)["v2"] > 0 }, 8*time.Second, 5*time.Millisecond)
+	_, after, err := g2.readRollout(context.Background(), "plain")
+	require.NoError(t, err)
+	require.Equal(t, before.Start, after.Start)
+	require.Equal(t, []string{"v1"}, after.Old)
+	require.GreaterOrEqual(t, after.Exposures, before.Exposures)
+	require.Greater(t, after.Fence, before.Fence)
+	r.controller.set(rollout.Done, 1)
+	r.eventually(g2, "v2")
+}
+
+// A server of a release that nobody had ordered yet got calls before the operators' table
+// was read again, so that an order that preceded it came too late.
+func TestUnknownReleaseIsHeldBack(t *testing.T) {
+	r := newRolloutTest(t)
+	g := r.start("vm1")
+	r.adapter.operators.setMute(true)
+	time.Sleep(2 * declarationsLongPollWait / 10)
+	r.adapter.servers.put("a1", nil)
+	r.adapter.servers.put("a2", nil)
+	r.adapter.list("b1", "plain", "v2")
+	require.Eventually(t, func() bool { _, listed := g.table.Get("b1", g.now()); return listed }, 5*time.Second, 5*time.Millisecond)
+	require.NotNil(t, serveCall(t, g, "/public/", "").refusal)
+	r.adapter.operators.setMute(false)
+	r.eventually(g, "v2")
+}
+
+// The version of a withdrawn or replaced order kept its calls.
+func TestOrderIsWithdrawnOrReplaced(t *testing.T) {
+	for _, replaced := range []bool{false, true} {
+		r := newRolloutTest(t)
+		g := r.start("vm1")
+		r.adapter.list("b1", "plain", "v2")
+		r.adapter.list("c1", "plain", "v3")
+		r.order("v2")
+		r.controller.set(rollout.Running, 1)
+		r.eventually(g, "v2")
+		r.controller.set(rollout.Running, 0)
+		if !replaced {
+			r.adapter.operators.put("row", nil)
+			require.Eventually(t, func() bool { return len(r.adapter.store.reported()) == 2 }, 5*time.Second, 5*time.Millisecond)
+			require.Equal(t, "plain rolled_back v2", r.adapter.store.reported()[1])
+			require.Zero(t, r.used(g)["v2"])
+			continue
+		}
+		r.order("v3")
+		require.Eventually(t, func() bool { return len(r.adapter.store.reported()) == 2 }, 5*time.Second, 5*time.Millisecond)
+		require.Equal(t, map[string]int{"v1": 60}, r.used(g))
+		r.controller.set(rollout.Done, 1)
+		r.eventually(g, "v3")
+	}
+}
+
+// An order for the version that all servers run, or for no known service, never ended.
+func TestOrderWithoutOldServersIsDone(t *testing.T) {
+	r := newRolloutTest(t)
+	g := r.start("vm1")
+	r.adapter.operators.put("other", rollout.Order{Service: "no such service", To: "v1", Duration: time.Minute})
+	r.order("v1")
+	require.Eventually(t, func() bool { return len(r.adapter.store.reported()) == 2 }, 5*time.Second, 5*time.Millisecond)
+	require.Equal(t, []string{"plain running v1", "plain done v1"}, r.adapter.store.reported())
+	require.Equal(t, map[string]int{"v1": 60}, r.used(g))
+}
+
+// Calls were refused when the old servers had gone before the rollout was done.
+func TestNewReleaseServesOnceOldServersAreGone(t *testing.T) {
+	r := newRolloutTest(t)
+	g := r.start("vm1")
+	r.order("v2")
+	r.adapter.list("b1", "plain", "v2")
+	require.Equal(t, map[string]int{"v1": 60}, r.used(g))
+	r.adapter.servers.put("a1", nil)
+	r.adapter.servers.put("a2", nil)
+	require.Eventually(t, func() bool { return g.ServerCount() == 2 }, 5*time.Second, 5*time.Millisecond)
+	require.Equal(t, map[string]int{"v2": 60}, r.used(g))
+}
+
+// Counts of a process were added twice if its messages arrived again or by another VM.
+func TestRolloutCountsAreMergedOnce(t *testing.T) {
+	r := newRollouts(Settings{Bounds: Bounds{Exposure: &ExposureBounds{}}})
+	r.setOrder("row", rollout.Order{Service: "s", To: "v2", Revision: 7}, 0)
+	counts := func(sent int64) []gossip.RolloutCounts {
+		return []gossip.RolloutCounts{{Service: "s", Revision: 7, Routes: []gossip.RouteCounts{{New: true, Route: "r", Sent: sent, Latency: []int64{sent}}}}}
+	}
+	for _, sent := range []int64{3, 5, 4} {
+		r.mergeCounts("b", 1, counts(sent), 0)
+	}
+	r.mergeCounts("b", 2, counts(2), 0)
+	total, silent, complete := r.services["s"].total([]string{"a", "b", "c"}, "a", 0, time.Millisecond)
+	require.Equal(t, int64(7), total[rollout.Key{Side: rollout.New, Route: "r"}].Sent)
+	require.Equal(t, int64(7), total[rollout.Key{Side: rollout.New, Route: "r"}].Latency[0])
+	require.InDelta(t, 1.0/3, silent, 1e-9)
+	require.False(t, complete)
+	require.Equal(t, []int{0, 1, 9}, []int{latencyBucket(15 * time.Millisecond), latencyBucket(16 * time.Millisecond), latencyBucket(time.Hour)})
+}
