--- /dev/null
+++ b/internal/rollout/analysis.go
@@ -0,0 +1,247 @@
+package rollout
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"time"
+)
+
+// Parameters of the comparison of versions.
+const (
+	// minFailureDifference is the least difference of the failure fractions, and
+	// minSlowDifference that of the fractions of slow answers, of a bad version.
+	minFailureDifference = 0.05
+	minSlowDifference    = 0.05
+	// minUnfinishedDifference is larger because answers in transit count as unfinished.
+	minUnfinishedDifference = 0.2
+	// abortLevel is the probability below which a difference is not taken for noise. It is
+	// small because it is tested several times a second, for each route and in several
+	// windows. finalLevel applies once, at the deadline.
+	abortLevel = 1e-5
+	finalLevel = 1e-3
+	// minBad is the least number of bad answers that a verdict rests on.
+	minBad = 3
+	// minBaseline is the number of answers of the old version that a comparison needs. A
+	// route with fewer is compared by its failures to all routes.
+	minBaseline = 20
+	// unfinishedAfter is the age from which a call without answer counts as unfinished.
+	unfinishedAfter = 1500 * time.Millisecond
+	// biasedAbove is the number of answers from which the whole time is not compared while
+	// all calls go to the new version: its answers are then of another time than those of
+	// the old version, and the fleet's load may have changed.
+	biasedAbove = 300
+)
+
+// windows are the times back from now that are compared, apart from the whole time.
+var windows = []time.Duration{time.Second, 3 * time.Second}
+
+// historyLength is how long samples are kept.
+const historyLength = 5 * time.Second
+
+// sample is the merged evidence at a time.
+type sample struct {
+	at    time.Duration
+	total Evidence
+}
+
+// finding is the most significant difference between the versions.
+type finding struct {
+	probability float64
+	slow        bool
+	reason      string
+}
+
+// completed returns the number of calls that have ended.
+func (c Counts) completed() int64 { return c.Answered + c.Failed }
+
+// minus returns the counts since an earlier time.
+func (c Counts) minus(o Counts) Counts {
+	c.Sent = max(0, c.Sent-o.Sent)
+	c.Answered = max(0, c.Answered-o.Answered)
+	c.Failed = max(0, c.Failed-o.Failed)
+	for i := range c.Latency {
+		c.Latency[i] = max(0, c.Latency[i]-o.Latency[i])
+	}
+	return c
+}
+
+// side returns the counts of all routes of a side.
+func (e Evidence) side(s Side) Counts {
+	var sum Counts
+	for k, n := range e {
+		if k.Side != s {
+			continue
+		}
+		sum.Sent += n.Sent
+		sum.Answered += n.Answered
+		sum.Failed += n.Failed
+		for i := range n.Latency {
+			sum.Latency[i] += n.Latency[i]
+		}
+	}
+	return sum
+}
+
+// counts returns the counts of a side and route; the empty route stands for all.
+func (e Evidence) counts(s Side, route string) Counts {
+	if route == "" {
+		return e.side(s)
+	}
+	return e[Key{Side: s, Route: route}]
+}
+
+// routes returns the routes with calls to the new version, and the empty route for all.
+func (e Evidence) routes() []string {
+	out := []string{""}
+	for k := range e {
+		if k.Side == New && k.Route != "" {
+			out = append(out, k.Route)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// compare returns the most significant difference in the evidence up to now. The history
+// is in order of time; its last sample is the newest. With allNew set, all calls go to the
+// new version.
+func compare(history []sample, allNew bool) finding {
+	best := finding{probability: 1}
+	if len(history) == 0 {
+		return best
+	}
+	now := history[len(history)-1]
+	routes := now.total.routes()
+	for _, r := range routes {
+		fresh, base := now.total.counts(New, r), now.total.counts(Old, r)
+		if !allNew || fresh.completed() < biasedAbove {
+			best = least(best, compareCounts(r, fresh, base, now.total.side(Old)))
+		}
+		for _, w := range windows {
+			from := before(history, now.at-w)
+			recent := fresh.minus(from.total.counts(New, r))
+			reference := base.minus(from.total.counts(Old, r))
+			if reference.completed() < max(minBaseline, recent.completed()/2) {
+				reference = base.minus(history[0].total.counts(Old, r))
+			}
+			best = least(best, compareCounts(r, recent, reference, now.total.side(Old)))
+		}
+		from := before(history, now.at-unfinishedAfter)
+		if now.at-from.at >= unfinishedAfter {
+			best = least(best, compareUnfinished(r, fresh, base, from.total))
+		}
+	}
+	return best
+}
+
+func least(a, b finding) finding {
+	if b.probability < a.probability {
+		return b
+	}
+	return a
+}
+
+// before returns the newest sample that is no newer than at, or the oldest one.
+func before(history []sample, at time.Duration) sample {
+	i := sort.Search(len(history), func(i int) bool { return history[i].at > at })
+	return history[max(0, i-1)]
+}
+
+// compareCounts compares failures and latencies. All are the old version's counts of all
+// routes.
+func compareCounts(route string, fresh, base, all Counts) finding {
+	out := finding{probability: 1}
+	n := fresh.completed()
+	reference := base
+	if reference.completed() < minBaseline {
+		reference = all
+	}
+	if reference.completed() < minBaseline {
+		// Without a baseline one failure in twenty is taken for normal.
+		reference = Counts{Answered: 19, Failed: 1}
+	}
+	p := difference(fresh.Failed, n, reference.Failed, reference.completed(), minFailureDifference)
+	if p < out.probability {
+		out = finding{probability: p, reason: fmt.Sprintf("%d of %d calls failed, %d of %d of the old version%s",
+			fresh.Failed, n, reference.Failed, reference.completed(), on(route))}
+	}
+	var freshTotal, baseTotal int64
+	for i := range LatencyBuckets {
+		freshTotal += fresh.Latency[i]
+		baseTotal += base.Latency[i]
+	}
+	if baseTotal < minBaseline {
+		return out
+	}
+	// The buckets are powers of two: a version that is less than twice as slow has, for
+	// every i, at most as many answers from bucket i as the old one from bucket i-1. So a
+	// change across a bucket's limit alone never counts.
+	freshSlow, baseSlow := freshTotal-fresh.Latency[0], baseTotal
+	for i := 1; i < LatencyBuckets; i++ {
+		p := difference(freshSlow, freshTotal, baseSlow, baseTotal, minSlowDifference)
+		if p < out.probability {
+			out = finding{probability: p, slow: true, reason: fmt.Sprintf(
+				"%d of %d answers took %v or more, %d of %d of the old version half of it%s",
+				freshSlow, freshTotal, limit(i), baseSlow, baseTotal, on(route))}
+		}
+		freshSlow -= fresh.Latency[i]
+		baseSlow -= base.Latency[i-1]
+	}
+	return out
+}
+
+// limit returns the lower limit of a latency bucket.
+func limit(bucket int) time.Duration { return 16 * time.Millisecond << (bucket - 1) }
+
+// compareUnfinished compares the calls that had been sent at an earlier time and have no
+// answer. It finds versions that do not answer at all.
+func compareUnfinished(route string, fresh, base Counts, earlier Evidence) finding {
+	freshSent, baseSent := earlier.counts(New, route).Sent, earlier.counts(Old, route).Sent
+	if baseSent < minBaseline {
+		return finding{probability: 1}
+	}
+	freshOpen, baseOpen := max(0, freshSent-fresh.completed()), max(0, baseSent-base.completed())
+	return finding{
+		probability: difference(freshOpen, freshSent, baseOpen, baseSent, minUnfinishedDifference),
+		slow:        true,
+		reason: fmt.Sprintf("%d of %d calls have no answer after %v, %d of %d of the old version%s",
+			freshOpen, freshSent, unfinishedAfter, baseOpen, baseSent, on(route)),
+	}
+}
+
+func on(route string) string {
+	if route == "" {
+		return ""
+	}
+	return ", route " + route
+}
+
+// difference returns the probability that noise alone gives the new version at least so
+// many bad calls (Fisher's exact test, one-sided), and 1 if the fractions differ by less
+// than least. The normal approximation of this test gives false alarms where one side has
+// ten calls and the other thousands.
+func difference(bad, n, baseBad, baseN int64, least float64) float64 {
+	if n == 0 || baseN == 0 || bad < minBad {
+		return 1
+	}
+	if float64(bad)/float64(n)-float64(baseBad)/float64(baseN) < least {
+		return 1
+	}
+	allBad, all := bad+baseBad, n+baseN
+	term := math.Exp(choose(allBad, bad) + choose(all-allBad, n-bad) - choose(all, n))
+	sum := term
+	for k := bad; k < min(n, allBad) && term > sum*1e-6; k++ {
+		term *= float64(allBad-k) * float64(n-k) / (float64(k+1) * float64(all-allBad-n+k+1))
+		sum += term
+	}
+	return min(1, sum)
+}
+
+// choose returns the logarithm of the binomial coefficient.
+func choose(n, k int64) float64 {
+	a, _ := math.Lgamma(float64(n + 1))
+	b, _ := math.Lgamma(float64(k + 1))
+	c, _ := math.Lgamma(float64(n - k + 1))
+	return a - b - c
+}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -1,6 +1,13 @@
+// Package rollout decides how much of a service's traffic goes to the servers of another
+// software version. It has no network, clock or goroutines: the owner of a roll-out calls
+// Controller.Step with what it knows, and every VM keeps the newest Grant in an Applied.
 package rollout
 
-import "time"
+import (
+	"errors"
+	"fmt"
+	"time"
+)
 
 // State is the state of a roll-out.
 type State string
@@ -35,6 +42,25 @@
 	Revision int64
 }
 
+// Limits of Order.Duration.
+const (
+	MinDuration = time.Second
+	MaxDuration = 24 * time.Hour
+)
+
+// Validate returns why an order must be ignored.
+func (o Order) Validate() error {
+	switch {
+	case o.Service == "":
+		return errors.New("order names no service")
+	case o.To == "":
+		return errors.New("order names no version")
+	case o.Duration < MinDuration || o.Duration > MaxDuration:
+		return fmt.Errorf("duration %v is not between %v and %v", o.Duration, MinDuration, MaxDuration)
+	}
+	return nil
+}
+
 // Side says whether a server runs the new version of a roll-out.
 type Side int
 
@@ -78,6 +104,12 @@
 	State    State
 	// Share is the part of the calls that go to the new version, from 0 to 1.
 	Share float64
+	// Left is the time until the deadline when the owner sent the grant. Once no more than
+	// Last is left, all calls go to the new version. Zero values have no effect. All VMs
+	// hear Last before it applies, so that they switch at nearly the same time although
+	// grants take 0.2 to 0.6 s to reach them.
+	Left time.Duration
+	Last time.Duration
 }
 
 // Newer reports whether g replaces o.
@@ -129,23 +161,12 @@
 type Decision struct {
 	State State
 	Share float64
+	// Last is to be sent as Grant.Last; zero if no switch is planned.
+	Last time.Duration
 	// Reason says in a few words why.
 	Reason string
 }
 
-// Controller decides on one roll-out. It is not safe for concurrent use.
-type Controller struct {
-	last Decision
-}
-
-// NewController returns a controller that has decided nothing.
-func NewController() *Controller { return &Controller{last: Decision{State: Running}} }
-
-// Step returns the decision for a view. It must be called several times a second.
-func (c *Controller) Step(v View) Decision {
-	return c.last
-}
-
 // Merge adds up the evidence of several VMs.
 func Merge(all ...Evidence) Evidence {
 	out := make(Evidence)
