gateway: rollouts use the decisions and applied grants of internal/rollout

Cause: grants plan a switch of all VMs at nearly the same time. Change: grants carry the time left and the planned switch; an attempt counts as sent when it is written; refused calls count as answered. Result: go test ./internal/gateway -run 'Rollout|Release|Order' passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -158,6 +158,7 @@
 func (g *Gateway) permit(f *forwardedCall, c serverChoice, decidedAt time.Duration) func() bool {
 	decided := *f
 	f = &decided
+	countSent := g.rollouts.sentCounter(f, c.server)
 	return func() bool {
 		now := g.now()
 		if now-decidedAt > maxDecisionAge || now >= f.deadline {
@@ -173,6 +174,9 @@
 			return false
 		}
 		ok, _ := g.stillAuthorized(f)
+		if ok {
+			countSent()
+		}
 		return ok
 	}
 }
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -234,7 +234,6 @@
 	t = &takeover{choice: c, sentAt: g.now(), cause: cause, done: make(chan struct{}), decided: make(chan struct{})}
 	t.ctx, t.cancel = context.WithCancelCause(r.callCtx)
 	a := g.newAttempt(r.call, c, r.lastEventID)
-	g.rollouts.sampleCall(r.call, c.server, t.sentAt, false)
 	g.table.Begin(c.server.ID, c.UncachedTokens)
 	r.next = t
 	go func() {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -55,6 +55,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.NotRun || resp.WrongServer {
+		sample.refused()
 		return false
 	}
 	sample.firstByte(g.now())
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -52,11 +51,9 @@
 	state rollout.State
 	// reported is set once the platform is known to have been told of the final state.
 	reported bool
-	// grant is the newest one; its share is valid until grantUntil.
-	grant      rollout.Grant
-	grantUntil time.Duration
-	// owner is the address of the VM that sent the grant.
-	owner string
+	// applied holds the newest grant, and owner the address of the VM that sent it.
+	applied rollout.Applied
+	owner   string
 	// needsRecord is set until the record in the store has been read, if that may tell which
 	// of the listed releases may get calls.
 	// It is not waited for longer than until recordBy.
@@ -293,10 +290,10 @@
 	if g.Revision == s.order.Revision && g.State == s.state && s.state != rollout.Running {
 		s.reported = s.reported || reported
 	}
-	if !g.Newer(s.grant) {
+	if !s.applied.Update(g, now) {
 		return false
 	}
-	s.grant, s.grantUntil, s.owner = g, now+rollout.GrantTTL, from
+	s.owner = from
 	s.nextRead = now + recordReadPeriod
 	if g.Revision != s.order.Revision || g.To != s.order.To || s.order.Revision == 0 || s.state != rollout.Running {
 		return false
@@ -318,10 +315,11 @@
 		return 1, true
 	case s.withdrawn || s.state == rollout.RolledBack:
 		return 0, true
-	case s.grant.Revision == s.order.Revision && s.grant.To == s.order.To && now < s.grantUntil:
-		return s.grant.Share, false
 	}
-	return 0, false
+	if g, ok := s.applied.Grant(); !ok || g.Revision != s.order.Revision || g.To != s.order.To || g.State != rollout.Running {
+		return 0, false
+	}
+	return s.applied.Share(now), false
 }
 
 // restriction says which servers of a service a call must not be sent to. The zero value
@@ -380,7 +378,7 @@
 func (r *rollouts) chooseSide(f *forwardedCall, s *serviceRollout, share float64, statuses []backend.Status) (side rollout.Side, targetOnly bool) {
 	if f.sideRevision != s.order.Revision {
 		f.sideRevision, f.side = s.order.Revision, rollout.Old
-		if rand.Float64() < share {
+		if rollout.ToNew(share, rollout.RequestHash(f.call.ID)) {
 			f.side = rollout.New
 		}
 	}
--- a/internal/gateway/rollout_counts.go
+++ b/internal/gateway/rollout_counts.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/bits"
+	"sync"
 	"time"
 
 	"github.com/marjoramrock/marjoramrock/internal/backend"
@@ -55,28 +56,29 @@
 	timed, ended            bool
 }
 
-// sampleCall returns the sample of an attempt, which it counts as sent unless it has been
-// made before.
-func (r *rollouts) sampleCall(f *forwardedCall, server backend.Server, sentAt time.Duration, sentBefore bool) *callSample {
+// sample returns the sample of an attempt that was made at a time.
+func (r *rollouts) sample(f *forwardedCall, server backend.Server, sentAt time.Duration) *callSample {
 	if !r.enabled {
 		return nil
 	}
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	s := r.services[f.service]
-	running := s != nil && s.isRunning()
-	revision := int64(0)
-	if running {
-		revision = s.order.Revision
-	}
-	r.mu.Unlock()
-	if !running {
+	if s == nil || !s.isRunning() {
 		return nil
 	}
-	c := &callSample{rollouts: r, service: f.service, release: server.Release, route: f.route.Name, revision: revision, sentAt: sentAt}
-	if !sentBefore {
-		c.count(func(n *rollout.Counts) { n.Sent++ })
+	return &callSample{
+		rollouts: r, service: f.service, release: server.Release, route: f.route.Name, revision: s.order.Revision, sentAt: sentAt,
+	}
+}
+
+// sentCounter returns a function that counts an attempt as sent the first time.
+func (r *rollouts) sentCounter(f *forwardedCall, server backend.Server) func() {
+	c := r.sample(f, server, 0)
+	if c == nil {
+		return func() {}
 	}
-	return c
+	return sync.OnceFunc(func() { c.count(func(n *rollout.Counts) { n.Sent++ }) })
 }
 
 func (c *callSample) count(change func(*rollout.Counts)) {
@@ -122,13 +124,23 @@
 	}
 }
 
+// refused counts an answer that says that the call has not run. It says nothing of the
+// version: servers refuse calls when they are overloaded.
+func (c *callSample) refused() {
+	if c == nil || c.ended {
+		return
+	}
+	c.ended = true
+	c.count(func(n *rollout.Counts) { n.Answered++ })
+}
+
 // sampleAttempt returns the sample of an attempt that is about to be made, or that has
 // been made to take the call over.
 func (g *Gateway) sampleAttempt(f *forwardedCall, c serverChoice) *callSample {
 	if f.takeover != nil {
-		return g.rollouts.sampleCall(f, c.server, f.takeover.sentAt, true)
+		return g.rollouts.sample(f, c.server, f.takeover.sentAt)
 	}
-	return g.rollouts.sampleCall(f, c.server, g.now(), false)
+	return g.rollouts.sample(f, c.server, g.now())
 }
 
 // latencyBucket returns the bucket of a time to the first byte. Bucket i counts times
--- a/internal/gateway/rollout_gossip.go
+++ b/internal/gateway/rollout_gossip.go
@@ -78,7 +78,7 @@
 	seen := make(map[string]bool)
 	var out []string
 	for _, s := range r.services {
-		if s.isRunning() && now < s.grantUntil && !seen[s.owner] {
+		if s.isRunning() && s.owner != "" && !s.applied.Expired(now) && !seen[s.owner] {
 			seen[s.owner] = true
 			out = append(out, s.owner)
 		}
--- a/internal/gateway/rollout_owner.go
+++ b/internal/gateway/rollout_owner.go
@@ -27,9 +27,11 @@
 	// knownVMAge is how long after its last message a VM still counts as one whose calls
 	// are unknown.
 	knownVMAge = 20 * time.Second
-	// doneNotice is the least time between telling the VMs and telling the platform that a
-	// rollout is done: the platform then stops the old servers.
-	doneNotice = 500 * time.Millisecond
+	// doneNotice is the time between telling the VMs and telling the platform that a rollout
+	// is done: the platform then stops the old servers. It is cut short so that reportMargin
+	// is left until the deadline.
+	doneNotice   = 400 * time.Millisecond
+	reportMargin = 150 * time.Millisecond
 	// finalGrantTime is how long the VMs are told of a final state.
 	finalGrantTime = 5 * time.Second
 	// overtime is how long after its deadline a rollout that has not ended is rolled back.
@@ -55,8 +57,10 @@
 	takenAt   time.Duration
 	sequence  int64
 	share     float64
-	reason    string
-	total     rollout.Evidence
+	// last is that of the decision.
+	last   time.Duration
+	reason string
+	total  rollout.Evidence
 	// reportedState is the state that the platform was told last.
 	reportedState rollout.State
 	endedAt       time.Duration
@@ -241,7 +245,7 @@
 	if errors.Is(err, lease.ErrConflict) {
 		delete(w.owned, o.order.Service)
 	}
-	o.share = 0
+	o.share, o.last = 0, 0
 	w.grant(o)
 	return err
 }
@@ -332,7 +336,7 @@
 	o.total, o.reason = v.Total, d.Reason
 	if d.State == rollout.RolledBack && o.share > 0 {
 		// The record must not delay the return of the calls.
-		o.share = 0
+		o.share, o.last = 0, 0
 		w.grant(o)
 		g.sendGrants()
 	}
@@ -349,7 +353,7 @@
 			"service": o.order.Service, "to": o.order.To, "share": d.Share, "reason": d.Reason, "requests": requests, "exposures": exposures,
 		})
 	}
-	o.share = d.Share
+	o.share, o.last = d.Share, d.Last
 	if d.State == rollout.RolledBack {
 		o.share = 0
 		g.logJudgement(o)
@@ -377,7 +381,8 @@
 	if o.record.State == rollout.Done {
 		o.share = 1
 	}
-	if o.record.Reported || o.record.State == rollout.Done && now-o.endedAt < doneNotice {
+	deadline := o.startedAt + o.order.Duration - reportMargin
+	if o.record.Reported || o.record.State == rollout.Done && now < min(o.endedAt+doneNotice, deadline) {
 		return nil
 	}
 	if o.reportedState != o.record.State {
@@ -400,11 +405,12 @@
 	o.sequence++
 	x := gossip.Grant{
 		Service: o.order.Service, To: o.order.To, Revision: o.order.Revision, Fence: o.fence, Sequence: o.sequence,
-		State: string(o.record.State), Share: o.share, Reported: o.record.Reported, Old: o.record.Old, Banned: o.record.Banned,
+		State: string(o.record.State), Share: o.share, Reported: o.record.Reported,
+		LeftMillis: (o.order.Duration - (g.now() - o.startedAt)).Milliseconds(), LastMillis: o.last.Milliseconds(), Old: o.record.Old, Banned: o.record.Banned,
 	}
 	w.mu.Lock()
 	last := w.grants[o.order.Service]
-	w.changed = w.changed || last.Revision != x.Revision || last.State != x.State || last.Share != x.Share
+	w.changed = w.changed || last.Revision != x.Revision || last.State != x.State || last.Share != x.Share || last.LastMillis != x.LastMillis
 	w.grants[o.order.Service] = x
 	w.mu.Unlock()
 	g.applyGrant(x, g.settings.PeerAddress, o.reason)
@@ -488,6 +494,7 @@
 	}
 	grant := rollout.Grant{
 		Service: x.Service, To: x.To, Revision: x.Revision, Fence: x.Fence, Sequence: x.Sequence, State: state, Share: x.Share,
+		Left: time.Duration(x.LeftMillis) * time.Millisecond, Last: time.Duration(x.LastMillis) * time.Millisecond,
 	}
 	if g.rollouts.applyGrant(grant, x.Old, x.Banned, x.Reported, from, g.now()) {
 		g.logRolloutEnd(x.Service, state, x.To, reason)
@@ -508,7 +515,7 @@
 		if !final {
 			running++
 		}
-		if !final && share == 0 && s.shownShare > 0 && now >= s.grantUntil {
+		if !final && s.shownShare > 0 && s.applied.Expired(now) {
 			event.RolloutGrantExpired.Log(g.log, nil, log.Fields{"service": name, "to": s.order.To, "share": s.shownShare})
 		}
 		s.shownShare = share
--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -16,6 +19,7 @@
 	"github.com/marjoramrock/marjoramrock/internal/gossip"
 	"github.com/marjoramrock/marjoramrock/internal/loopback"
 	"github.com/marjoramrock/marjoramrock/internal/rollout"
+	"github.com/marjoramrock/marjoramrock/internal/upstream"
 	"github.com/stretchr/testify/require"
 )
 
@@ -92,6 +96,14 @@
 	operators, servers *memoryFeed
 }
 
+// Send makes an attempt if it is permitted, as the platform's adapter does.
+func (a *rolloutAdapter) Send(ctx context.Context, t *Attempt) (*Response, error) {
+	if !t.Permit() {
+		return nil, fmt.Errorf("%w: %w", upstream.ErrUnsent, upstream.ErrNotPermitted)
+	}
+	return a.fakeAdapter.Send(ctx, t)
+}
+
 func (a *rolloutAdapter) Declarations() feed.Source { return a.operators }
 func (a *rolloutAdapter) ServerList() feed.Source   { return a.servers }
 
@@ -183,7 +195,9 @@
 	before := len(r.adapter.sentAttempts())
 	out := make(map[string]int)
 	for range 60 {
-		if serveCall(r.T, g, "/public/", "").refusal != nil {
+		c, answer := newCall("/public/", ""), &responseRecorder{}
+		c.ID = strconv.FormatUint(rand.Uint64(), 36)
+		if g.Serve(context.Background(), c, answer); answer.refusal != nil {
 			out["refused"]++
 		}
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -98,6 +98,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.NotRun || resp.WrongServer {
+		sample.refused()
 		g.removeParts(f, c)
 		return false
 	}
--- a/internal/gossip/rollout.go
+++ b/internal/gossip/rollout.go
@@ -19,6 +19,10 @@
 	Share    float64
 	// Reported is set once the platform has been told of a final state.
 	Reported bool
+	// LeftMillis is the time until the deadline. Once no more than LastMillis is left, all
+	// calls go to the new version; zero if that is not planned.
+	LeftMillis int64
+	LastMillis int64
 	// Old lists the versions that ran before the order, Banned those that must not run.
 	Old    []string
 	Banned []string
@@ -56,7 +60,8 @@
 // checkRollouts is checkNumbers for what the message tells of rollouts.
 func (m *Message) checkRollouts() error {
 	for _, x := range m.Grants {
-		if math.IsNaN(x.Share) || x.Share < 0 || x.Share > 1 || x.Revision < 0 || x.Fence < 0 || x.Sequence < 0 {
+		if math.IsNaN(x.Share) || x.Share < 0 || x.Share > 1 || x.Revision < 0 || x.Fence < 0 || x.Sequence < 0 ||
+			x.LeftMillis < -maxMillis || x.LeftMillis > maxMillis || x.LastMillis < 0 || x.LastMillis > maxMillis {
 			return fmt.Errorf("%w: grant for %q", errOutOfRange, x.Service)
 		}
 	}
