--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -358,6 +358,60 @@
 	require.Equal(t, map[string]int{"v2": 60}, r.used(g))
 }
 
+// A stream on an old server was cut when the rollout was done, and a stream was moved to
+// another old server.
+func TestStreamsMoveToNewReleaseBeforeDone(t *testing.T) {
+	r := newRolloutTest(t)
+	begun := make(chan struct{})
+	r.adapter.respond = func(ctx context.Context, _ int, a *Attempt) (*Response, error) {
+		if a.Server.Release == "v2" {
+			return newResponse(200, eventStream("2")), nil
+		}
+		close(begun)
+		return pausingStream(ctx, 5*time.Second), nil
+	}
+	g := r.start("vm1")
+	r.adapter.list("e2", "model", "v1")
+	r.adapter.list("f1", "model", "v2")
+	r.adapter.operators.put("row", rollout.Order{Service: "model", To: "v2", Duration: time.Minute})
+	require.Eventually(t, func() bool { return r.controller.lastView().NewServers == 1 }, 5*time.Second, 5*time.Millisecond)
+	answer := make(chan string)
+	// The latency goals of this route are too long for the silence timer to fire.
+	go func() { answer <- serveCall(t, g, "/long-goals/", "isolated-key").body.String() }()
+	<-begun
+	require.Eventually(t, func() bool { return r.controller.lastView().OldCalls == 1 }, 5*time.Second, 5*time.Millisecond)
+	r.controller.set(rollout.Running, 1)
+	require.Equal(t, eventStream("1", "2"), <-answer)
+	require.Eventually(t, func() bool { return r.controller.lastView().OldCalls == 0 }, 5*time.Second, 5*time.Millisecond)
+}
+
+// A call that failed on one side was repeated on the other, so that a bad version's
+// failures were hidden or its exposures exceeded its share.
+func TestRetriesStayOnSide(t *testing.T) {
+	r := newRolloutTest(t)
+	r.adapter.respond = func(context.Context, int, *Attempt) (*Response, error) { return newResponse(500, "no"), nil }
+	g := r.start("vm1")
+	r.adapter.list("b1", "plain", "v2")
+	r.adapter.list("b2", "plain", "v2")
+	r.order("v2")
+	r.controller.set(rollout.Running, 0.5)
+	require.Eventually(t, func() bool { return r.used(g)["v2"] > 0 }, 5*time.Second, 5*time.Millisecond)
+	byRequest := make(map[string]map[string]bool)
+	for _, a := range r.adapter.sentAttempts() {
+		if byRequest[a.Call.ID] == nil {
+			byRequest[a.Call.ID] = make(map[string]bool)
+		}
+		byRequest[a.Call.ID][a.Server.Release] = true
+	}
+	for id, releases := range byRequest {
+		require.Len(t, releases, 1, id)
+	}
+	require.Eventually(t, func() bool {
+		_, updated := sides(r.controller.lastView().Total)
+		return updated.Failed > 0 && updated.Failed == updated.Sent && updated.Answered == 0
+	}, 5*time.Second, 5*time.Millisecond)
+}
+
 // Counts of a process were added twice if its messages arrived again or by another VM.
 func TestRolloutCountsAreMergedOnce(t *testing.T) {
 	r := newRollouts(Settings{Bounds: Bounds{Exposure: &ExposureBounds{}}})
