platform: rollouts end to end over TCP

Cause: nothing showed that a good version ends as done by its deadline. Change: decisions ten times a second, so that one falls into the last 200 ms; the start counts from 100 ms before the order was learned of; a changed share is logged if it doubled, halved or became zero or one. Result: go test ./platform -run Rollout -count=6: good done after 7.8 s of 8 s, bad rolled back after 0.8 to 1.6 s with 4 to 6 requests.

--- a/internal/gateway/rollout_owner.go
+++ b/internal/gateway/rollout_owner.go
@@ -17,8 +17,12 @@
 )
 
 const (
-	// rolloutStepPeriod is the period of decisions on rollouts.
-	rolloutStepPeriod = 200 * time.Millisecond
+	// rolloutStepPeriod is the period of decisions on rollouts. The last ones fall within
+	// some 200 ms before the deadline.
+	rolloutStepPeriod = 100 * time.Millisecond
+	// orderDelay is how much earlier than its owner learned of it an order may have been
+	// given.
+	orderDelay = 100 * time.Millisecond
 	// rolloutRecordPeriod is the time between two writes of the record of a rollout whose
 	// state does not change.
 	rolloutRecordPeriod = time.Second
@@ -57,6 +61,8 @@
 	takenAt   time.Duration
 	sequence  int64
 	share     float64
+	// shownShare is the share that was logged last.
+	shownShare float64
 	// last is that of the decision.
 	last   time.Duration
 	reason string
@@ -274,7 +280,7 @@
 		}
 		isTarget := func(release string) bool { return release == x.order.To }
 		rec = rolloutRecord{
-			Revision: x.order.Revision, To: x.order.To, State: rollout.Running, Start: (raw.Now - (now - x.orderedAt)).Milliseconds(),
+			Revision: x.order.Revision, To: x.order.To, State: rollout.Running, Start: (raw.Now - (now - x.orderedAt) - orderDelay).Milliseconds(),
 			Old: compact(slices.DeleteFunc(old, isTarget)), Banned: compact(slices.DeleteFunc(banned, isTarget)),
 		}
 	}
@@ -348,7 +354,8 @@
 			return err
 		}
 	}
-	if d.Share != o.share {
+	if sharesDiffer(d.Share, o.shownShare) {
+		o.shownShare = d.Share
 		event.RolloutShareChanged.Log(g.log, nil, log.Fields{
 			"service": o.order.Service, "to": o.order.To, "share": d.Share, "reason": d.Reason, "requests": requests, "exposures": exposures,
 		})
@@ -361,6 +368,11 @@
 	return nil
 }
 
+// sharesDiffer reports whether a share has changed enough to be logged.
+func sharesDiffer(a, b float64) bool {
+	return (a == 0) != (b == 0) || (a == 1) != (b == 1) || a > 2*b || b > 2*a
+}
+
 // logJudgement logs why a rollout was rolled back, with the counts.
 func (g *Gateway) logJudgement(o *ownedRollout) {
 	old, updated := sides(o.total)
