--- a/internal/gateway/rollout_owner.go
+++ b/internal/gateway/rollout_owner.go
@@ -469,7 +469,7 @@
 	vms := g.node.RecentVMs(knownVMAge)
 	g.rollouts.mu.Lock()
 	defer g.rollouts.mu.Unlock()
-	complete := false
+	var complete bool
 	v.Total, v.Silent, complete = g.rollouts.service(o.order.Service).total(vms, g.settings.VM, o.takenAt, now)
 	v.Complete = complete || now-o.takenAt >= takeoverWait
 	return v
--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -62,7 +62,7 @@
 	defer m.mu.Unlock()
 	p := feed.Page{Version: m.version}
 	for _, r := range m.rows {
-		if r.Version > after && !(after == 0 && r.Removed) {
+		if r.Version > after && (after > 0 || !r.Removed) {
 			p.Rows = append(p.Rows, r)
 		}
 	}
