--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -73,7 +73,8 @@
 	serverEvents = eventNumbers(event.ServerListed, event.ServerDelisted, event.OrderSent, event.OrderFailed, event.EngineReloaded, event.CallBrokenOff)
 	vmEvents     = eventNumbers(event.StoreUnreachable, event.StoreReachable, event.HistoryDropped, event.ConfigApplied, event.VersionDeclared,
 		event.Started, event.Draining, event.Stopped, event.LinesDropped,
-		event.QuarantineBegan, event.QuarantineRenewed, event.QuarantineEnded)
+		event.QuarantineBegan, event.QuarantineRenewed, event.QuarantineEnded,
+		event.RolloutOrdered, event.RolloutShareChanged, event.RolloutJudgedBad, event.RolloutDone, event.RolloutRolledBack, event.RolloutGrantExpired)
 )
 
 func eventNumbers(events ...event.Event) map[string]bool {
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -221,7 +221,11 @@
 		return nil, r.ended
 	}
 	reserve := r.call.retryReserve()
-	if errors.Is(cause, errStreamMoved) {
+	switch {
+	case errors.Is(cause, errReplaced):
+		// The stream is lost if it does not leave its server in time.
+		reserve = startReserve
+	case errors.Is(cause, errStreamMoved):
 		reserve = moveReserve
 	}
 	c, ok := g.chooseServer(r.call, r.call.service)
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -186,8 +186,8 @@
 	}
 }
 
-// settled reports whether the releases that were listed at startup have been checked
-// against the operators' table.
+// settled reports whether the list of servers has been read and its releases have been
+// checked against the operators' table.
 func (r *rollouts) settled() bool {
 	if !r.enabled {
 		return true
@@ -199,7 +199,7 @@
 			return false
 		}
 	}
-	return !r.listComplete || r.confirmedAt > r.listCompleteAt
+	return r.listComplete && r.confirmedAt > r.listCompleteAt
 }
 
 // setOrder records an order and reports whether it is newer than the one known.
--- a/internal/gateway/rollout_owner.go
+++ b/internal/gateway/rollout_owner.go
@@ -501,7 +501,7 @@
 // applyGrant applies a grant that the VM at an address has sent.
 func (g *Gateway) applyGrant(x gossip.Grant, from, reason string) {
 	state := rollout.State(x.State)
-	if state != rollout.Running && state != rollout.Done && state != rollout.RolledBack {
+	if !isRolloutState(state) {
 		return
 	}
 	grant := rollout.Grant{
--- a/internal/gateway/rollout_record.go
+++ b/internal/gateway/rollout_record.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/marjoramrock/marjoramrock/internal/event"
 	"github.com/marjoramrock/marjoramrock/internal/lease"
 	"github.com/marjoramrock/marjoramrock/internal/rollout"
 )
@@ -47,6 +49,10 @@
 	return r.Old, append(append([]string(nil), r.Banned...), r.To)
 }
 
+func isRolloutState(s rollout.State) bool {
+	return s == rollout.Running || s == rollout.Done || s == rollout.RolledBack
+}
+
 // readRollout reads the record of a service's newest rollout. One that cannot be decoded
 // counts as missing: the next write replaces it.
 func (g *Gateway) readRollout(ctx context.Context, service string) (lease.Record, rolloutRecord, error) {
@@ -57,7 +63,15 @@
 	if err != nil {
 		return raw, r, fmt.Errorf("gateway: rollout of %s: %w", service, err)
 	}
-	if raw.Version == 0 || json.Unmarshal(raw.Value, &r) != nil {
+	if raw.Version == 0 {
+		return raw, r, nil
+	}
+	err = json.Unmarshal(raw.Value, &r)
+	if err == nil && (r.Revision < 1 || r.To == "" || !isRolloutState(r.State)) {
+		err = fmt.Errorf("revision %d to %q in state %q", r.Revision, r.To, r.State)
+	}
+	if err != nil {
+		event.RolloutStoreFailed.Log(g.log, fmt.Errorf("decode: %w", err), log.Fields{"service": service, "version": raw.Version})
 		return raw, rolloutRecord{}, nil
 	}
 	return raw, r, nil
@@ -115,7 +129,7 @@
 	defer r.mu.Unlock()
 	var out []string
 	for name, s := range r.services {
-		if (s.needsRecord || s.isRunning()) && now >= s.nextRead {
+		if len(s.releases) > 0 && (s.needsRecord || s.isRunning()) && now >= s.nextRead {
 			s.nextRead = now + recordReadPeriod
 			out = append(out, name)
 		}
