--- a/internal/rollout/analysis.go
+++ b/internal/rollout/analysis.go
@@ -16,23 +16,30 @@
 	// minUnfinishedDifference is larger because answers in transit count as unfinished.
 	minUnfinishedDifference = 0.2
 	// abortLevel is the probability below which a difference is not taken for noise. It is
-	// small because it is tested several times a second, for each route and in several
-	// windows. finalLevel applies once, at the deadline.
-	abortLevel = 1e-5
-	finalLevel = 1e-3
+	// small because it is tested several times a second. finalLevel applies once, at the
+	// deadline. Both are for the whole service and time; the probability of differences in
+	// one of the windows or routes is multiplied by manyTests, as there are many of them.
+	abortLevel = 1e-4
+	finalLevel = 1e-2
+	manyTests  = 30
 	// minBad is the least number of bad answers that a verdict rests on.
 	minBad = 3
+	// leastVariance is assumed of the bucket of a single answer.
+	leastVariance = 0.25
 	// minBaseline is the number of answers of the old version that a comparison needs. A
 	// route with fewer is compared by its failures to all routes.
-	minBaseline = 20
+	minBaseline = 10
 	// unfinishedAfter is the age from which a call without answer counts as unfinished.
 	unfinishedAfter = 1500 * time.Millisecond
 	// biasedAbove is the number of answers from which the whole time is not compared while
 	// all calls go to the new version: its answers are then of another time than those of
 	// the old version, and the fleet's load may have changed.
-	biasedAbove = 300
+	biasedAbove = 60
 )
 
+// baselineStep is by how much a window is extended back for the old version.
+const baselineStep = 300 * time.Millisecond
+
 // windows are the times back from now that are compared, apart from the whole time.
 var windows = []time.Duration{time.Second, 3 * time.Second}
 
@@ -116,25 +123,35 @@
 	for _, r := range routes {
 		fresh, base := now.total.counts(New, r), now.total.counts(Old, r)
 		if !allNew || fresh.completed() < biasedAbove {
-			best = least(best, compareCounts(r, fresh, base, now.total.side(Old)))
+			best = least(best, compareCounts(r, fresh, base, now.total.side(Old)).among(r != ""))
 		}
 		for _, w := range windows {
 			from := before(history, now.at-w)
 			recent := fresh.minus(from.total.counts(New, r))
 			reference := base.minus(from.total.counts(Old, r))
-			if reference.completed() < max(minBaseline, recent.completed()/2) {
-				reference = base.minus(history[0].total.counts(Old, r))
+			// While few calls go to the old version, its last ones are the baseline.
+			for from.at > history[0].at && reference.completed() < max(minBaseline, recent.completed()/2) {
+				from = before(history, from.at-baselineStep)
+				reference = base.minus(from.total.counts(Old, r))
 			}
-			best = least(best, compareCounts(r, recent, reference, now.total.side(Old)))
+			best = least(best, compareCounts(r, recent, reference, now.total.side(Old)).among(true))
 		}
 		from := before(history, now.at-unfinishedAfter)
 		if now.at-from.at >= unfinishedAfter {
-			best = least(best, compareUnfinished(r, fresh, base, from.total))
+			best = least(best, compareUnfinished(r, fresh, base, from.total).among(true))
 		}
 	}
 	return best
 }
 
+// among returns the finding as one of many tests.
+func (f finding) among(many bool) finding {
+	if many {
+		f.probability = min(1, f.probability*manyTests)
+	}
+	return f
+}
+
 func least(a, b finding) finding {
 	if b.probability < a.probability {
 		return b
@@ -158,8 +175,8 @@
 		reference = all
 	}
 	if reference.completed() < minBaseline {
-		// Without a baseline one failure in twenty is taken for normal.
-		reference = Counts{Answered: 19, Failed: 1}
+		// Without a baseline one failure in thirty is taken for normal.
+		reference = Counts{Answered: 29, Failed: 1}
 	}
 	p := difference(fresh.Failed, n, reference.Failed, reference.completed(), minFailureDifference)
 	if p < out.probability {
@@ -174,6 +191,10 @@
 	if baseTotal < minBaseline {
 		return out
 	}
+	if p := shifted(fresh.Latency, base.Latency, freshTotal, baseTotal); p < out.probability {
+		out = finding{probability: p, slow: true, reason: fmt.Sprintf(
+			"%d answers were more than twice as slow on average as %d of the old version%s", freshTotal, baseTotal, on(route))}
+	}
 	// The buckets are powers of two: a version that is less than twice as slow has, for
 	// every i, at most as many answers from bucket i as the old one from bucket i-1. So a
 	// change across a bucket's limit alone never counts.
@@ -191,6 +212,32 @@
 	return out
 }
 
+// shifted returns the probability that noise alone makes the mean bucket of the new version
+// exceed that of the old one by more than one, which is a factor of two. No version that is
+// less than twice as slow has a mean shift above one, however the limits of buckets lie.
+func shifted(fresh, base [LatencyBuckets]int64, n, baseN int64) float64 {
+	if n < 2*minBad {
+		return 1
+	}
+	mean, variance := moments(fresh, n)
+	baseMean, baseVariance := moments(base, baseN)
+	// A few answers may all be in one bucket by chance.
+	variance = max(variance, baseVariance, leastVariance)
+	z := (mean - baseMean - 1) / math.Sqrt(variance/float64(n)+baseVariance/float64(baseN))
+	return math.Erfc(z/math.Sqrt2) / 2
+}
+
+// moments returns mean and variance of the bucket.
+func moments(h [LatencyBuckets]int64, n int64) (mean, variance float64) {
+	for i, k := range h {
+		mean += float64(i) * float64(k) / float64(n)
+	}
+	for i, k := range h {
+		variance += (float64(i) - mean) * (float64(i) - mean) * float64(k) / float64(n)
+	}
+	return mean, variance
+}
+
 // limit returns the lower limit of a latency bucket.
 func limit(bucket int) time.Duration { return 16 * time.Millisecond << (bucket - 1) }
 
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -26,14 +26,18 @@
 	rateWindow = 3 * time.Second
 	// leastRateTime is the least time over which a rate is taken as measured.
 	leastRateTime = 700 * time.Millisecond
-	// rateReserve allows for errors of the measured rate.
-	rateReserve = 1.03
 	// leastRate in requests per second is assumed where fewer are measured.
-	leastRate = 10
+	leastRate = 3
 	// canaryPart is the least part of the permitted exposures that is used before the
-	// switch, mostCanaryPart the most.
-	canaryPart     = 0.15
-	mostCanaryPart = 0.5
+	// switch, mostCanaryPart the most. A small service uses up to smallCanaryPart for
+	// canaryCalls, because it has too few answers to tell the versions apart otherwise.
+	canaryPart      = 0.15
+	mostCanaryPart  = 0.8
+	smallCanaryPart = 0.4
+	canaryCalls     = 40
+	// expectedLag is the least delay of counts; the requests of that time are expected in
+	// addition to those counted.
+	expectedLag = 200 * time.Millisecond
 	// mostCanaryShare keeps a concurrent baseline.
 	mostCanaryShare = 0.5
 	// switchPart is the most of the duration that the last phase may take.
@@ -50,8 +54,8 @@
 	latestDecision = 200 * time.Millisecond
 	// enoughAnswers of the new version, or enoughPart of the requests if these are fewer,
 	// are needed for done.
-	enoughAnswers = 20
-	enoughPart    = 0.05
+	enoughAnswers = 10
+	enoughPart    = 0.03
 )
 
 // decided is a share and the time from which it was.
@@ -179,6 +183,7 @@
 	if v.Complete && !c.complete {
 		c.complete, c.rateFrom = true, v.Elapsed
 		c.missing = max(0, float64(v.Recorded.Exposures-v.Total.side(New).Sent))
+		c.history = c.history[len(c.history)-1:]
 	}
 	c.sawOld = c.sawOld || v.OldServers > 0
 	c.observeSilence(v)
@@ -257,11 +262,12 @@
 func (c *Controller) budget(v View, left time.Duration) budget {
 	rate := c.rate(v)
 	known := max(requests(v.Total), float64(v.Recorded.Requests)) + c.hiddenRequests
-	expected := known + rate/rateReserve*max(0, left.Seconds())
+	expected := known + rate*(max(0, left)+expectedLag).Seconds()
 	bound := v.Bounds.ExposureShare*expected + v.Bounds.ExposureSlack
-	b := budget{rate: max(rate*rateReserve, leastRate)}
-	// Which calls go to the new version is chosen by chance: two standard deviations.
-	b.permitted = max(0, bound*0.99-2*math.Sqrt(bound))
+	// One standard deviation of the measured rate, and one and a half of the number of
+	// calls, which are chosen by chance.
+	b := budget{rate: max(rate+math.Sqrt(rate/rateWindow.Seconds()), leastRate)}
+	b.permitted = max(0, bound*0.99-1.5*math.Sqrt(bound))
 	counted := float64(v.Total.side(New).Sent) + c.missing + c.hiddenExposures
 	b.spent = counted + b.rate*c.pending(v.Elapsed, reportLag)
 	b.likely = counted + b.rate*c.pending(v.Elapsed, reportLag/2)
@@ -340,7 +346,8 @@
 	allowed := (b.permitted - b.spent) / b.rate
 	callTime := float64(v.OldCalls) / b.rate
 	wanted := (fullTime + lead).Seconds() + 4*callTime
-	canary := b.permitted * min(max(1-wanted*b.rate/max(b.permitted, 1), canaryPart), mostCanaryPart)
+	least := max(canaryPart, min(smallCanaryPart, canaryCalls/max(b.permitted, 1)))
+	canary := b.permitted * min(max(1-wanted*b.rate/max(b.permitted, 1), least), mostCanaryPart)
 	last := min(allowed, wanted, switchPart*v.Order.Duration.Seconds())
 	if last < wanted {
 		last = min(last+leastGrantDelay.Seconds(), wanted)
--- a/internal/rollout/simulation_test.go
+++ b/internal/rollout/simulation_test.go
@@ -168,7 +168,11 @@
 		}
 		if !cut && r.Float64() >= messageLoss && (!f.zoneSilent || i%6 != 0 || !part(now, 0.3, 0.6)) {
 			counts := m.counts
-			at(now+lag(), func() { m.heard, m.heardAt = counts, now })
+			at(now+lag(), func() {
+				if now > m.heardAt {
+					m.heard, m.heardAt = counts, now
+				}
+			})
 		}
 	}
 	step := func(now time.Duration) {
