--- a/internal/rollout/analysis.go
+++ b/internal/rollout/analysis.go
@@ -19,9 +19,13 @@
 	// small because it is tested several times a second. finalLevel applies once, at the
 	// deadline. Both are for the whole service and time; the probability of differences in
 	// one of the windows or routes is multiplied by manyTests, as there are many of them.
-	abortLevel = 1e-4
-	finalLevel = 1e-2
-	manyTests  = 30
+	abortLevel = 1e-5
+	finalLevel = 1e-3
+	manyTests  = 10
+	// Below smallSample answers in all the probability is divided by smallFactor: a bad
+	// version is then missed more often than a good one has three failures.
+	smallSample = 60
+	smallFactor = 5
 	// minBad is the least number of bad answers that a verdict rests on.
 	minBad = 3
 	// leastVariance is assumed of the bucket of a single answer.
@@ -29,12 +33,17 @@
 	// minBaseline is the number of answers of the old version that a comparison needs. A
 	// route with fewer is compared by its failures to all routes.
 	minBaseline = 10
+	// A finding must hold at confirmLevel against each confirmPart of the last seconds of
+	// the old version that has leastLatest answers.
+	confirmPart  = 600 * time.Millisecond
+	confirmLevel = 0.05
+	leastLatest  = 50
 	// unfinishedAfter is the age from which a call without answer counts as unfinished.
 	unfinishedAfter = 1500 * time.Millisecond
 	// biasedAbove is the number of answers from which the whole time is not compared while
 	// all calls go to the new version: its answers are then of another time than those of
 	// the old version, and the fleet's load may have changed.
-	biasedAbove = 60
+	biasedAbove = 100
 )
 
 // baselineStep is by how much a window is extended back for the old version.
@@ -112,19 +121,24 @@
 
 // compare returns the most significant difference in the evidence up to now. The history
 // is in order of time; its last sample is the newest. With allNew set, all calls go to the
-// new version.
-func compare(history []sample, allNew bool) finding {
+// new version. The comparison of the whole time leaves out what is in since.
+func compare(history []sample, since Evidence, allNew bool) finding {
 	best := finding{probability: 1}
 	if len(history) == 0 {
 		return best
 	}
 	now := history[len(history)-1]
-	routes := now.total.routes()
-	for _, r := range routes {
+	all := now.total.side(Old)
+	for _, r := range now.total.routes() {
 		fresh, base := now.total.counts(New, r), now.total.counts(Old, r)
+		if since != nil {
+			fresh, base = fresh.minus(since.counts(New, r)), base.minus(since.counts(Old, r))
+		}
 		if !allNew || fresh.completed() < biasedAbove {
-			best = least(best, compareCounts(r, fresh, base, now.total.side(Old)).among(r != ""))
+			whole := confirm(compareCounts(r, fresh, base, all), r, fresh, history)
+			best = least(best, whole.among(r != ""))
 		}
+		fresh, base = now.total.counts(New, r), now.total.counts(Old, r)
 		for _, w := range windows {
 			from := before(history, now.at-w)
 			recent := fresh.minus(from.total.counts(New, r))
@@ -134,16 +148,40 @@
 				from = before(history, from.at-baselineStep)
 				reference = base.minus(from.total.counts(Old, r))
 			}
-			best = least(best, compareCounts(r, recent, reference, now.total.side(Old)).among(true))
+			part := confirm(compareCounts(r, recent, reference, all), r, recent, history)
+			best = least(best, part.among(true))
 		}
 		from := before(history, now.at-unfinishedAfter)
 		if now.at-from.at >= unfinishedAfter {
 			best = least(best, compareUnfinished(r, fresh, base, from.total).among(true))
 		}
 	}
+	if now.total.side(New).completed() < smallSample {
+		best.probability /= smallFactor
+	}
 	return best
 }
 
+// confirm drops a finding that does not hold against each part of the last seconds of the
+// old version that has enough answers. The answers of the new version may be of another time
+// than most of the old one's, and the fleet's load may have changed meanwhile.
+func confirm(f finding, route string, fresh Counts, history []sample) finding {
+	if f.probability > 2*finalLevel {
+		return f
+	}
+	end := history[len(history)-1]
+	first := end.at - windows[len(windows)-1]
+	for end.at > first && end.at > history[0].at {
+		start := before(history, end.at-confirmPart)
+		part := end.total.counts(Old, route).minus(start.total.counts(Old, route))
+		if part.completed() >= leastLatest && compareCounts(route, fresh, part, part).probability > confirmLevel {
+			return finding{probability: 1}
+		}
+		end = start
+	}
+	return f
+}
+
 // among returns the finding as one of many tests.
 func (f finding) among(many bool) finding {
 	if many {
--- a/internal/rollout/applied.go
+++ b/internal/rollout/applied.go
@@ -54,7 +54,9 @@
 		return 1
 	case a.Expired(now):
 		return 0
-	case a.grant.Last > 0 && a.deadline < math.MaxInt64 && now >= a.deadline-a.grant.Last:
+	}
+	if left := a.deadline - now; a.deadline < math.MaxInt64 &&
+		(left <= a.grant.Last && a.grant.Last > 0 || left <= a.grant.Probe && left > a.grant.ProbeEnd) {
 		return 1
 	}
 	return a.grant.Share
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -16,9 +16,6 @@
 	// reportLag is how long calls may be missing from the counts: the delay of the grant
 	// that allowed them and of the counts, 0.2 to 0.6 s each, on average over the VMs.
 	reportLag = time.Second
-	// leastGrantDelay is the least time that a grant takes to most VMs. A switch announced
-	// as Last happens that much later at them.
-	leastGrantDelay = 150 * time.Millisecond
 	// announceTime is how long before the switch it is announced, so that a lost message
 	// and the slowest VM do not delay it.
 	announceTime = time.Second
@@ -28,13 +25,23 @@
 	leastRateTime = 700 * time.Millisecond
 	// leastRate in requests per second is assumed where fewer are measured.
 	leastRate = 3
+	// A probe under full load is made if the last phase is too short to show a fault under
+	// load and to let the counts arrive: for probeCalls, within the limits, and at most
+	// probePart of the exposures that are left. With less than fewestCalls it would show
+	// nothing. Its counts arrive in probeReport.
+	leastProbe  = 150 * time.Millisecond
+	mostProbe   = 300 * time.Millisecond
+	probeCalls  = 50
+	fewestCalls = 20
+	probePart   = 0.35
+	probeReport = 800 * time.Millisecond
 	// canaryPart is the least part of the permitted exposures that is used before the
 	// switch, mostCanaryPart the most. A small service uses up to smallCanaryPart for
 	// canaryCalls, because it has too few answers to tell the versions apart otherwise.
-	canaryPart      = 0.15
+	canaryPart      = 0.1
 	mostCanaryPart  = 0.8
 	smallCanaryPart = 0.4
-	canaryCalls     = 40
+	canaryCalls     = 45
 	// expectedLag is the least delay of counts; the requests of that time are expected in
 	// addition to those counted.
 	expectedLag = 200 * time.Millisecond
@@ -89,6 +96,13 @@
 	// oldSentAt is when the number of calls to the old version last changed.
 	oldSentAt time.Duration
 	sawOld    bool
+	// probe and probeEnd are the time left at which the probe begins and ends, zero if
+	// there is none.
+	probe    time.Duration
+	probeEnd time.Duration
+	// since is the evidence at the end of the probe. Most answers of the new version up to
+	// then may be of the probe, that is of another time than those of the old one.
+	since Evidence
 }
 
 // NewController returns a controller that has decided nothing.
@@ -106,7 +120,7 @@
 	d := c.decide(v)
 	c.now = v.Elapsed
 	if d.State != Running {
-		d.Last = 0
+		d.Last, d.Probe, d.ProbeEnd = 0, 0, 0
 	}
 	if d.Share < 1 {
 		c.fullSince = -1
@@ -141,11 +155,20 @@
 	}
 	c.observe(v)
 	full := c.fullSince >= 0
-	found := compare(c.history, full)
-	if reason, bad := c.bad(found, v.Elapsed); bad {
+	found := compare(c.history, c.since, full)
+	left := v.Order.Duration - v.Elapsed
+	// The old version has no answers of the time of the probe, and the fleet's load may
+	// have changed, so the verdict waits for its next ones.
+	probing := left <= c.probe && left > c.probeEnd-probeReport
+	if reason, bad := c.bad(found, v.Elapsed); bad && !probing {
 		return rolledBack(reason)
 	}
-	left := v.Order.Duration - v.Elapsed
+	if c.probe > 0 && !probing && left <= c.probe && c.since == nil {
+		if found.probability < finalLevel {
+			return rolledBack("under full load " + found.reason)
+		}
+		c.since = maps.Clone(v.Total)
+	}
 	if left <= leadTime(v.Order) {
 		if d := c.finish(v, found, left); d.State != Running || left <= latestDecision {
 			return d
@@ -269,6 +292,9 @@
 	b := budget{rate: max(rate+math.Sqrt(rate/rateWindow.Seconds()), leastRate)}
 	b.permitted = max(0, bound*0.99-1.5*math.Sqrt(bound))
 	counted := float64(v.Total.side(New).Sent) + c.missing + c.hiddenExposures
+	if c.probe > 0 && left > c.probeEnd-reportLag {
+		counted += b.rate * (c.probe - c.probeEnd).Seconds()
+	}
 	b.spent = counted + b.rate*c.pending(v.Elapsed, reportLag)
 	b.likely = counted + b.rate*c.pending(v.Elapsed, reportLag/2)
 	return b
@@ -350,7 +376,7 @@
 	canary := b.permitted * min(max(1-wanted*b.rate/max(b.permitted, 1), least), mostCanaryPart)
 	last := min(allowed, wanted, switchPart*v.Order.Duration.Seconds())
 	if last < wanted {
-		last = min(last+leastGrantDelay.Seconds(), wanted)
+		last = min(last+v.GrantDelay.Seconds(), wanted)
 	}
 	switchAt := time.Duration(last * float64(time.Second))
 	if f.probability < finalLevel {
@@ -365,6 +391,17 @@
 	if switchAt > 0 && left <= switchAt+announceTime && c.reachable(v) {
 		d.Last = switchAt
 	}
+	if c.probe == 0 && f.probability >= finalLevel && last < wanted && c.reachable(v) {
+		length := min(max(probeCalls/b.rate, leastProbe.Seconds()), mostProbe.Seconds(), probePart*allowed)
+		probe := time.Duration(length * float64(time.Second))
+		start := switchAt + announceTime + probeReport
+		if left <= start+announceTime && left > start && length*b.rate >= fewestCalls {
+			c.probe, c.probeEnd = start, start-probe
+		}
+	}
+	if c.probe > 0 && f.probability >= finalLevel && left > c.probeEnd {
+		d.Probe, d.ProbeEnd = c.probe, c.probeEnd
+	}
 	return d
 }
 
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -110,6 +110,10 @@
 	// grants take 0.2 to 0.6 s to reach them.
 	Left time.Duration
 	Last time.Duration
+	// All calls also go to the new version while the time left is at most Probe and more
+	// than ProbeEnd: a short test under full load.
+	Probe    time.Duration
+	ProbeEnd time.Duration
 }
 
 // Newer reports whether g replaces o.
@@ -141,6 +145,9 @@
 	OldServers int
 	// OldCalls is the number of calls in progress on servers of other versions.
 	OldCalls int
+	// GrantDelay is the least time that a grant takes to reach other VMs, and zero if that
+	// is not known. Planned switches happen that much later at them.
+	GrantDelay time.Duration
 	// Complete is set once the counts of all known VMs have been heard since this owner
 	// took over, or that has taken too long.
 	Complete bool
@@ -161,8 +168,10 @@
 type Decision struct {
 	State State
 	Share float64
-	// Last is to be sent as Grant.Last; zero if no switch is planned.
-	Last time.Duration
+	// Last, Probe and ProbeEnd are to be sent in the grant; zero if nothing is planned.
+	Last     time.Duration
+	Probe    time.Duration
+	ProbeEnd time.Duration
 	// Reason says in a few words why.
 	Reason string
 }
