--- a/internal/rollout/analysis.go
+++ b/internal/rollout/analysis.go
@@ -22,10 +22,12 @@
 	abortLevel = 1e-5
 	finalLevel = 1e-3
 	manyTests  = 10
-	// Below smallSample answers in all the probability is divided by smallFactor: a bad
-	// version is then missed more often than a good one has three failures.
-	smallSample = 60
-	smallFactor = 5
+	// Below smallSample answers of the new version and smallService of the old one the
+	// probability is divided by smallFactor: a bad version is then missed more often than a
+	// good one has three failures.
+	smallSample  = 60
+	smallService = 500
+	smallFactor  = 5
 	// minBad is the least number of bad answers that a verdict rests on.
 	minBad = 3
 	// leastVariance is assumed of the bucket of a single answer.
@@ -61,6 +63,23 @@
 	total Evidence
 }
 
+// scope says which comparisons are fair.
+type scope struct {
+	// allNew is set while all calls go to the new version.
+	allNew bool
+	// uneven is set if the share has varied: the answers of the new version may be of
+	// another time than most of the old one's.
+	uneven bool
+	// since is left out of the comparison of the whole time.
+	since sample
+	// From probeStart to tailEnd the answers that arrive are mainly slow ones of the probe.
+	// Latencies are not compared over times that begin then.
+	probeStart time.Duration
+	tailEnd    time.Duration
+}
+
+func (s scope) biased(from time.Duration) bool { return from > s.probeStart && from <= s.tailEnd }
+
 // finding is the most significant difference between the versions.
 type finding struct {
 	probability float64
@@ -121,8 +140,8 @@
 
 // compare returns the most significant difference in the evidence up to now. The history
 // is in order of time; its last sample is the newest. With allNew set, all calls go to the
-// new version. The comparison of the whole time leaves out what is in since.
-func compare(history []sample, since Evidence, allNew bool) finding {
+// new version.
+func compare(history []sample, s scope) finding {
 	best := finding{probability: 1}
 	if len(history) == 0 {
 		return best
@@ -131,24 +150,36 @@
 	all := now.total.side(Old)
 	for _, r := range now.total.routes() {
 		fresh, base := now.total.counts(New, r), now.total.counts(Old, r)
-		if since != nil {
-			fresh, base = fresh.minus(since.counts(New, r)), base.minus(since.counts(Old, r))
+		if s.since.total != nil {
+			fresh, base = fresh.minus(s.since.total.counts(New, r)), base.minus(s.since.total.counts(Old, r))
+			if s.biased(s.since.at) {
+				fresh.Latency = [LatencyBuckets]int64{}
+			}
 		}
-		if !allNew || fresh.completed() < biasedAbove {
-			whole := confirm(compareCounts(r, fresh, base, all), r, fresh, history)
+		if !s.allNew || fresh.completed() < biasedAbove {
+			whole := compareCounts(r, fresh, base, all)
+			if s.uneven {
+				whole = confirm(whole, r, fresh, history)
+			}
 			best = least(best, whole.among(r != ""))
 		}
 		fresh, base = now.total.counts(New, r), now.total.counts(Old, r)
 		for _, w := range windows {
 			from := before(history, now.at-w)
 			recent := fresh.minus(from.total.counts(New, r))
+			if s.biased(from.at) {
+				recent.Latency = [LatencyBuckets]int64{}
+			}
 			reference := base.minus(from.total.counts(Old, r))
 			// While few calls go to the old version, its last ones are the baseline.
 			for from.at > history[0].at && reference.completed() < max(minBaseline, recent.completed()/2) {
 				from = before(history, from.at-baselineStep)
 				reference = base.minus(from.total.counts(Old, r))
 			}
-			part := confirm(compareCounts(r, recent, reference, all), r, recent, history)
+			part := compareCounts(r, recent, reference, all)
+			if s.uneven {
+				part = confirm(part, r, recent, history)
+			}
 			best = least(best, part.among(true))
 		}
 		from := before(history, now.at-unfinishedAfter)
@@ -156,15 +187,14 @@
 			best = least(best, compareUnfinished(r, fresh, base, from.total).among(true))
 		}
 	}
-	if now.total.side(New).completed() < smallSample {
+	if now.total.side(New).completed() < smallSample && all.completed() < smallService {
 		best.probability /= smallFactor
 	}
 	return best
 }
 
 // confirm drops a finding that does not hold against each part of the last seconds of the
-// old version that has enough answers. The answers of the new version may be of another time
-// than most of the old one's, and the fleet's load may have changed meanwhile.
+// old version that has enough answers, because the fleet's load may have changed.
 func confirm(f finding, route string, fresh Counts, history []sample) finding {
 	if f.probability > 2*finalLevel {
 		return f
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -34,7 +34,9 @@
 	probeCalls  = 50
 	fewestCalls = 20
 	probePart   = 0.35
-	probeReport = 800 * time.Millisecond
+	probeReport = 1200 * time.Millisecond
+	// probeTail is the time after the probe in which its slow answers arrive.
+	probeTail = 2500 * time.Millisecond
 	// canaryPart is the least part of the permitted exposures that is used before the
 	// switch, mostCanaryPart the most. A small service uses up to smallCanaryPart for
 	// canaryCalls, because it has too few answers to tell the versions apart otherwise.
@@ -102,7 +104,9 @@
 	probeEnd time.Duration
 	// since is the evidence at the end of the probe. Most answers of the new version up to
 	// then may be of the probe, that is of another time than those of the old one.
-	since Evidence
+	since sample
+	// doubt is the finding before the probe.
+	doubt finding
 }
 
 // NewController returns a controller that has decided nothing.
@@ -155,19 +159,26 @@
 	}
 	c.observe(v)
 	full := c.fullSince >= 0
-	found := compare(c.history, c.since, full)
 	left := v.Order.Duration - v.Elapsed
+	scope := scope{allNew: full, uneven: full || left <= c.probe, since: c.since}
+	if c.probe > 0 {
+		scope.probeStart, scope.tailEnd = v.Order.Duration-c.probe, v.Order.Duration-c.probeEnd+probeTail
+	}
+	found := compare(c.history, scope)
 	// The old version has no answers of the time of the probe, and the fleet's load may
 	// have changed, so the verdict waits for its next ones.
 	probing := left <= c.probe && left > c.probeEnd-probeReport
 	if reason, bad := c.bad(found, v.Elapsed); bad && !probing {
 		return rolledBack(reason)
 	}
-	if c.probe > 0 && !probing && left <= c.probe && c.since == nil {
+	if left > c.probe || c.probe == 0 {
+		c.doubt = found
+	}
+	if c.probe > 0 && !probing && left <= c.probe && c.since.total == nil {
 		if found.probability < finalLevel {
 			return rolledBack("under full load " + found.reason)
 		}
-		c.since = maps.Clone(v.Total)
+		c.since = c.history[len(c.history)-1]
 	}
 	if left <= leadTime(v.Order) {
 		if d := c.finish(v, found, left); d.State != Running || left <= latestDecision {
@@ -333,6 +344,8 @@
 	switch {
 	case f.probability < finalLevel:
 		return rolledBack("not proven good by the deadline: " + f.reason)
+	case c.probe > 0 && c.doubt.probability < finalLevel:
+		return rolledBack("not proven good by the deadline: " + c.doubt.reason)
 	case v.NewServers == 0:
 		return rolledBack("no servers of the new version by the deadline")
 	case float64(fresh.completed()) < min(enoughAnswers, enoughPart*requests(v.Total)):
@@ -391,15 +404,15 @@
 	if switchAt > 0 && left <= switchAt+announceTime && c.reachable(v) {
 		d.Last = switchAt
 	}
-	if c.probe == 0 && f.probability >= finalLevel && last < wanted && c.reachable(v) {
+	if c.probe == 0 && last < wanted && c.reachable(v) {
 		length := min(max(probeCalls/b.rate, leastProbe.Seconds()), mostProbe.Seconds(), probePart*allowed)
 		probe := time.Duration(length * float64(time.Second))
-		start := switchAt + announceTime + probeReport
+		start := time.Duration(last*float64(time.Second)) + announceTime + probeReport
 		if left <= start+announceTime && left > start && length*b.rate >= fewestCalls {
 			c.probe, c.probeEnd = start, start-probe
 		}
 	}
-	if c.probe > 0 && f.probability >= finalLevel && left > c.probeEnd {
+	if c.probe > 0 && left > c.probeEnd {
 		d.Probe, d.ProbeEnd = c.probe, c.probeEnd
 	}
 	return d
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -1,6 +1,3 @@
-// Package rollout decides how much of a service's traffic goes to the servers of another
-// software version. It has no network, clock or goroutines: the owner of a roll-out calls
-// Controller.Step with what it knows, and every VM keeps the newest Grant in an Applied.
 package rollout
 
 import (
