--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -16,9 +16,6 @@
 	// reportLag is how long calls may be missing from the counts: the delay of the grant
 	// that allowed them and of the counts, 0.2 to 0.6 s each, on average over the VMs.
 	reportLag = time.Second
-	// leastGrantDelay is the least time that a grant takes to most VMs. A switch announced
-	// as Last happens that much later at them.
-	leastGrantDelay = 150 * time.Millisecond
 	// announceTime is how long before the switch it is announced, so that a lost message
 	// and the slowest VM do not delay it.
 	announceTime = time.Second
@@ -26,14 +23,30 @@
 	rateWindow = 3 * time.Second
 	// leastRateTime is the least time over which a rate is taken as measured.
 	leastRateTime = 700 * time.Millisecond
-	// rateReserve allows for errors of the measured rate.
-	rateReserve = 1.03
 	// leastRate in requests per second is assumed where fewer are measured.
-	leastRate = 10
+	leastRate = 3
+	// A probe under full load is made if the last phase is too short to show a fault under
+	// load and to let the counts arrive: for probeCalls, within the limits, and at most
+	// probePart of the exposures that are left. With less than fewestCalls it would show
+	// nothing. Its counts arrive in probeReport.
+	leastProbe  = 150 * time.Millisecond
+	mostProbe   = 300 * time.Millisecond
+	probeCalls  = 50
+	fewestCalls = 20
+	probePart   = 0.35
+	probeReport = 1200 * time.Millisecond
+	// probeTail is the time after the probe in which its slow answers arrive.
+	probeTail = 2500 * time.Millisecond
 	// canaryPart is the least part of the permitted exposures that is used before the
-	// switch, mostCanaryPart the most.
-	canaryPart     = 0.15
-	mostCanaryPart = 0.5
+	// switch, mostCanaryPart the most. A small service uses up to smallCanaryPart for
+	// canaryCalls, because it has too few answers to tell the versions apart otherwise.
+	canaryPart      = 0.1
+	mostCanaryPart  = 0.8
+	smallCanaryPart = 0.4
+	canaryCalls     = 45
+	// expectedLag is the least delay of counts; the requests of that time are expected in
+	// addition to those counted.
+	expectedLag = 200 * time.Millisecond
 	// mostCanaryShare keeps a concurrent baseline.
 	mostCanaryShare = 0.5
 	// switchPart is the most of the duration that the last phase may take.
@@ -50,8 +63,8 @@
 	latestDecision = 200 * time.Millisecond
 	// enoughAnswers of the new version, or enoughPart of the requests if these are fewer,
 	// are needed for done.
-	enoughAnswers = 20
-	enoughPart    = 0.05
+	enoughAnswers = 10
+	enoughPart    = 0.03
 )
 
 // decided is a share and the time from which it was.
@@ -85,6 +98,15 @@
 	// oldSentAt is when the number of calls to the old version last changed.
 	oldSentAt time.Duration
 	sawOld    bool
+	// probe and probeEnd are the time left at which the probe begins and ends, zero if
+	// there is none.
+	probe    time.Duration
+	probeEnd time.Duration
+	// since is the evidence at the end of the probe. Most answers of the new version up to
+	// then may be of the probe, that is of another time than those of the old one.
+	since sample
+	// doubt is the finding before the probe.
+	doubt finding
 }
 
 // NewController returns a controller that has decided nothing.
@@ -102,7 +124,7 @@
 	d := c.decide(v)
 	c.now = v.Elapsed
 	if d.State != Running {
-		d.Last = 0
+		d.Last, d.Probe, d.ProbeEnd = 0, 0, 0
 	}
 	if d.Share < 1 {
 		c.fullSince = -1
@@ -137,11 +159,27 @@
 	}
 	c.observe(v)
 	full := c.fullSince >= 0
-	found := compare(c.history, full)
-	if reason, bad := c.bad(found, v.Elapsed); bad {
+	left := v.Order.Duration - v.Elapsed
+	scope := scope{allNew: full, uneven: full || left <= c.probe, since: c.since}
+	if c.probe > 0 {
+		scope.probeStart, scope.tailEnd = v.Order.Duration-c.probe, v.Order.Duration-c.probeEnd+probeTail
+	}
+	found := compare(c.history, scope)
+	// The old version has no answers of the time of the probe, and the fleet's load may
+	// have changed, so the verdict waits for its next ones.
+	probing := left <= c.probe && left > c.probeEnd-probeReport
+	if reason, bad := c.bad(found, v.Elapsed); bad && !probing {
 		return rolledBack(reason)
 	}
-	left := v.Order.Duration - v.Elapsed
+	if left > c.probe || c.probe == 0 {
+		c.doubt = found
+	}
+	if c.probe > 0 && !probing && left <= c.probe && c.since.total == nil {
+		if found.probability < finalLevel {
+			return rolledBack("under full load " + found.reason)
+		}
+		c.since = c.history[len(c.history)-1]
+	}
 	if left <= leadTime(v.Order) {
 		if d := c.finish(v, found, left); d.State != Running || left <= latestDecision {
 			return d
@@ -179,6 +217,7 @@
 	if v.Complete && !c.complete {
 		c.complete, c.rateFrom = true, v.Elapsed
 		c.missing = max(0, float64(v.Recorded.Exposures-v.Total.side(New).Sent))
+		c.history = c.history[len(c.history)-1:]
 	}
 	c.sawOld = c.sawOld || v.OldServers > 0
 	c.observeSilence(v)
@@ -257,12 +296,16 @@
 func (c *Controller) budget(v View, left time.Duration) budget {
 	rate := c.rate(v)
 	known := max(requests(v.Total), float64(v.Recorded.Requests)) + c.hiddenRequests
-	expected := known + rate/rateReserve*max(0, left.Seconds())
+	expected := known + rate*(max(0, left)+expectedLag).Seconds()
 	bound := v.Bounds.ExposureShare*expected + v.Bounds.ExposureSlack
-	b := budget{rate: max(rate*rateReserve, leastRate)}
-	// Which calls go to the new version is chosen by chance: two standard deviations.
-	b.permitted = max(0, bound*0.99-2*math.Sqrt(bound))
+	// One standard deviation of the measured rate, and one and a half of the number of
+	// calls, which are chosen by chance.
+	b := budget{rate: max(rate+math.Sqrt(rate/rateWindow.Seconds()), leastRate)}
+	b.permitted = max(0, bound*0.99-1.5*math.Sqrt(bound))
 	counted := float64(v.Total.side(New).Sent) + c.missing + c.hiddenExposures
+	if c.probe > 0 && left > c.probeEnd-reportLag {
+		counted += b.rate * (c.probe - c.probeEnd).Seconds()
+	}
 	b.spent = counted + b.rate*c.pending(v.Elapsed, reportLag)
 	b.likely = counted + b.rate*c.pending(v.Elapsed, reportLag/2)
 	return b
@@ -301,6 +344,8 @@
 	switch {
 	case f.probability < finalLevel:
 		return rolledBack("not proven good by the deadline: " + f.reason)
+	case c.probe > 0 && c.doubt.probability < finalLevel:
+		return rolledBack("not proven good by the deadline: " + c.doubt.reason)
 	case v.NewServers == 0:
 		return rolledBack("no servers of the new version by the deadline")
 	case float64(fresh.completed()) < min(enoughAnswers, enoughPart*requests(v.Total)):
@@ -340,10 +385,11 @@
 	allowed := (b.permitted - b.spent) / b.rate
 	callTime := float64(v.OldCalls) / b.rate
 	wanted := (fullTime + lead).Seconds() + 4*callTime
-	canary := b.permitted * min(max(1-wanted*b.rate/max(b.permitted, 1), canaryPart), mostCanaryPart)
+	least := max(canaryPart, min(smallCanaryPart, canaryCalls/max(b.permitted, 1)))
+	canary := b.permitted * min(max(1-wanted*b.rate/max(b.permitted, 1), least), mostCanaryPart)
 	last := min(allowed, wanted, switchPart*v.Order.Duration.Seconds())
 	if last < wanted {
-		last = min(last+leastGrantDelay.Seconds(), wanted)
+		last = min(last+v.GrantDelay.Seconds(), wanted)
 	}
 	switchAt := time.Duration(last * float64(time.Second))
 	if f.probability < finalLevel {
@@ -358,6 +404,17 @@
 	if switchAt > 0 && left <= switchAt+announceTime && c.reachable(v) {
 		d.Last = switchAt
 	}
+	if c.probe == 0 && last < wanted && c.reachable(v) {
+		length := min(max(probeCalls/b.rate, leastProbe.Seconds()), mostProbe.Seconds(), probePart*allowed)
+		probe := time.Duration(length * float64(time.Second))
+		start := time.Duration(last*float64(time.Second)) + announceTime + probeReport
+		if left <= start+announceTime && left > start && length*b.rate >= fewestCalls {
+			c.probe, c.probeEnd = start, start-probe
+		}
+	}
+	if c.probe > 0 && left > c.probeEnd {
+		d.Probe, d.ProbeEnd = c.probe, c.probeEnd
+	}
 	return d
 }
 
