--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -170,13 +170,18 @@
 	}
 }
 
-// awaitRecord makes pending releases wait until the record has been read.
+// awaitsRecord reports whether no server may be used until the record has been read.
+func (s *serviceRollout) awaitsRecord(now time.Duration) bool {
+	return s.needsRecord && now < s.recordBy
+}
+
+// awaitRecord makes the service wait until the record has been read.
 func (s *serviceRollout) awaitRecord(now time.Duration) {
 	s.needsRecord, s.recordBy, s.nextRead = true, now+recordReadPeriod, now
 }
 
 func (s *serviceRollout) acceptPending(confirmedAt time.Duration) {
-	if s.needsRecord && confirmedAt < s.recordBy {
+	if s.awaitsRecord(confirmedAt) {
 		return
 	}
 	for release, x := range s.releases {
@@ -195,7 +200,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, s := range r.services {
-		if s.needsRecord && r.confirmedAt < s.recordBy {
+		if s.awaitsRecord(r.confirmedAt) {
 			return false
 		}
 	}
@@ -355,6 +360,10 @@
 	for i := range statuses {
 		release := statuses[i].Server.Release
 		switch {
+		case !r.tableConfirmed || s.awaitsRecord(now):
+			// There may be an order, or its rollout may be done and the old servers about to
+			// stop.
+			x.excluded[i] = true
 		case s.isTarget(release) && final:
 			x.excluded[i] = share <= 0
 		case s.isTarget(release):
@@ -419,6 +428,9 @@
 	if s == nil {
 		return true
 	}
+	if !r.tableConfirmed || s.awaitsRecord(now) {
+		return false
+	}
 	if !s.isTarget(release) {
 		return s.class(release) == releaseAccepted
 	}
--- a/internal/gateway/rollout_owner.go
+++ b/internal/gateway/rollout_owner.go
@@ -383,8 +383,14 @@
 	})
 }
 
+// oldCalls returns the number of calls of all VMs on servers of other releases.
+func (g *Gateway) oldCalls(o *ownedRollout, now time.Duration) int {
+	return g.table.CallsOn(o.order.Service, func(s backend.Server) bool { return s.Release != o.order.To }, now)
+}
+
 // end tells the platform of a final state that has been recorded. It tells of a rollout
-// that is done only after the VMs have had time to learn of it.
+// that is done only after the VMs have had time to learn of it and, if the deadline
+// allows, the calls on old servers have ended.
 func (w *rolloutOwner) end(ctx context.Context, o *ownedRollout) error {
 	now := w.g.now()
 	if o.endedAt == 0 {
@@ -394,7 +400,10 @@
 		o.share = 1
 	}
 	deadline := o.startedAt + o.order.Duration - reportMargin
-	if o.record.Reported || o.record.State == rollout.Done && now < min(o.endedAt+doneNotice, deadline) {
+	if o.record.Reported {
+		return nil
+	}
+	if o.record.State == rollout.Done && now < deadline && (now < o.endedAt+doneNotice || w.g.oldCalls(o, now) > 0) {
 		return nil
 	}
 	if o.reportedState != o.record.State {
@@ -465,7 +474,7 @@
 			v.OldServers++
 		}
 	}
-	v.OldCalls = g.table.CallsOn(o.order.Service, func(s backend.Server) bool { return s.Release != o.order.To }, now)
+	v.OldCalls = g.oldCalls(o, now)
 	vms := g.node.RecentVMs(knownVMAge)
 	g.rollouts.mu.Lock()
 	defer g.rollouts.mu.Unlock()
--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -229,6 +229,7 @@
 		after string
 	}{
 		{"owner dies", rollout.Running, "v1"},
+		{"store unavailable", rollout.Running, "v1"},
 		{"rolled back", rollout.RolledBack, "v1"},
 		{"done", rollout.Done, "v2"},
 	}
@@ -243,7 +244,12 @@
 			r.controller.set(rollout.Running, 0.5)
 			require.Eventually(t, func() bool { u := r.used(g); return u["v1"] > 0 && u["v2"] > 0 }, 5*time.Second, 5*time.Millisecond)
 			if tt.state == rollout.Running {
-				stopOwner(g)
+				if tt.name == "store unavailable" {
+					r.adapter.operators.setMute(true)
+					time.Sleep(declarationsLongPollWait + feed.LongPollGrace + rolloutStepPeriod)
+				} else {
+					stopOwner(g)
+				}
 				time.Sleep(rollout.GrantTTL)
 				require.Equal(t, map[string]int{"v1": 60}, r.used(g))
 				return
@@ -412,6 +418,28 @@
 	}, 5*time.Second, 5*time.Millisecond)
 }
 
+// A VM that started while the order of a rollout that was done was in force sent calls to
+// the old servers, which had stopped, before it read the record.
+func TestStartingVMWaitsForRecord(t *testing.T) {
+	r := newRollouts(Settings{FirstStart: true, Bounds: Bounds{Exposure: &ExposureBounds{}}})
+	statuses := []backend.Status{{Server: backend.Server{Release: "v1"}}, {Server: backend.Server{Release: "v2"}}}
+	excluded := func() []bool {
+		return r.restrict(&forwardedCall{call: &Call{ID: "id"}}, "s", statuses, 5*time.Millisecond).excluded
+	}
+	r.observe("s", "v1", 0)
+	r.observe("s", "v2", 0)
+	require.Equal(t, []bool{true, true}, excluded(), "the operators' table is not known")
+	r.setOrder("row", rollout.Order{Service: "s", To: "v2", Revision: 7}, time.Millisecond)
+	r.completeList(2 * time.Millisecond)
+	r.confirmTable(3 * time.Millisecond)
+	require.Equal(t, []bool{true, true}, excluded())
+	require.False(t, r.settled())
+	require.Equal(t, []string{"s"}, r.recordsToRead(4*time.Millisecond))
+	r.applyRecord("s", rolloutRecord{Revision: 7, To: "v2", State: rollout.Done, Old: []string{"v1"}})
+	require.Equal(t, []bool{true, false}, excluded())
+	require.True(t, r.settled())
+}
+
 // Counts of a process were added twice if its messages arrived again or by another VM.
 func TestRolloutCountsAreMergedOnce(t *testing.T) {
 	r := newRollouts(Settings{Bounds: Bounds{Exposure: &ExposureBounds{}}})
