rollout: latencies compared by route, levels for small services, blocked last phase

Cause: slow versions were found late (8.4 s after the 50th bad answer at 200 requests a second). Change: mean shift by route.

--- a/internal/rollout/analysis.go
+++ b/internal/rollout/analysis.go
@@ -15,19 +15,25 @@
 	minSlowDifference    = 0.05
 	// minUnfinishedDifference is larger because answers in transit count as unfinished.
 	minUnfinishedDifference = 0.2
+	// minUnfinished allows for the calls of VMs that ended or are cut off.
+	minUnfinished = 8
 	// abortLevel is the probability below which a difference is not taken for noise. It is
 	// small because it is tested several times a second. finalLevel applies once, at the
 	// deadline. Both are for the whole service and time; the probability of differences in
 	// one of the windows or routes is multiplied by manyTests, as there are many of them.
 	abortLevel = 1e-5
-	finalLevel = 1e-3
-	manyTests  = 10
+	finalLevel = 3e-4
+	manyTests  = 5
+	// Below lastingLevel a difference counts that lasts for lastingTime, so that a bad
+	// version gets no calls for long after its 50th bad answer.
+	lastingLevel = 1e-4
+	lastingTime  = 2 * time.Second
 	// Below smallSample answers of the new version and smallService of the old one the
 	// probability is divided by smallFactor: a bad version is then missed more often than a
 	// good one has three failures.
 	smallSample  = 60
 	smallService = 500
-	smallFactor  = 5
+	smallFactor  = 10
 	// minBad is the least number of bad answers that a verdict rests on.
 	minBad = 3
 	// leastVariance is assumed of the bucket of a single answer.
@@ -70,6 +76,8 @@
 	// uneven is set if the share has varied: the answers of the new version may be of
 	// another time than most of the old one's.
 	uneven bool
+	// silent is set if the counts of some VMs are not known: their calls seem unfinished.
+	silent bool
 	// since is left out of the comparison of the whole time.
 	since sample
 	// From probeStart to tailEnd the answers that arrive are mainly slow ones of the probe.
@@ -126,16 +134,16 @@
 	return e[Key{Side: s, Route: route}]
 }
 
-// routes returns the routes with calls to the new version, and the empty route for all.
+// routes returns the routes with calls to the new version, and last the empty route for all.
 func (e Evidence) routes() []string {
-	out := []string{""}
+	var out []string
 	for k := range e {
 		if k.Side == New && k.Route != "" {
 			out = append(out, k.Route)
 		}
 	}
 	sort.Strings(out)
-	return out
+	return append(out, "")
 }
 
 // compare returns the most significant difference in the evidence up to now. The history
@@ -148,23 +156,40 @@
 	}
 	now := history[len(history)-1]
 	all := now.total.side(Old)
-	for _, r := range now.total.routes() {
+	routes := now.total.routes()
+	// The first of shifts is of the whole time, the others of the windows.
+	shifts := make([]shift, 1+len(windows))
+	judge := func(i int, r string, fresh, base Counts) {
+		found := []finding{compareCounts(r, fresh, base, all).among(i > 0 || r != "")}
+		if r != "" || len(routes) == 1 {
+			var one shift
+			one.add(fresh.Latency, base.Latency)
+			shifts[i].add(fresh.Latency, base.Latency)
+			found = append(found, one.finding(r).among(true))
+		}
+		if r == "" {
+			found = append(found, shifts[i].finding(r).among(i > 0))
+		}
+		for _, f := range found {
+			if s.uneven {
+				f = confirm(f, r, fresh, history)
+			}
+			best = least(best, f)
+		}
+	}
+	for _, r := range routes {
 		fresh, base := now.total.counts(New, r), now.total.counts(Old, r)
+		wholeFresh, wholeBase := fresh, base
 		if s.since.total != nil {
-			fresh, base = fresh.minus(s.since.total.counts(New, r)), base.minus(s.since.total.counts(Old, r))
+			wholeFresh, wholeBase = fresh.minus(s.since.total.counts(New, r)), base.minus(s.since.total.counts(Old, r))
 			if s.biased(s.since.at) {
-				fresh.Latency = [LatencyBuckets]int64{}
+				wholeFresh.Latency = [LatencyBuckets]int64{}
 			}
 		}
-		if !s.allNew || fresh.completed() < biasedAbove {
-			whole := compareCounts(r, fresh, base, all)
-			if s.uneven {
-				whole = confirm(whole, r, fresh, history)
-			}
-			best = least(best, whole.among(r != ""))
+		if !s.allNew || wholeFresh.completed() < biasedAbove {
+			judge(0, r, wholeFresh, wholeBase)
 		}
-		fresh, base = now.total.counts(New, r), now.total.counts(Old, r)
-		for _, w := range windows {
+		for i, w := range windows {
 			from := before(history, now.at-w)
 			recent := fresh.minus(from.total.counts(New, r))
 			if s.biased(from.at) {
@@ -176,14 +201,10 @@
 				from = before(history, from.at-baselineStep)
 				reference = base.minus(from.total.counts(Old, r))
 			}
-			part := compareCounts(r, recent, reference, all)
-			if s.uneven {
-				part = confirm(part, r, recent, history)
-			}
-			best = least(best, part.among(true))
+			judge(i+1, r, recent, reference)
 		}
 		from := before(history, now.at-unfinishedAfter)
-		if now.at-from.at >= unfinishedAfter {
+		if !s.silent && now.at-from.at >= unfinishedAfter {
 			best = least(best, compareUnfinished(r, fresh, base, from.total).among(true))
 		}
 	}
@@ -251,18 +272,10 @@
 		out = finding{probability: p, reason: fmt.Sprintf("%d of %d calls failed, %d of %d of the old version%s",
 			fresh.Failed, n, reference.Failed, reference.completed(), on(route))}
 	}
-	var freshTotal, baseTotal int64
-	for i := range LatencyBuckets {
-		freshTotal += fresh.Latency[i]
-		baseTotal += base.Latency[i]
-	}
+	freshTotal, baseTotal := total(fresh.Latency), total(base.Latency)
 	if baseTotal < minBaseline {
 		return out
 	}
-	if p := shifted(fresh.Latency, base.Latency, freshTotal, baseTotal); p < out.probability {
-		out = finding{probability: p, slow: true, reason: fmt.Sprintf(
-			"%d answers were more than twice as slow on average as %d of the old version%s", freshTotal, baseTotal, on(route))}
-	}
 	// The buckets are powers of two: a version that is less than twice as slow has, for
 	// every i, at most as many answers from bucket i as the old one from bucket i-1. So a
 	// change across a bucket's limit alone never counts.
@@ -280,19 +293,46 @@
 	return out
 }
 
-// shifted returns the probability that noise alone makes the mean bucket of the new version
-// exceed that of the old one by more than one, which is a factor of two. No version that is
-// less than twice as slow has a mean shift above one, however the limits of buckets lie.
-func shifted(fresh, base [LatencyBuckets]int64, n, baseN int64) float64 {
-	if n < 2*minBad {
-		return 1
+// shift tests whether the mean bucket of the new version exceeds that of the old one by more
+// than one, which is a factor of two. No version that is less than twice as slow has a mean
+// shift above one, however the limits of buckets lie. Routes are compared one by one and
+// averaged, because they differ in latency more than the versions do.
+type shift struct {
+	answers, sum, variance float64
+}
+
+// add takes in the latencies of a route, unless the old version has too few.
+func (s *shift) add(fresh, base [LatencyBuckets]int64) {
+	n, baseN := total(fresh), total(base)
+	if n == 0 || baseN < minBaseline {
+		return
 	}
 	mean, variance := moments(fresh, n)
 	baseMean, baseVariance := moments(base, baseN)
 	// A few answers may all be in one bucket by chance.
 	variance = max(variance, baseVariance, leastVariance)
-	z := (mean - baseMean - 1) / math.Sqrt(variance/float64(n)+baseVariance/float64(baseN))
-	return math.Erfc(z/math.Sqrt2) / 2
+	s.answers += float64(n)
+	s.sum += float64(n) * (mean - baseMean)
+	s.variance += float64(n)*variance + float64(n*n)*baseVariance/float64(baseN)
+}
+
+// finding returns the probability that noise alone gives this shift.
+func (s *shift) finding(route string) finding {
+	if s.answers < 2*minBad {
+		return finding{probability: 1}
+	}
+	z := (s.sum - s.answers) / math.Sqrt(s.variance)
+	return finding{probability: math.Erfc(z/math.Sqrt2) / 2, slow: true, reason: fmt.Sprintf(
+		"%.0f answers were %.1f times as slow on average as those of the old version%s",
+		s.answers, math.Exp2(s.sum/s.answers), on(route))}
+}
+
+func total(h [LatencyBuckets]int64) int64 {
+	var sum int64
+	for _, k := range h {
+		sum += k
+	}
+	return sum
 }
 
 // moments returns mean and variance of the bucket.
@@ -313,10 +353,10 @@
 // answer. It finds versions that do not answer at all.
 func compareUnfinished(route string, fresh, base Counts, earlier Evidence) finding {
 	freshSent, baseSent := earlier.counts(New, route).Sent, earlier.counts(Old, route).Sent
-	if baseSent < minBaseline {
+	freshOpen, baseOpen := max(0, freshSent-fresh.completed()), max(0, baseSent-base.completed())
+	if baseSent < minBaseline || freshOpen < minUnfinished {
 		return finding{probability: 1}
 	}
-	freshOpen, baseOpen := max(0, freshSent-fresh.completed()), max(0, baseSent-base.completed())
 	return finding{
 		probability: difference(freshOpen, freshSent, baseOpen, baseSent, minUnfinishedDifference),
 		slow:        true,
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -93,6 +93,8 @@
 	silent          float64
 	// slowSince is since when the version has been slow, -1 if it is not.
 	slowSince time.Duration
+	// worseSince is since when the finding has been below lastingLevel, -1 if it is not.
+	worseSince time.Duration
 	// fullSince is since when all calls go to the new version, -1 if they do not.
 	fullSince time.Duration
 	// oldSentAt is when the number of calls to the old version last changed.
@@ -107,11 +109,13 @@
 	since sample
 	// doubt is the finding before the probe.
 	doubt finding
+	// blocked is the reason why the last phase has not begun in time, empty if it has.
+	blocked string
 }
 
 // NewController returns a controller that has decided nothing.
 func NewController() *Controller {
-	return &Controller{last: Decision{State: Running}, slowSince: -1, fullSince: -1}
+	return &Controller{last: Decision{State: Running}, doubt: finding{probability: 1}, slowSince: -1, worseSince: -1, fullSince: -1}
 }
 
 // Step returns the decision for a view. It must be called several times a second; the times
@@ -160,7 +164,7 @@
 	c.observe(v)
 	full := c.fullSince >= 0
 	left := v.Order.Duration - v.Elapsed
-	scope := scope{allNew: full, uneven: full || left <= c.probe, since: c.since}
+	scope := scope{allNew: full, uneven: full || left <= c.probe, silent: v.Silent > 0, since: c.since}
 	if c.probe > 0 {
 		scope.probeStart, scope.tailEnd = v.Order.Duration-c.probe, v.Order.Duration-c.probeEnd+probeTail
 	}
@@ -324,9 +328,14 @@
 
 // bad reports whether the difference found shows that the version is bad.
 func (c *Controller) bad(f finding, now time.Duration) (string, bool) {
+	if f.probability >= lastingLevel {
+		c.worseSince = -1
+	} else if c.worseSince < 0 {
+		c.worseSince = now
+	}
 	if f.probability >= abortLevel {
 		c.slowSince = -1
-		return "", false
+		return f.reason, c.worseSince >= 0 && now-c.worseSince >= lastingTime
 	}
 	if !f.slow || c.fullSince >= 0 {
 		return f.reason, true
@@ -340,11 +349,14 @@
 // finish decides the result shortly before the deadline. It returns a running state if
 // calls of old servers may still end.
 func (c *Controller) finish(v View, f finding, left time.Duration) Decision {
-	fresh := v.Total.side(New)
+	fresh, old := v.Total.side(New), v.Total.side(Old)
 	switch {
 	case f.probability < finalLevel:
 		return rolledBack("not proven good by the deadline: " + f.reason)
-	case c.probe > 0 && c.doubt.probability < finalLevel:
+	case c.blocked != "":
+		return rolledBack("not proven good by the deadline: " + c.blocked)
+	case c.doubt.probability < finalLevel && compareCounts("", fresh, old, old).probability < finalLevel:
+		// The difference before the probe is still there with all answers.
 		return rolledBack("not proven good by the deadline: " + c.doubt.reason)
 	case v.NewServers == 0:
 		return rolledBack("no servers of the new version by the deadline")
@@ -393,9 +405,13 @@
 	}
 	switchAt := time.Duration(last * float64(time.Second))
 	if f.probability < finalLevel {
+		if left <= switchAt {
+			c.blocked = f.reason
+		}
 		switchAt = 0
 	}
 	if left <= switchAt && c.reachable(v) {
+		c.blocked = ""
 		return Decision{State: Running, Share: 1, Last: switchAt, Reason: "last phase: all calls go to the new version"}
 	}
 	share := min(canary/(b.rate*v.Order.Duration.Seconds()), mostCanaryShare)
--- a/internal/rollout/simulation_test.go
+++ b/internal/rollout/simulation_test.go
@@ -29,7 +29,6 @@
 	requests  float64
 	exposures float64
 	// afterRollback is how long after the 50th bad answer the last call was sent.
-	busy          time.Duration
 	afterRollback time.Duration
 	// cutCalls ran on old servers when the roll-out was done.
 	cutCalls int
