--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -51,6 +51,9 @@
 	mostCanaryShare = 0.5
 	// switchPart is the most of the duration that the last phase may take.
 	switchPart = 0.4
+	// blockedPart is the part of the last phase that must be left when a difference that
+	// kept it from beginning is gone.
+	blockedPart = 0.7
 	// fullTime is how long all calls go to the new version, where the bound allows, before
 	// it is done: a fault that shows only under load has to be reported and the calls of
 	// the old servers have to end.
@@ -410,13 +413,17 @@
 		}
 		switchAt = 0
 	}
+	share := min(canary/(b.rate*v.Order.Duration.Seconds()), mostCanaryShare)
+	share = max(0, min(share, (b.permitted-b.spent)/(b.rate*min(reactionTime, left).Seconds())))
+	if c.blocked != "" && left.Seconds() < blockedPart*last {
+		// A switch now would cut the calls of old servers.
+		return running(share, "too late for the last phase: "+c.blocked)
+	}
 	if left <= switchAt && c.reachable(v) {
 		c.blocked = ""
 		return Decision{State: Running, Share: 1, Last: switchAt, Reason: "last phase: all calls go to the new version"}
 	}
-	share := min(canary/(b.rate*v.Order.Duration.Seconds()), mostCanaryShare)
-	share = min(share, (b.permitted-b.spent)/(b.rate*min(reactionTime, left).Seconds()))
-	d := running(max(0, share), "the new version is compared with the old one")
+	d := running(share, "the new version is compared with the old one")
 	if switchAt > 0 && left <= switchAt+announceTime && c.reachable(v) {
 		d.Last = switchAt
 	}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -107,9 +107,10 @@
 	for i, o := range simulateAll(fleets) {
 		f := fleets[i]
 		limits(t, f, o)
-		if f.fault == "" {
+		switch f.fault {
+		case "":
 			require.Equal(t, Done, o.State, "%+v: %s", f, o.Reason)
-		} else if f.fault == "at once" {
+		case "at once":
 			require.Equal(t, RolledBack, o.State, "%+v: %s", f, o.Reason)
 		}
 	}
