--- a/internal/rollout/applied.go
+++ b/internal/rollout/applied.go
@@ -14,8 +14,8 @@
 	known bool
 	// at is when the message arrived that first carried the grant.
 	at time.Duration
-	// deadline is the earliest deadline that any grant of this order implied. A grant
-	// arrives late by its transit time, so the earliest is the most precise.
+	// deadline is the earliest deadline that any grant of this order and owner implied. A
+	// grant arrives late by its transit time, so the earliest is the most precise.
 	deadline time.Duration
 }
 
@@ -25,7 +25,8 @@
 	if a.known && !g.Newer(a.grant) {
 		return false
 	}
-	if !a.known || g.Revision != a.grant.Revision {
+	if !a.known || g.Revision != a.grant.Revision || g.Fence != a.grant.Fence {
+		// Another owner may take another time for the start of the order.
 		a.deadline = math.MaxInt64
 	}
 	if g.Left > 0 {
