--- a/internal/gateway/rollout_owner.go
+++ b/internal/gateway/rollout_owner.go
@@ -63,15 +63,18 @@
 	share     float64
 	// shownShare is the share that was logged last.
 	shownShare float64
-	// last is that of the decision.
-	last   time.Duration
-	reason string
-	total  rollout.Evidence
+	// last, probe and probeEnd are those of the decision.
+	last, probe, probeEnd time.Duration
+	reason                string
+	total                 rollout.Evidence
 	// reportedState is the state that the platform was told last.
 	reportedState rollout.State
 	endedAt       time.Duration
 }
 
+// stop gives the new version nothing.
+func (o *ownedRollout) stop() { o.share, o.last, o.probe, o.probeEnd = 0, 0, 0, 0 }
+
 // rolloutOwner decides on the rollouts while its VM holds the lease for engine orders.
 type rolloutOwner struct {
 	g             *Gateway
@@ -251,7 +254,7 @@
 	if errors.Is(err, lease.ErrConflict) {
 		delete(w.owned, o.order.Service)
 	}
-	o.share, o.last = 0, 0
+	o.stop()
 	w.grant(o)
 	return err
 }
@@ -342,7 +345,7 @@
 	o.total, o.reason = v.Total, d.Reason
 	if d.State == rollout.RolledBack && o.share > 0 {
 		// The record must not delay the return of the calls.
-		o.share, o.last = 0, 0
+		o.stop()
 		w.grant(o)
 		g.sendGrants()
 	}
@@ -360,9 +363,9 @@
 			"service": o.order.Service, "to": o.order.To, "share": d.Share, "reason": d.Reason, "requests": requests, "exposures": exposures,
 		})
 	}
-	o.share, o.last = d.Share, d.Last
+	o.share, o.last, o.probe, o.probeEnd = d.Share, d.Last, d.Probe, d.ProbeEnd
 	if d.State == rollout.RolledBack {
-		o.share = 0
+		o.stop()
 		g.logJudgement(o)
 	}
 	return nil
@@ -427,11 +430,13 @@
 	x := gossip.Grant{
 		Service: o.order.Service, To: o.order.To, Revision: o.order.Revision, Fence: o.fence, Sequence: o.sequence,
 		State: string(o.record.State), Share: o.share, Reported: o.record.Reported,
-		LeftMillis: (o.order.Duration - (g.now() - o.startedAt)).Milliseconds(), LastMillis: o.last.Milliseconds(), Old: o.record.Old, Banned: o.record.Banned,
+		LeftMillis: (o.order.Duration - (g.now() - o.startedAt)).Milliseconds(), LastMillis: o.last.Milliseconds(),
+		ProbeMillis: o.probe.Milliseconds(), ProbeEndMillis: o.probeEnd.Milliseconds(), Old: o.record.Old, Banned: o.record.Banned,
 	}
 	w.mu.Lock()
 	last := w.grants[o.order.Service]
-	w.changed = w.changed || last.Revision != x.Revision || last.State != x.State || last.Share != x.Share || last.LastMillis != x.LastMillis
+	w.changed = w.changed || last.Revision != x.Revision || last.State != x.State || last.Share != x.Share || last.LastMillis != x.LastMillis ||
+		last.ProbeMillis != x.ProbeMillis
 	w.grants[o.order.Service] = x
 	w.mu.Unlock()
 	g.applyGrant(x, g.settings.PeerAddress, o.reason)
@@ -516,6 +521,7 @@
 	grant := rollout.Grant{
 		Service: x.Service, To: x.To, Revision: x.Revision, Fence: x.Fence, Sequence: x.Sequence, State: state, Share: x.Share,
 		Left: time.Duration(x.LeftMillis) * time.Millisecond, Last: time.Duration(x.LastMillis) * time.Millisecond,
+		Probe: time.Duration(x.ProbeMillis) * time.Millisecond, ProbeEnd: time.Duration(x.ProbeEndMillis) * time.Millisecond,
 	}
 	if g.rollouts.applyGrant(grant, x.Old, x.Banned, x.Reported, from, g.now()) {
 		g.logRolloutEnd(x.Service, state, x.To, reason)
@@ -557,7 +563,9 @@
 	defer r.mu.Unlock()
 	out := make(map[string]string)
 	for name, s := range r.services {
-		if share, _ := s.share(now); s.order.Revision > 0 && share >= 1 {
+		// A probe sends all calls to the new version for a short time only.
+		g, _ := s.applied.Grant()
+		if share, final := s.share(now); s.order.Revision > 0 && share >= 1 && (final || g.Share >= 1) {
 			out[name] = s.order.To
 		}
 	}
--- a/internal/gossip/rollout.go
+++ b/internal/gossip/rollout.go
@@ -19,10 +19,13 @@
 	Share    float64
 	// Reported is set once the platform has been told of a final state.
 	Reported bool
-	// LeftMillis is the time until the deadline. Once no more than LastMillis is left, all
-	// calls go to the new version; zero if that is not planned.
-	LeftMillis int64
-	LastMillis int64
+	// LeftMillis is the time until the deadline. Once no more than LastMillis is left, and
+	// while it is at most ProbeMillis and more than ProbeEndMillis, all calls go to the new
+	// version; zero if that is not planned.
+	LeftMillis     int64
+	LastMillis     int64
+	ProbeMillis    int64
+	ProbeEndMillis int64
 	// Old lists the versions that ran before the order, Banned those that must not run.
 	Old    []string
 	Banned []string
@@ -61,7 +64,7 @@
 func (m *Message) checkRollouts() error {
 	for _, x := range m.Grants {
 		if math.IsNaN(x.Share) || x.Share < 0 || x.Share > 1 || x.Revision < 0 || x.Fence < 0 || x.Sequence < 0 ||
-			x.LeftMillis < -maxMillis || x.LeftMillis > maxMillis || x.LastMillis < 0 || x.LastMillis > maxMillis {
+			x.LeftMillis < -maxMillis || x.LeftMillis > maxMillis || !isTime(x.LastMillis) || !isTime(x.ProbeMillis) || !isTime(x.ProbeEndMillis) {
 			return fmt.Errorf("%w: grant for %q", errOutOfRange, x.Service)
 		}
 	}
@@ -81,6 +84,8 @@
 	return nil
 }
 
+func isTime(millis int64) bool { return millis >= 0 && millis <= maxMillis }
+
 func (r RouteCounts) inRange() bool {
 	for _, n := range append([]int64{r.Sent, r.Answered, r.Failed}, r.Latency...) {
 		if n < 0 || n > maxCount {
