--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,18 +24,12 @@
 	"github.com/stretchr/testify/require"
 )
 
-// memoryFeed is a table whose changes VMs receive.
+// memoryFeed is a table whose changes VMs receive. While it is mute it does not respond.
 type memoryFeed struct {
 	mu      sync.Mutex
 	rows    map[string]feed.Row
 	version int64
-	changed chan struct{}
-	// mute makes the feed respond to nothing.
-	mute bool
-}
-
-func newMemoryFeed() *memoryFeed {
-	return &memoryFeed{rows: make(map[string]feed.Row), changed: make(chan struct{})}
+	mute    atomic.Bool
 }
 
 // put writes a row, or removes it if the value is nil.
@@ -47,47 +42,24 @@
 		r.Value, _ = json.Marshal(value)
 	}
 	m.rows[key] = r
-	close(m.changed)
-	m.changed = make(chan struct{})
-}
-
-func (m *memoryFeed) setMute(mute bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.mute = mute
-}
-
-func (m *memoryFeed) page(after int64) (feed.Page, chan struct{}) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	p := feed.Page{Version: m.version}
-	for _, r := range m.rows {
-		if r.Version > after && (after > 0 || !r.Removed) {
-			p.Rows = append(p.Rows, r)
-		}
-	}
-	return p, m.changed
 }
 
 func (m *memoryFeed) Snapshot(ctx context.Context) (feed.Page, error) { return m.Changes(ctx, 0, 0) }
 
 func (m *memoryFeed) Changes(ctx context.Context, after int64, wait time.Duration) (feed.Page, error) {
-	p, changed := m.page(after)
-	if len(p.Rows) == 0 && wait > 0 {
-		select {
-		case <-changed:
-		case <-time.After(wait / 10):
-		case <-ctx.Done():
+	for until := now() + wait/10; ; time.Sleep(2 * time.Millisecond) {
+		m.mu.Lock()
+		p := feed.Page{Version: m.version}
+		for _, r := range m.rows {
+			if r.Version > after && (after > 0 || !r.Removed) {
+				p.Rows = append(p.Rows, r)
+			}
+		}
+		m.mu.Unlock()
+		if (len(p.Rows) > 0 || now() >= until) && !m.mute.Load() || ctx.Err() != nil {
+			return p, ctx.Err()
 		}
-		p, _ = m.page(after)
-	}
-	m.mu.Lock()
-	mute := m.mute
-	m.mu.Unlock()
-	if mute {
-		<-ctx.Done()
 	}
-	return p, ctx.Err()
 }
 
 // rolloutAdapter reads declarations and servers from feeds.
@@ -125,28 +97,22 @@
 
 // scriptedController returns the decision that the test sets, and keeps the last view.
 type scriptedController struct {
-	mu       sync.Mutex
-	decision rollout.Decision
-	view     rollout.View
+	decision atomic.Value
+	view     atomic.Value
 }
 
 func (c *scriptedController) Step(v rollout.View) rollout.Decision {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.view = v
-	return c.decision
+	c.view.Store(v)
+	return c.decision.Load().(rollout.Decision)
 }
 
 func (c *scriptedController) set(state rollout.State, share float64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.decision = rollout.Decision{State: state, Share: share}
+	c.decision.Store(rollout.Decision{State: state, Share: share})
 }
 
 func (c *scriptedController) lastView() rollout.View {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.view
+	v, _ := c.view.Load().(rollout.View)
+	return v
 }
 
 // rolloutTest is a fleet of VMs in front of a plain service, whose servers of release v1
@@ -162,7 +128,7 @@
 	first, a := newTestGateway(t, func(context.Context, int, *Attempt) (*Response, error) {
 		return newResponse(200, eventStream("1")), nil
 	})
-	r := &rolloutTest{T: t, adapter: &rolloutAdapter{a, newMemoryFeed(), newMemoryFeed()}, controller: &scriptedController{}, catalog: first.catalog.Current()}
+	r := &rolloutTest{T: t, adapter: &rolloutAdapter{a, &memoryFeed{rows: make(map[string]feed.Row)}, &memoryFeed{rows: make(map[string]feed.Row)}}, controller: &scriptedController{}, catalog: first.catalog.Current()}
 	r.controller.set(rollout.Running, 0)
 	r.adapter.list("a1", "plain", "v1")
 	r.adapter.list("a2", "plain", "v1")
@@ -245,7 +211,7 @@
 			require.Eventually(t, func() bool { u := r.used(g); return u["v1"] > 0 && u["v2"] > 0 }, 5*time.Second, 5*time.Millisecond)
 			if tt.state == rollout.Running {
 				if tt.name == "store unavailable" {
-					r.adapter.operators.setMute(true)
+					r.adapter.operators.mute.Store(true)
 					time.Sleep(declarationsLongPollWait + feed.LongPollGrace + rolloutStepPeriod)
 				} else {
 					stopOwner(g)
@@ -303,14 +269,14 @@
 func TestUnknownReleaseIsHeldBack(t *testing.T) {
 	r := newRolloutTest(t)
 	g := r.start("vm1")
-	r.adapter.operators.setMute(true)
+	r.adapter.operators.mute.Store(true)
 	time.Sleep(2 * declarationsLongPollWait / 10)
 	r.adapter.servers.put("a1", nil)
 	r.adapter.servers.put("a2", nil)
 	r.adapter.list("b1", "plain", "v2")
 	require.Eventually(t, func() bool { _, listed := g.table.Get("b1", g.now()); return listed }, 5*time.Second, 5*time.Millisecond)
 	require.NotNil(t, serveCall(t, g, "/public/", "").refusal)
-	r.adapter.operators.setMute(false)
+	r.adapter.operators.mute.Store(false)
 	r.eventually(g, "v2")
 }
 
