rollout: times of persistence follow the rollback bound

Cause: Bounds.Rollback had no effect; with bounds below 5 s a verdict could have come too late. Change: a slow version must be slow for at most a fifth of it, a lasting difference for two fifths (1 s and 2 s at 5 s, as before). Result: go test ./internal/rollout passes (23 s of CPU).

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -59,7 +59,8 @@
 	// the old servers have to end.
 	fullTime = 1800 * time.Millisecond
 	// slowPersistence is how long a version must be slow before this counts, outside of
-	// the last phase: servers that have just started are slow at first.
+	// the last phase: servers that have just started are slow at first. It is at most a
+	// fifth of the time until a rollback must be in force, and lastingTime two fifths.
 	slowPersistence = time.Second
 	// latestDecision is the time before the deadline at which done or rolled_back is
 	// decided at the latest. The status has to be written by the deadline.
@@ -175,7 +176,7 @@
 	// The old version has no answers of the time of the probe, and the fleet's load may
 	// have changed, so the verdict waits for its next ones.
 	probing := left <= c.probe && left > c.probeEnd-probeReport
-	if reason, bad := c.bad(found, v.Elapsed); bad && !probing {
+	if reason, bad := c.bad(found, v); bad && !probing {
 		return rolledBack(reason)
 	}
 	if left > c.probe || c.probe == 0 {
@@ -330,7 +331,8 @@
 }
 
 // bad reports whether the difference found shows that the version is bad.
-func (c *Controller) bad(f finding, now time.Duration) (string, bool) {
+func (c *Controller) bad(f finding, v View) (string, bool) {
+	now := v.Elapsed
 	if f.probability >= lastingLevel {
 		c.worseSince = -1
 	} else if c.worseSince < 0 {
@@ -338,7 +340,7 @@
 	}
 	if f.probability >= abortLevel {
 		c.slowSince = -1
-		return f.reason, c.worseSince >= 0 && now-c.worseSince >= lastingTime
+		return f.reason, c.worseSince >= 0 && now-c.worseSince >= min(lastingTime, v.Bounds.Rollback*2/5)
 	}
 	if !f.slow || c.fullSince >= 0 {
 		return f.reason, true
@@ -346,7 +348,7 @@
 	if c.slowSince < 0 {
 		c.slowSince = now
 	}
-	return f.reason, now-c.slowSince >= slowPersistence
+	return f.reason, now-c.slowSince >= min(slowPersistence, v.Bounds.Rollback/5)
 }
 
 // finish decides the result shortly before the deadline. It returns a running state if
