gateway: grants from before a pause are ignored

Cause: a VM that was suspended reads grants that waited in its socket, and would send calls to a version that has been rolled back meanwhile.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -258,7 +258,11 @@
 		g.clock.Every(cleanupPeriod, func() { g.cleanUp(ctx) }),
 	)
 	if g.rollouts.enabled {
-		g.subscriptions = append(g.subscriptions, g.clock.Every(rolloutStepPeriod, func() { g.stepRollouts(ctx) }))
+		g.subscriptions = append(g.subscriptions,
+			// Not in one call: a slow store delays the other one.
+			g.clock.Every(rolloutStepPeriod, func() { g.rollouts.step(g.now()) }),
+			g.clock.Every(rolloutStepPeriod, func() { g.stepRollouts(ctx) }),
+		)
 	}
 }
 
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -84,6 +84,10 @@
 	// listComplete is set once the list of servers has been read, listCompleteAt is when.
 	listComplete   bool
 	listCompleteAt time.Duration
+	// steppedAt is the time of the last step. Grants of other VMs are ignored until
+	// ignoreUntil: after a pause, old ones are waiting to be read.
+	steppedAt   time.Duration
+	ignoreUntil time.Duration
 	// confirmedAt is the time as of which the operators' table is known.
 	confirmedAt    time.Duration
 	tableConfirmed bool
@@ -283,6 +287,30 @@
 	s.setClass(s.order.To, releaseAccepted)
 }
 
+const (
+	// pauseThreshold is the time between two steps from which the process counts as paused.
+	pauseThreshold = 600 * time.Millisecond
+	// staleGrantTime is how long after a pause messages from before its end may be read.
+	staleGrantTime = 300 * time.Millisecond
+)
+
+// step records that the process is running.
+func (r *rollouts) step(now time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.steppedAt > 0 && now-r.steppedAt > pauseThreshold {
+		r.ignoreUntil = now + staleGrantTime
+	}
+	r.steppedAt = now
+}
+
+// ignoresGrants reports whether a grant that has been read may be from before a pause.
+func (r *rollouts) ignoresGrants(now time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now < r.ignoreUntil || r.steppedAt > 0 && now-r.steppedAt > pauseThreshold
+}
+
 // applyGrant applies a grant that a VM at an address sent. It reports whether the grant
 // ends the rollout, unless the withdrawal of its order has done so before.
 func (r *rollouts) applyGrant(g rollout.Grant, old, banned []string, reported bool, from string, now time.Duration) (ended bool) {
--- a/internal/gateway/rollout_gossip.go
+++ b/internal/gateway/rollout_gossip.go
@@ -5,6 +5,7 @@
 
 	"github.com/marjoramrock/marjoramrock/internal/event"
 	"github.com/marjoramrock/marjoramrock/internal/gossip"
+	"github.com/marjoramrock/marjoramrock/internal/rollout"
 )
 
 // maxRoutesPerMessage bounds the counts in a message, so that it fits into a datagram.
@@ -100,6 +101,9 @@
 // handleRollouts applies what a message tells of rollouts.
 func (g *Gateway) handleRollouts(m *gossip.Message, now time.Duration) {
 	for _, x := range m.Grants {
+		if rollout.State(x.State) == rollout.Running && g.rollouts.ignoresGrants(now) {
+			continue
+		}
 		g.applyGrant(x, m.Address, "granted")
 	}
 	g.rollouts.mergeCounts(m.VM, m.Epoch, m.Rollouts, now)
--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -415,6 +415,18 @@
 	require.True(t, r.settled())
 }
 
+// A VM that had been paused applied the grants that had waited meanwhile, and sent calls to
+// a version that had been rolled back.
+func TestGrantsFromBeforeAPauseAreIgnored(t *testing.T) {
+	r := newRollouts(Settings{})
+	r.step(time.Second)
+	require.False(t, r.ignoresGrants(time.Second+pauseThreshold))
+	require.True(t, r.ignoresGrants(5*time.Second))
+	r.step(5 * time.Second)
+	require.True(t, r.ignoresGrants(5*time.Second+staleGrantTime/2))
+	require.False(t, r.ignoresGrants(5*time.Second+staleGrantTime))
+}
+
 // Counts of a process were added twice if its messages arrived again or by another VM.
 func TestRolloutCountsAreMergedOnce(t *testing.T) {
 	r := newRollouts(Settings{Bounds: Bounds{Exposure: &ExposureBounds{}}})
