gateway: a lost response of the store does not restart a rollout

Cause: after a write whose response was lost the owner met a conflict and began anew; one slow write sent all calls back to the old servers. A late done was told to the platform in the step that decided it. Change: the owner reads the record again and goes on if it is its own; a share is kept for 2 s without a write; VMs hear of done first. Result: go test -race ./internal/gateway -run 'Rollout|Release|Order|Grants' -count 2 passes.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -42,6 +42,8 @@
 type memoryStore struct {
 	mu   sync.Mutex
 	rows map[string]lease.Record
+	// loseResponse names a record whose next write is made, but reported as failed.
+	loseResponse string
 	// reports holds the states of rollouts that the platform was told.
 	reports []string
 }
@@ -62,9 +64,15 @@
 	}
 	rec := lease.Record{Value: value, Version: version + 1, Now: now()}
 	m.rows[name] = rec
+	if name == m.loseResponse {
+		m.loseResponse = ""
+		return lease.Record{}, errResponseLost
+	}
 	return rec, nil
 }
 
+var errResponseLost = errors.New("response lost")
+
 func (m *memoryStore) version(name string) int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/gateway/rollout_owner.go
+++ b/internal/gateway/rollout_owner.go
@@ -26,6 +26,8 @@
 	// rolloutRecordPeriod is the time between two writes of the record of a rollout whose
 	// state does not change.
 	rolloutRecordPeriod = time.Second
+	// recordTolerance is how long the record may be older than rolloutRecordPeriod says.
+	recordTolerance = 2 * time.Second
 	// takeoverWait is how long a new owner waits for the counts of all VMs.
 	takeoverWait = 2 * time.Second
 	// knownVMAge is how long after its last message a VM still counts as one whose calls
@@ -239,10 +241,20 @@
 		}
 		w.owned[x.order.Service] = o
 	}
+	if o.version == versionUnknown {
+		if err := w.refresh(ctx, o); err != nil || w.owned[x.order.Service] == nil {
+			return err
+		}
+	}
 	if o.record.State == rollout.Running {
 		if err := w.decide(ctx, x, o); err != nil {
 			return w.storeFailed(o, err)
 		}
+		if o.record.State != rollout.Running {
+			// The VMs must know before the platform does.
+			w.grant(o)
+			w.g.sendGrants()
+		}
 	}
 	if o.record.State != rollout.Running {
 		if err := w.end(ctx, o); err != nil {
@@ -253,17 +265,38 @@
 	return nil
 }
 
-// storeFailed handles a failed call to the store: a version whose exposure cannot be
-// recorded gets no calls, and a record that another VM has written is read again.
+// versionUnknown is the version of a record that may have been written by a call whose
+// response was lost.
+const versionUnknown = -1
+
+// storeFailed handles a failed call to the store. A version whose exposures have not been
+// recorded for recordTolerance gets no calls.
 func (w *rolloutOwner) storeFailed(o *ownedRollout, err error) error {
 	if errors.Is(err, lease.ErrConflict) {
-		delete(w.owned, o.order.Service)
+		o.version = versionUnknown
+	}
+	if w.g.now()-o.writtenAt > recordTolerance {
+		o.stop()
 	}
-	o.stop()
 	w.grant(o)
 	return err
 }
 
+// refresh reads the record again after a write of it failed. It gives the rollout up if
+// another VM has written the record.
+func (w *rolloutOwner) refresh(ctx context.Context, o *ownedRollout) error {
+	raw, rec, err := w.g.readRollout(ctx, o.order.Service)
+	switch {
+	case err != nil:
+		return w.storeFailed(o, err)
+	case rec.Revision != o.order.Revision || rec.Fence != o.fence:
+		delete(w.owned, o.order.Service)
+		return nil
+	}
+	o.version, o.record.State, o.record.Reported = raw.Version, rec.State, rec.Reported
+	return nil
+}
+
 // take reads the record of a rollout, and creates it if the order is new. It returns nil
 // if a newer order has been recorded.
 func (w *rolloutOwner) take(ctx context.Context, x unended, fence int64) (*ownedRollout, error) {
--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -222,6 +222,10 @@
 				require.Equal(t, map[string]int{"v1": 60}, r.used(g))
 				return
 			}
+			// A lost response must not end the rollout, or make its owner start again.
+			r.adapter.store.mu.Lock()
+			r.adapter.store.loseResponse = rolloutRecordPrefix + "plain"
+			r.adapter.store.mu.Unlock()
 			r.controller.set(tt.state, 1)
 			require.Eventually(t, func() bool { return len(r.adapter.store.reported()) == 2 }, 5*time.Second, 5*time.Millisecond)
 			require.Equal(t, []string{"plain running v2", "plain " + string(tt.state) + " v2"}, r.adapter.store.reported())
