gateway: rollouts count from 200 ms before their order was learned of

Cause: TestSoakLosesNoCall regression301 at 14 s on a busy machine: done 38 ms after the deadline. Result: go test ./platform -run Rollout -count=4: good done 0.25 to 0.32 s before the deadline of 8 s, bad rolled back after 0.3 to 0.7 s with 4 to 6 requests; go test -race ./platform -run 'Rollout|Soak$' passes.

--- a/internal/gateway/rollout_owner.go
+++ b/internal/gateway/rollout_owner.go
@@ -22,7 +22,7 @@
 	rolloutStepPeriod = 100 * time.Millisecond
 	// orderDelay is how much earlier than its owner learned of it an order may have been
 	// given.
-	orderDelay = 100 * time.Millisecond
+	orderDelay = 200 * time.Millisecond
 	// rolloutRecordPeriod is the time between two writes of the record of a rollout whose
 	// state does not change.
 	rolloutRecordPeriod = time.Second
