--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -30,6 +30,8 @@
 	tokensPerMilli float64
 	// refusing is set if the engine is expected to refuse the call without running it.
 	refusing bool
+	// targetOnly is that of the restriction that the choice was made under.
+	targetOnly bool
 }
 
 // cacheSaltFor returns the salt of the prefix cache that the calls of a group of teams
@@ -50,7 +52,7 @@
 
 // chooseServer returns the server on which an attempt has the lowest expected cost.
 func (g *Gateway) chooseServer(f *forwardedCall, service string) (serverChoice, bool) {
-	statuses, v := g.viewServers(f, service)
+	statuses, v, targetOnly := g.viewServers(f, service)
 	pc := placementCall(f)
 	if f.queued() {
 		g.queues.with(service, func(s *serviceQueue) {
@@ -68,7 +70,8 @@
 	return serverChoice{
 		Choice: choice, server: s.Server, version: seen.Version, cacheSalt: seen.CacheSalt,
 		pendingTokens: s.Pending, calls: s.Load, tokensPerMilli: s.TokensPerMilli,
-		refusing: s.Refusing || s.Reloading,
+		refusing:   s.Refusing || s.Reloading,
+		targetOnly: targetOnly,
 	}, true
 }
 
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -69,8 +69,10 @@
 		m.KVCacheStores = g.kvStores.watchedStates(g.now())
 		m.Quarantines = g.activeQuarantines()
 		m.Confirmed = g.confirmUsage(leads)
+		m.Grants = g.rolloutOwner.activeGrants()
 		g.sendMessage(m, gossip.OwnZone)
 		g.confirmations.RecordSent(m.Sequence, sentAt)
+		g.sendRolloutCounts()
 	}
 	digest := g.outbox.takeOtherZones()
 	if !leads {
@@ -89,9 +91,11 @@
 	for _, h := range g.confirmations.Heard() {
 		digest.Heard = append(digest.Heard, gossip.Heard{VM: h.VM, Epoch: h.Epoch, Sequence: h.Sequence})
 	}
+	digest.Grants = g.rolloutOwner.activeGrants()
 	g.sendMessage(digest, gossip.OtherZones)
 	g.confirmations.RecordSent(digest.Sequence, sentAt)
 	g.confirmations.RecordDigest(digest.Sequence, sequencesByVM(states, members))
+	g.sendMemberCounts(members)
 }
 
 // confirmUsage returns what this VM, if it leads its zone, confirms to the VMs there. It
@@ -242,6 +246,7 @@
 	if len(m.Recovered)+len(m.CanceledReloads)+len(m.Versions) > 0 {
 		g.queues.wakeAll()
 	}
+	g.handleRollouts(m, now)
 	if sameZone && !m.Delta {
 		g.outbox.addForwarded(m)
 	}
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"net/http"
 	"sync"
@@ -17,8 +18,11 @@
 var (
 	// errServerSilent means that the server sends nothing.
 	errServerSilent = errors.New("server sent nothing in time")
-	// errStreamMoved means that the engine is about to load weights.
-	errStreamMoved = errors.New("engine is about to load weights")
+	// errStreamMoved means that a sound server is to be left. The causes that wrap it say
+	// why.
+	errStreamMoved = errors.New("stream moved")
+	errReloading   = fmt.Errorf("%w: engine is about to load weights", errStreamMoved)
+	errReplaced    = fmt.Errorf("%w: a rollout replaces the server", errStreamMoved)
 )
 
 // acceptTimeout is how long a sound server waits, with what it has sent not passed on,
@@ -219,10 +223,17 @@
 		return nil, r.ended
 	}
 	reserve := r.call.retryReserve()
-	if errors.Is(cause, errStreamMoved) {
+	switch {
+	case errors.Is(cause, errReplaced):
+		// The stream is lost if it does not leave its server in time.
+		reserve = startReserve
+	case errors.Is(cause, errStreamMoved):
 		reserve = moveReserve
 	}
 	c, ok := g.chooseServer(r.call, r.call.service)
+	if ok && errors.Is(cause, errReplaced) {
+		ok = g.rollouts.isTarget(c.server.Service, c.server.Release)
+	}
 	if !ok || c.LastResort || !g.retries.Take(r.call.service, g.now(), reserve) {
 		return nil, false
 	}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/marjoramrock/marjoramrock/internal/lease"
 	"github.com/marjoramrock/marjoramrock/internal/loopback"
 	"github.com/marjoramrock/marjoramrock/internal/parts"
+	"github.com/marjoramrock/marjoramrock/internal/rollout"
 	"github.com/marjoramrock/marjoramrock/internal/timer"
 	"github.com/marjoramrock/marjoramrock/internal/weights"
 	"github.com/stretchr/testify/require"
@@ -41,6 +42,10 @@
 type memoryStore struct {
 	mu   sync.Mutex
 	rows map[string]lease.Record
+	// loseResponse names a record whose next write is made, but reported as failed.
+	loseResponse string
+	// reports holds the states of rollouts that the platform was told.
+	reports []string
 }
 
 func (m *memoryStore) Read(_ context.Context, name string) (lease.Record, error) {
@@ -59,9 +64,15 @@
 	}
 	rec := lease.Record{Value: value, Version: version + 1, Now: now()}
 	m.rows[name] = rec
+	if name == m.loseResponse {
+		m.loseResponse = ""
+		return lease.Record{}, errResponseLost
+	}
 	return rec, nil
 }
 
+var errResponseLost = errors.New("response lost")
+
 func (m *memoryStore) version(name string) int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -71,6 +82,20 @@
 func (m *memoryStore) Join(context.Context, string, string) error     { return nil }
 func (m *memoryStore) Leave(context.Context, string) error            { return nil }
 func (m *memoryStore) VMs(context.Context) (map[string]string, error) { return nil, nil }
+
+func (m *memoryStore) ReportRollout(_ context.Context, service string, state rollout.State, to string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reports = append(m.reports, service+" "+string(state)+" "+to)
+	return nil
+}
+
+func (m *memoryStore) reported() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]string(nil), m.reports...)
+}
+
 func (a *fakeAdapter) Order(context.Context, backend.Server, weights.Order) error {
 	return errors.New("orders not supported")
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -67,6 +67,11 @@
 	// each engine, with the sender's share of the parts that they have in common with
 	// calls of other VMs.
 	HeldTokens map[string]int `cbor:"28,keyasint,omitempty"`
+	// Grants lists the rollouts that the sender owns. Rollouts holds the sender's counts,
+	// and MemberRollouts those of other VMs of its zone.
+	Grants         []Grant          `cbor:"23,keyasint,omitempty"`
+	Rollouts       []RolloutCounts  `cbor:"24,keyasint,omitempty"`
+	MemberRollouts []MemberRollouts `cbor:"25,keyasint,omitempty"`
 }
 
 // Heard is a digest, by its sender and sequence number.
@@ -270,6 +275,9 @@
 	if len(m.Confirmed) > maxConfirmedBytes || len(m.Heard) > maxHeard {
 		return fmt.Errorf("%w: confirmations", errOutOfRange)
 	}
+	if err := m.checkRollouts(); err != nil {
+		return err
+	}
 	return m.checkQuarantineTimes()
 }
 
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -1,6 +1,10 @@
 package rollout
 
-import "time"
+import (
+	"errors"
+	"fmt"
+	"time"
+)
 
 // State is the state of a roll-out.
 type State string
@@ -35,6 +39,25 @@
 	Revision int64
 }
 
+// Limits of Order.Duration.
+const (
+	MinDuration = time.Second
+	MaxDuration = 24 * time.Hour
+)
+
+// Validate returns why an order must be ignored.
+func (o Order) Validate() error {
+	switch {
+	case o.Service == "":
+		return errors.New("order names no service")
+	case o.To == "":
+		return errors.New("order names no version")
+	case o.Duration < MinDuration || o.Duration > MaxDuration:
+		return fmt.Errorf("duration %v is not between %v and %v", o.Duration, MinDuration, MaxDuration)
+	}
+	return nil
+}
+
 // Side says whether a server runs the new version of a roll-out.
 type Side int
 
@@ -78,6 +101,16 @@
 	State    State
 	// Share is the part of the calls that go to the new version, from 0 to 1.
 	Share float64
+	// Left is the time until the deadline when the owner sent the grant. Once no more than
+	// Last is left, all calls go to the new version. Zero values have no effect. All VMs
+	// hear Last before it applies, so that they switch at nearly the same time although
+	// grants take 0.2 to 0.6 s to reach them.
+	Left time.Duration
+	Last time.Duration
+	// All calls also go to the new version while the time left is at most Probe and more
+	// than ProbeEnd: a short test under full load.
+	Probe    time.Duration
+	ProbeEnd time.Duration
 }
 
 // Newer reports whether g replaces o.
@@ -109,6 +142,9 @@
 	OldServers int
 	// OldCalls is the number of calls in progress on servers of other versions.
 	OldCalls int
+	// GrantDelay is the least time that a grant takes to reach other VMs, and zero if that
+	// is not known. Planned switches happen that much later at them.
+	GrantDelay time.Duration
 	// Complete is set once the counts of all known VMs have been heard since this owner
 	// took over, or that has taken too long.
 	Complete bool
@@ -129,23 +165,14 @@
 type Decision struct {
 	State State
 	Share float64
+	// Last, Probe and ProbeEnd are to be sent in the grant; zero if nothing is planned.
+	Last     time.Duration
+	Probe    time.Duration
+	ProbeEnd time.Duration
 	// Reason says in a few words why.
 	Reason string
 }
 
-// Controller decides on one roll-out. It is not safe for concurrent use.
-type Controller struct {
-	last Decision
-}
-
-// NewController returns a controller that has decided nothing.
-func NewController() *Controller { return &Controller{last: Decision{State: Running}} }
-
-// Step returns the decision for a view. It must be called several times a second.
-func (c *Controller) Step(v View) Decision {
-	return c.last
-}
-
 // Merge adds up the evidence of several VMs.
 func Merge(all ...Evidence) Evidence {
 	out := make(Evidence)
