gateway: servers that ask for no requests get none until the time they name

Change: platform decodes it once (seconds with a fraction; above 60 s shortened, anything else invalid counts as none, events 622 and 623). backend.Table keeps the end by ID and time of start, beyond the life of the listing. Placement excludes such a server and the check before a request is written refuses it. Where all servers of a service ask for it beyond the time that a call can wait, the call ends at once with the earliest end as Retry-After, extended at random by up to a quarter.

--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -98,11 +98,16 @@
 	peers   map[string]*peerReport
 	// prefill holds the prefill rates by service.
 	prefill map[string]*prefillRate
+	// backoffs holds until when incarnations asked this VM for no requests.
+	backoffs map[incarnation]time.Duration
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{servers: make(map[string]*record), peers: make(map[string]*peerReport), prefill: make(map[string]*prefillRate)}
+	return &Table{
+		servers: make(map[string]*record), peers: make(map[string]*peerReport), prefill: make(map[string]*prefillRate),
+		backoffs: make(map[incarnation]time.Duration),
+	}
 }
 
 // Put adds or updates the listing of one server. It reports whether the server is
@@ -446,6 +451,8 @@
 	InBackoff      bool    `json:"resting"`
 	Reloading      bool    `json:"reloading"`
 	Failures       int     `json:"failures"`
+	// BackingOff is set while the server has asked this VM to send it no requests.
+	BackingOff bool `json:"backing_off"`
 }
 
 // Statuses returns the state of all servers of a service, in no particular order. An
@@ -459,6 +466,7 @@
 		if (service == "" || r.server.Service == service) && !r.gone(now) {
 			s := r.status(now)
 			s.TokensPerMilli = t.prefill[r.server.Service].tokens()
+			s.BackingOff = now < t.backoffs[incarnation{r.server.ID, r.server.Born}]
 			out = append(out, s)
 		}
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -82,6 +82,8 @@
 	QuarantineEnded       = add(619, log.InfoLevel, "quarantine ended")
 	QuarantineStoreFailed = add(620, log.WarnLevel, "quarantines could not be read or written")
 	ServerLeaving         = add(621, log.InfoLevel, "backend server says that it leaves")
+	RetryAfterInvalid     = add(622, log.WarnLevel, "backend server sent an invalid Retry-After")
+	BackoffBegan          = add(623, log.InfoLevel, "backend server asked for no requests for some time")
 	PeerMessageRejected   = add(700, log.WarnLevel, "peer message rejected")
 	PeerUnreachable       = add(701, log.DebugLevel, "peer unreachable")
 	PeerJoined            = add(702, log.InfoLevel, "first message from a new peer process")
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -38,6 +38,9 @@
 	}
 	waitUntil := g.now() + f.route.LatencyGoal/2
 	for waited := false; ; waited = true {
+		if g.allBackOff(f, waitUntil) {
+			return serverChoice{}, errBackoff
+		}
 		if c, ok := g.chooseServer(f, f.service); ok {
 			if !g.takeRetry(f) {
 				return serverChoice{}, errRetryBudget
@@ -114,6 +117,9 @@
 // further calls, whatever the list of servers says.
 func (g *Gateway) sendAttempt(ctx context.Context, a *Attempt) (*Response, error) {
 	resp, err := g.serverClient.Send(ctx, a)
+	if err == nil && !resp.WrongServer {
+		g.recordBackoff(a, resp)
+	}
 	if err == nil && resp.Leaving && !resp.WrongServer && g.table.MarkLeaving(a.Server.ID, a.Server.Born) {
 		event.ServerLeaving.Log(g.log, nil, log.Fields{"request": a.Call.ID, "server": a.Server.ID, "status": resp.Status})
 	}
@@ -154,7 +160,7 @@
 // permit returns a function that reports whether an attempt that was decided at a time
 // may still be written: the process has not been paused for long since, the key has not
 // been withdrawn, its proof is young enough, no part of its prompt is in quarantine,
-// time is left, and the server has not left.
+// time is left, and the server has neither left nor asked for no requests.
 func (g *Gateway) permit(f *forwardedCall, c serverChoice, decidedAt time.Duration) func() bool {
 	decided := *f
 	f = &decided
@@ -169,6 +175,9 @@
 		if s, listed := g.table.Get(c.server.ID, now); !listed || s.Draining || s.Born != c.server.Born {
 			return false
 		}
+		if _, backingOff := g.table.BackoffEnd(c.server.ID, c.server.Born, now); backingOff {
+			return false
+		}
 		ok, _ := g.stillAuthorized(f)
 		return ok
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -82,6 +82,11 @@
 	WrongServer bool
 	// Leaving is set if the server says that it leaves.
 	Leaving bool
+	// RetryAfter is how long the server asks for no requests, at most MaxRetryAfter; zero
+	// if it does not.
+	RetryAfter time.Duration
+	// InvalidRetryAfter is the start of what the server sent instead of a valid time.
+	InvalidRetryAfter string
 	// Version is the version of the model that the server runs, or 0.
 	Version int64
 	Body    io.ReadCloser
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -135,6 +135,8 @@
 	buffers          *buffer.Budget
 	// refused remembers calls that servers refused: they may write such a refusal again.
 	refused *refusedCalls
+	// invalidRetryAfterLog limits the log lines on invalid values of Retry-After.
+	invalidRetryAfterLog logLimiter
 
 	draining atomic.Bool
 	// servesUntil is when calls that still run are aborted, as a time since boot, or 0.
