pace: limits on calls at servers that start or recover

Cause: a server that has just started or recovered has no load, so that VMs, whose load figures lag, all send it calls at once.

Change: internal/pace limits the calls in flight over all VMs at a server that is new, failed, loaded weights or asked for no calls. The limit starts at half of what settled servers have, doubles while response times are like theirs and halves when they are not. Placement adds a cost at the limit. Settled servers have none.

--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -38,6 +38,8 @@
 	Slots    int
 	// Orders counts the orders that the server has accepted.
 	Orders int64
+	// ColdLeft is how much longer the server stays slow after its start.
+	ColdLeft time.Duration
 	// Models maps each model that the server runs to its version.
 	Models map[string]int64
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/marjoramrock/marjoramrock/internal/feed"
 	"github.com/marjoramrock/marjoramrock/internal/gossip"
 	"github.com/marjoramrock/marjoramrock/internal/lease"
+	"github.com/marjoramrock/marjoramrock/internal/pace"
 	"github.com/marjoramrock/marjoramrock/internal/parts"
 	"github.com/marjoramrock/marjoramrock/internal/quarantine"
 	"github.com/marjoramrock/marjoramrock/internal/quota"
@@ -99,6 +100,7 @@
 
 	catalog *catalog.Tracker
 	table   *backend.Table
+	pace    *pace.Tracker
 	parts   *parts.Directory
 	quota   *quota.Estimator
 	retries *quota.RetryBudget
@@ -156,6 +158,7 @@
 		refused: newRefusedCalls(), invalidServers: make(map[string]bool),
 	}
 	g.announcer = &announcer{g: g}
+	g.pace = pace.NewTracker(s.VM, g.logPace)
 	g.retries = quota.NewRetryBudget(s.Bounds.RetryRatio*retryBudgetShare, time.Duration(s.Bounds.RetryWindow), func() float64 {
 		return s.Bounds.RetryAllowance * retryBudgetShare / float64(g.node.MemberCount()+1)
 	})
@@ -315,6 +318,7 @@
 	g.peers.CloseExpired()
 	g.adapter.CloseExpired()
 	g.expireQuarantines()
+	g.metrics.setGauge("servers_paced", int64(g.pace.Paced()))
 	for _, id := range g.table.ExpireMissing(g.now()) {
 		g.parts.RemoveHolder(id)
 		event.ServerDelisted.Log(g.log, nil, log.Fields{"server": id})
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -47,10 +47,15 @@
 	}
 	g.table.Begin(c.server.ID, 0)
 	defer g.table.End(c.server.ID)
+	sample := g.beginSample(f, c, g.now())
+	defer sample.End()
 	resp, err := g.send(ctx, f, c, "")
 	if err != nil {
 		return false
 	}
+	if resp.Status < http.StatusInternalServerError && !resp.NotRun && !resp.WrongServer {
+		sample.Responded(g.now())
+	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.NotRun || resp.WrongServer {
 		return false
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -81,6 +81,8 @@
 		sentAt = f.takeover.sentAt
 	}
 
+	sample := g.beginSample(f, c, sentAt)
+	defer sample.End()
 	st.running = nil
 	if f.canRetry() && f.possibleRuns+1 < f.route.MaxAttempts {
 		running := g.newRunningAttempt(callCtx, cancel, f, c, st.lastEventID,
@@ -107,6 +109,7 @@
 			g.table.RecordPrefill(c.server.Service, c.UncachedTokens+c.pendingTokens, g.now()-sentAt)
 		}
 		promptRead()
+		sample.Responded(g.now())
 		if f.firstByteAt == 0 {
 			f.firstByteAt = g.now()
 			g.markPartsReady(f, c)
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -24,6 +24,7 @@
 			Excluded: s.Server.Draining || s.BackingOff || f.excluded[s.Server.ID], InBackoff: s.InBackoff, Reloading: s.Reloading,
 		}
 	}
+	g.viewPace(statuses, v, now)
 	if f.call.Prompt.Model != "" {
 		g.viewVersions(f, statuses, v, now)
 		g.viewParts(f, statuses, v, now)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -36,6 +36,10 @@
 	// backoffCostMillis reserves servers that failed for calls that have no other
 	// server.
 	backoffCostMillis = 10000.0
+	// pacedCostMillis reserves servers that start or recover, and have as many calls as
+	// they should, for calls that would wait on the others. It is that of ten calls beyond
+	// an engine's slots.
+	pacedCostMillis = 600.0
 	// reloadingCostMillis reserves engines that load weights for calls that have no
 	// other engine: they refuse calls until the weights are loaded.
 	reloadingCostMillis = 100000.0
@@ -114,6 +118,9 @@
 	if s.InBackoff {
 		cost += backoffCostMillis
 	}
+	if s.AtLimit {
+		cost += pacedCostMillis
+	}
 	if c.Model == "" {
 		return choice, cost + plainCallCostMillis*float64(s.Load), true
 	}
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -33,6 +33,9 @@
 	Excluded  bool
 	InBackoff bool
 	Reloading bool
+	// AtLimit is set if the server starts or recovers and has as many calls of this VM as
+	// it should.
+	AtLimit bool
 	// Version is the version of the call's model that the server runs, or zero.
 	Version int64
 	// OutdatedFor is how long ago a newer version was declared; it is negative if
