--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -31,17 +31,23 @@
 }
 
 func paceServer(s *backend.Status, unixNow int64) pace.Server {
+	// A single failure is weak evidence, and the server may have parts cached.
+	failed := s.Failures > 1
 	maxAge := newServerAge.Milliseconds()
 	age := unixNow - s.Server.Born
 	return pace.Server{
 		ID: s.Server.ID, Born: s.Server.Born, Load: s.Load, InFlight: s.InFlight, New: age < maxAge && age > -maxAge, ColdLeft: s.Server.ColdLeft,
-		Down: s.InBackoff || s.Reloading || s.BackingOff, Failed: s.Failures > 0, Draining: s.Server.Draining,
+		Down: s.InBackoff && failed || s.Reloading || s.BackingOff, Failed: failed, Draining: s.Server.Draining,
 	}
 }
 
 // beginSample begins to measure the time to the first byte of an attempt. Calls of one
 // route with a similar number of prompt tokens to process are compared.
-func (g *Gateway) beginSample(f *forwardedCall, c serverChoice, sentAt time.Duration) *pace.Sample {
+func (g *Gateway) beginSample(f *forwardedCall, c serverChoice) *pace.Sample {
+	sentAt := g.now()
+	if f.takeover != nil {
+		sentAt = f.takeover.sentAt
+	}
 	class := f.service + "/" + f.route.Name + "/" + strconv.Itoa(bits.Len(uint(max(0, c.UncachedTokens))/paceClassTokens))
 	return g.pace.Begin(c.server.ID, c.server.Born, class, sentAt)
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -47,7 +47,7 @@
 	}
 	g.table.Begin(c.server.ID, 0)
 	defer g.table.End(c.server.ID)
-	sample := g.beginSample(f, c, g.now())
+	sample := g.beginSample(f, c)
 	defer sample.End()
 	resp, err := g.send(ctx, f, c, "")
 	if err != nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -81,7 +81,7 @@
 		sentAt = f.takeover.sentAt
 	}
 
-	sample := g.beginSample(f, c, sentAt)
+	sample := g.beginSample(f, c)
 	defer sample.End()
 	st.running = nil
 	if f.canRetry() && f.possibleRuns+1 < f.route.MaxAttempts {
--- a/internal/pace/load_test.go
+++ b/internal/pace/load_test.go
@@ -1,6 +1,7 @@
 package pace
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -19,7 +20,7 @@
 type fleet struct {
 	vms            int
 	callsPerSecond float64
-	// event changes the servers at each step.
+	// event changes the servers at each step, unless it is nil.
 	event func(servers []*simulatedServer, now time.Duration)
 }
 
@@ -29,7 +30,7 @@
 	simulatedWork     = 40 * time.Millisecond
 	simulatedGoal     = 200 * time.Millisecond
 	simulatedLength   = 25 * time.Second
-	simulatedLag      = 300 * time.Millisecond
+	simulatedReturn   = 8 * time.Second
 	simulatedAttempts = 3
 )
 
@@ -51,6 +52,7 @@
 	sample       *Sample
 }
 
+// fleetResult is what clients got from the return of servers on.
 type fleetResult struct {
 	calls, inGoal int
 	worstSecond   float64
@@ -76,6 +78,9 @@
 	var out fleetResult
 	late, lateByFirst := 0, 0
 	end := func(c *simulatedCall, ok bool, now time.Duration) {
+		if c.arrivedAt < simulatedReturn {
+			return
+		}
 		second := c.arrivedAt / time.Second
 		out.calls++
 		seconds[second][1]++
@@ -97,7 +102,7 @@
 			at := tracker.AtLimit(len(statuses), func(i int) Server {
 				s := &statuses[i]
 				return Server{
-					ID: s.Server.ID, Born: s.Server.Born, Load: s.Load, InFlight: s.InFlight, Down: s.InBackoff, Failed: s.Failures > 0,
+					ID: s.Server.ID, Born: s.Server.Born, Load: s.Load, InFlight: s.InFlight, Down: s.InBackoff && s.Failures > 1, Failed: s.Failures > 1,
 					New: now.Milliseconds()-s.Server.Born < 10000,
 				}
 			}, func() []string { return names }, now)
@@ -119,8 +124,14 @@
 		table.Begin(s.ID, 0)
 		servers[n].calls = append(servers[n].calls, c)
 	}
+	lag := 200 * time.Millisecond
+	if f.vms > 6 {
+		lag *= 2
+	}
 	for now := time.Duration(0); now < simulatedLength; now += time.Millisecond {
-		f.event(servers, now)
+		if f.event != nil {
+			f.event(servers, now)
+		}
 		for v, table := range tables {
 			if (now/time.Millisecond)%100 == time.Duration(v)%100 {
 				for i, s := range servers {
@@ -131,7 +142,7 @@
 					}
 				}
 			}
-			if (now/time.Millisecond)%(simulatedLag/time.Millisecond) == time.Duration(v*7)%(simulatedLag/time.Millisecond) {
+			if (now+time.Duration(v)*7*time.Millisecond)%lag == 0 {
 				own, loads := table.Loads(), make(map[string]backend.Load)
 				for i, s := range servers {
 					id := strconv.Itoa(i)
@@ -192,7 +203,7 @@
 		}
 	}
 	out.worstSecond = 1
-	for i := 1; i < int(simulatedLength/time.Second)-2; i++ {
+	for i := int(simulatedReturn / time.Second); i < int(simulatedLength/time.Second)-2; i++ {
 		out.worstSecond = min(out.worstSecond, float64(seconds[i][0])/float64(seconds[i][1]))
 	}
 	out.share = float64(lateByFirst) / float64(max(1, late))
@@ -206,13 +217,19 @@
 			switch now {
 			case 3 * time.Second:
 				s.gone = true
-			case 8 * time.Second:
+			case simulatedReturn:
 				s.gone, s.born, s.slowness, s.coldUntil = false, now.Milliseconds(), slowness, now+cold
 			}
 		}
 	}
 }
 
+// isWorse reports whether a share of n calls is below another one by more than two
+// standard errors.
+func isWorse(share, other, n float64) bool {
+	return share < other-2*math.Sqrt((share*(1-share)+other*(1-other))/n)
+}
+
 // Guards against servers that are overloaded or left idle when they start or recover.
 func TestPacingUnderLoad(t *testing.T) {
 	again := returns(1, 4, 3*time.Second)
@@ -223,23 +240,34 @@
 		share          float64
 	}{
 		{"one of ten returns", 1300, returns(1, 4, 4*time.Second), 0.07},
+		{"one of ten returns warm", 1300, returns(1, 1, 0), 0.08},
 		{"half the fleet returns at once", 850, returns(5, 4, 4*time.Second), 0.07},
 		{"one returns and stays slow", 1200, returns(1, 6, time.Hour), 0},
 		{"one fails again", 1200, func(servers []*simulatedServer, now time.Duration) {
 			again(servers, now)
 			servers[0].failing = now >= 10*time.Second && now < 14*time.Second && now%(700*time.Millisecond) < 400*time.Millisecond
 		}, 0.07},
-		{"nothing happens", 1300, func([]*simulatedServer, time.Duration) {}, 0.08},
+		{"nothing happens", 1300, nil, 0},
 	}
 	for _, tt := range tests {
 		for _, vms := range []int{6, 90} {
 			t.Run(tt.name+" with "+strconv.Itoa(vms)+" VMs", func(t *testing.T) {
 				f := fleet{vms: vms, callsPerSecond: tt.callsPerSecond, event: tt.event}
+				t.Parallel()
 				for seed := range uint64(2) {
 					plain, paced := f.play(seed, false), f.play(seed, true)
 					t.Logf("without: %.4f in goal, worst second %.3f, share of server 0 %.3f", plain.goalShare(), plain.worstSecond, plain.share)
 					t.Logf("with:    %.4f in goal, worst second %.3f, share of server 0 %.3f", paced.goalShare(), paced.worstSecond, paced.share)
-					require.GreaterOrEqual(t, paced.share, tt.share, "not left idle")
+					if tt.event == nil {
+						require.Equal(t, plain, paced)
+						continue
+					}
+					require.False(t, isWorse(paced.goalShare(), plain.goalShare(), float64(plain.calls)))
+					require.False(t, isWorse(paced.worstSecond, plain.worstSecond, tt.callsPerSecond))
+					if vms == 90 {
+						require.LessOrEqual(t, 1-paced.worstSecond, (1-plain.worstSecond)/2, "the servers are overloaded")
+					}
+					require.GreaterOrEqual(t, paced.share, tt.share, "left idle")
 				}
 			})
 		}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -37,9 +37,9 @@
 	// server.
 	backoffCostMillis = 10000.0
 	// pacedCostMillis reserves servers that start or recover, and have as many calls as
-	// they should, for calls that would wait on the others. It is that of ten calls beyond
-	// an engine's slots.
-	pacedCostMillis = 600.0
+	// they should, for calls that would wait on the others. It is below
+	// lateVersionCostMillis, so that no call begins on late weights instead.
+	pacedCostMillis = 120.0
 	// reloadingCostMillis reserves engines that load weights for calls that have no
 	// other engine: they refuse calls until the weights are loaded.
 	reloadingCostMillis = 100000.0
