--- a/internal/pace/tracker.go
+++ b/internal/pace/tracker.go
@@ -230,10 +230,8 @@
 		t.report(s.ID, Slowed, l, now)
 	} else {
 		l.total *= growth
-		if l.samples > 0 {
-			l.slowdowns = max(0, l.slowdowns-1)
-			l.good += l.samples
-		}
+		l.slowdowns = max(0, l.slowdowns-1)
+		l.good += l.samples
 	}
 	l.changedAt, l.samples = now, 0
 	proven := l.good >= minGoodResponses || now-l.since > maxUnprovenTime
