--- a/internal/backend/backoff.go
+++ b/internal/backend/backoff.go
@@ -19,6 +19,9 @@
 			delete(t.backoffs, i)
 		}
 	}
+	if t.backoffs == nil {
+		t.backoffs = make(map[incarnation]time.Duration)
+	}
 	i := incarnation{id, born}
 	end, known := t.backoffs[i]
 	t.backoffs[i] = max(end, until)
--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -100,16 +100,13 @@
 	peers   map[string]*peerReport
 	// prefill holds the prefill rates by service.
 	prefill map[string]*prefillRate
-	// backoffs holds until when incarnations asked this VM for no requests.
+	// backoffs holds until when incarnations asked this VM for no requests, or is nil.
 	backoffs map[incarnation]time.Duration
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{
-		servers: make(map[string]*record), peers: make(map[string]*peerReport), prefill: make(map[string]*prefillRate),
-		backoffs: make(map[incarnation]time.Duration),
-	}
+	return &Table{servers: make(map[string]*record), peers: make(map[string]*peerReport), prefill: make(map[string]*prefillRate)}
 }
 
 // Put adds or updates the listing of one server. It reports whether the server is
@@ -442,6 +439,8 @@
 // Status is a snapshot of the state of one server.
 type Status struct {
 	Server Server `json:"server"`
+	// BackingOff is set while the server has asked this VM to send it no requests.
+	BackingOff bool `json:"backing_off"`
 	// Versions is shared and must not be modified.
 	Versions map[string]int64 `json:"versions,omitempty"`
 	InFlight int              `json:"inflight"`
@@ -453,8 +452,6 @@
 	InBackoff      bool    `json:"resting"`
 	Reloading      bool    `json:"reloading"`
 	Failures       int     `json:"failures"`
-	// BackingOff is set while the server has asked this VM to send it no requests.
-	BackingOff bool `json:"backing_off"`
 }
 
 // Statuses returns the state of all servers of a service, in no particular order. An
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -158,7 +158,6 @@
 		refused: newRefusedCalls(), invalidServers: make(map[string]bool),
 	}
 	g.announcer = &announcer{g: g}
-	g.pace = pace.NewTracker(s.VM, g.logPace)
 	g.retries = quota.NewRetryBudget(s.Bounds.RetryRatio*retryBudgetShare, time.Duration(s.Bounds.RetryWindow), func() float64 {
 		return s.Bounds.RetryAllowance * retryBudgetShare / float64(g.node.MemberCount()+1)
 	})
@@ -173,6 +172,7 @@
 		g.clock.Close()
 		return nil, fmt.Errorf("gateway: %w", err)
 	}
+	g.pace = pace.NewTracker(s.VM, g.logPace)
 	g.peers = upstream.NewPool(upstream.Options{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, MaxIdlePerAddress: maxIdlePeerConns, TCPUserTimeout: peerTCPUserTimeout})
 	g.initFollowers()
 	g.relay, err = gossip.NewRelay(s.PeerAddress, map[string]gossip.Table{declarationsTable: g.declarations, serversTable: g.serverList})
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -21,8 +21,12 @@
 	paceClassTokens = 512
 )
 
-// viewPace fills in which servers have as many calls as they should.
+// viewPace excludes the servers that asked for no requests, and fills in which have as
+// many calls as they should.
 func (g *Gateway) viewPace(statuses []backend.Status, v *placement.View, now time.Duration) {
+	for i := range statuses {
+		v.Servers[i].Excluded = v.Servers[i].Excluded || statuses[i].BackingOff
+	}
 	unixNow := time.Now().UnixMilli()
 	at := g.pace.AtLimit(len(statuses), func(i int) pace.Server { return paceServer(&statuses[i], unixNow) }, g.node.VMs, now)
 	for i := range at {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -45,10 +45,10 @@
 		running := g.newRunningAttempt(callCtx, cancel, f, c, "", timeout, timeout)
 		defer func() { running.finish(f, answered) }()
 	}
-	g.table.Begin(c.server.ID, 0)
-	defer g.table.End(c.server.ID)
 	sample := g.beginSample(f, c)
 	defer sample.End()
+	g.table.Begin(c.server.ID, 0)
+	defer g.table.End(c.server.ID)
 	resp, err := g.send(ctx, f, c, "")
 	if err != nil {
 		return false
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -21,7 +21,7 @@
 	for i, s := range statuses {
 		v.Servers[i] = placement.Server{
 			Zone: s.Server.Zone, Load: s.Load, Slots: s.Server.Slots, PendingTokens: s.Pending, TokensPerMilli: s.TokensPerMilli,
-			Excluded: s.Server.Draining || s.BackingOff || f.excluded[s.Server.ID], InBackoff: s.InBackoff, Reloading: s.Reloading,
+			Excluded: s.Server.Draining || f.excluded[s.Server.ID], InBackoff: s.InBackoff, Reloading: s.Reloading,
 		}
 	}
 	g.viewPace(statuses, v, now)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -30,16 +30,16 @@
 	// may take. Each millisecond beyond it costs overGoalFactor in addition.
 	latencyGoalShare = 0.6
 	overGoalFactor   = 3.0
+	// pacedCostMillis reserves servers that start or recover, and have as many calls as
+	// they should, for calls that would wait on the others. It is below
+	// lateVersionCostMillis, so that no call begins on late weights instead.
+	pacedCostMillis = 120.0
 	// silentZoneCostMillis reserves servers in zones that seem to be partitioned for
 	// calls that have no other server.
 	silentZoneCostMillis = 5000.0
 	// backoffCostMillis reserves servers that failed for calls that have no other
 	// server.
 	backoffCostMillis = 10000.0
-	// pacedCostMillis reserves servers that start or recover, and have as many calls as
-	// they should, for calls that would wait on the others. It is below
-	// lateVersionCostMillis, so that no call begins on late weights instead.
-	pacedCostMillis = 120.0
 	// reloadingCostMillis reserves engines that load weights for calls that have no
 	// other engine: they refuse calls until the weights are loaded.
 	reloadingCostMillis = 100000.0
@@ -115,12 +115,12 @@
 			cost += silentZoneCostMillis
 		}
 	}
-	if s.InBackoff {
-		cost += backoffCostMillis
-	}
 	if s.AtLimit {
 		cost += pacedCostMillis
 	}
+	if s.InBackoff {
+		cost += backoffCostMillis
+	}
 	if c.Model == "" {
 		return choice, cost + plainCallCostMillis*float64(s.Load), true
 	}
