--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -33,14 +33,14 @@
 // nextServer returns the server of the next attempt. If none can take the call, it
 // waits for one for up to half the latency goal.
 func (g *Gateway) nextServer(ctx context.Context, f *forwardedCall) (serverChoice, error) {
+	if f.takeover == nil && g.allBackOff(f) {
+		return serverChoice{}, errBackoff
+	}
 	if f.takeover != nil {
 		return f.takeover.choice, nil
 	}
 	waitUntil := g.now() + f.route.LatencyGoal/2
 	for waited := false; ; waited = true {
-		if g.allBackOff(f, waitUntil) {
-			return serverChoice{}, errBackoff
-		}
 		if c, ok := g.chooseServer(f, f.service); ok {
 			if !g.takeRetry(f) {
 				return serverChoice{}, errRetryBudget
--- a/internal/gateway/backoff.go
+++ b/internal/gateway/backoff.go
@@ -57,16 +57,16 @@
 }
 
 // allBackOff reports whether all servers of a call's service have asked for no requests
-// until after the time up to which the call can wait, and sets the Retry-After of its
-// refusal.
-func (g *Gateway) allBackOff(f *forwardedCall, waitUntil time.Duration) bool {
+// until after half its latency goal, for which it can wait, and sets the Retry-After of
+// its refusal.
+func (g *Gateway) allBackOff(f *forwardedCall) bool {
 	now := g.now()
 	end, ok := g.table.EarliestBackoffEnd(f.service, now)
-	if !ok || end <= waitUntil {
+	if !ok || end <= now+f.route.LatencyGoal/2 {
 		return false
 	}
 	left := end - now
 	spread := max(minRetryAfterSpread, time.Duration(retryAfterSpread*float64(left)))
-	f.retryAfter = left + time.Duration(rand.Float64()*float64(spread))
+	f.backoffLeft = left + time.Duration(rand.Float64()*float64(spread))
 	return true
 }
