--- a/internal/gateway/backoff.go
+++ b/internal/gateway/backoff.go
@@ -67,6 +67,6 @@
 	}
 	left := end - now
 	spread := max(minRetryAfterSpread, time.Duration(retryAfterSpread*float64(left)))
-	f.backoffLeft = left + time.Duration(rand.Float64()*float64(spread))
+	f.retryAfter = left + time.Duration(rand.Float64()*float64(spread))
 	return true
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -59,8 +59,8 @@
 	outcome       string
 	// detail says briefly why the call was not served.
 	detail string
-	// backoffLeft is the Retry-After of a refusal because all servers back off, or zero.
-	backoffLeft time.Duration
+	// retryAfter is the Retry-After of a refusal because all servers back off, or zero.
+	retryAfter time.Duration
 	// generation is that of the catalog that was applied, and proofAge the age of
 	// its proof.
 	generation int64
@@ -195,7 +195,7 @@
 		g.recordPartRefusal(f, quarantined)
 		g.refuse(f, *quarantined)
 	case f.possibleRuns == 0:
-		g.refuse(f, Refusal{Reason: ReasonUnavailable, RetryAfter: max(defaultRetryAfter, f.backoffLeft)})
+		g.refuse(f, Refusal{Reason: ReasonUnavailable, RetryAfter: max(defaultRetryAfter, f.retryAfter)})
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		g.refuse(f, Refusal{Reason: ReasonTimedOut})
 	default:
