--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -50,6 +50,8 @@
 	Slots   int
 	// Orders counts the orders that the server has accepted.
 	Orders int64
+	// ColdLeft is how much longer the server stays slow after its start.
+	ColdLeft time.Duration
 	// Models maps each model that the server runs to its version.
 	Models map[string]int64
 }
@@ -129,6 +131,8 @@
 	vms int
 	// prefill holds the prefill rates by service.
 	prefill map[string]*prefillRate
+	// backoffs holds until when incarnations asked this VM for no requests, or is nil.
+	backoffs map[incarnation]time.Duration
 }
 
 // NewTable returns an empty table.
@@ -480,6 +484,8 @@
 // Status is a snapshot of the state of one server.
 type Status struct {
 	Server Server `json:"server"`
+	// BackingOff is set while the server has asked this VM to send it no requests.
+	BackingOff bool `json:"backing_off"`
 	// Versions is shared and must not be modified.
 	Versions map[string]int64 `json:"versions,omitempty"`
 	InFlight int              `json:"inflight"`
@@ -511,6 +517,7 @@
 		if (service == "" || r.server.Service == service) && !r.gone(now) {
 			s := r.status(now)
 			s.TokensPerMilli = t.prefill[r.server.Service].tokens()
+			s.BackingOff = now < t.backoffs[incarnation{r.server.ID, r.server.Born}]
 			out = append(out, s)
 		}
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -34,6 +34,9 @@
 // waits in the queue of its service or, if the service has none, for up to half the
 // latency goal.
 func (g *Gateway) nextServer(ctx context.Context, f *forwardedCall) (serverChoice, error) {
+	if f.takeover == nil && g.allBackOff(f) {
+		return serverChoice{}, errBackoff
+	}
 	if f.takeover != nil {
 		return f.takeover.choice, nil
 	}
@@ -121,6 +124,9 @@
 // further calls, whatever the list of servers says.
 func (g *Gateway) sendAttempt(ctx context.Context, a *Attempt) (*Response, error) {
 	resp, err := g.serverClient.Send(ctx, a)
+	if err == nil && !resp.WrongServer {
+		g.recordBackoff(a, resp)
+	}
 	if err == nil && resp.Leaving && !resp.WrongServer && g.table.MarkLeaving(a.Server.ID, a.Server.Born) {
 		event.ServerLeaving.Log(g.log, nil, log.Fields{"request": a.Call.ID, "server": a.Server.ID, "status": resp.Status})
 	}
@@ -162,7 +168,8 @@
 // permit returns a function that reports whether an attempt that was decided at a time
 // may still be written: the process has not been paused for long since, the key has not
 // been withdrawn, its proof is young enough, no part of its prompt is in quarantine,
-// time is left, the server has not left, and no rollout keeps calls from it.
+// time is left, the server has neither left nor asked for no requests, and no rollout keeps
+// calls from it.
 func (g *Gateway) permit(f *forwardedCall, c serverChoice, decidedAt time.Duration) func() bool {
 	decided := *f
 	f = &decided
@@ -181,6 +188,9 @@
 		if !g.rollouts.mayRun(c.server.Service, c.server.Release, c.targetOnly, now) {
 			return false
 		}
+		if _, backingOff := g.table.BackoffEnd(c.server.ID, c.server.Born, now); backingOff {
+			return false
+		}
 		ok, _ := g.stillAuthorized(f)
 		if ok {
 			countSent()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/marjoramrock/marjoramrock/internal/feed"
 	"github.com/marjoramrock/marjoramrock/internal/gossip"
 	"github.com/marjoramrock/marjoramrock/internal/lease"
+	"github.com/marjoramrock/marjoramrock/internal/pace"
 	"github.com/marjoramrock/marjoramrock/internal/parts"
 	"github.com/marjoramrock/marjoramrock/internal/quarantine"
 	"github.com/marjoramrock/marjoramrock/internal/quota"
@@ -104,6 +105,7 @@
 
 	catalog *catalog.Tracker
 	table   *backend.Table
+	pace    *pace.Tracker
 	parts   *parts.Directory
 	quota   *quota.Estimator
 	retries *quota.RetryBudget
@@ -150,6 +152,8 @@
 	buffers *buffer.Budget
 	// refused remembers calls that servers refused: they may write such a refusal again.
 	refused *refusedCalls
+	// invalidRetryAfterLog limits the log lines on invalid values of Retry-After.
+	invalidRetryAfterLog logLimiter
 
 	draining atomic.Bool
 	// servesUntil is when calls that still run are aborted, as a time since boot, or 0.
@@ -186,6 +190,7 @@
 		g.clock.Close()
 		return nil, fmt.Errorf("gateway: %w", err)
 	}
+	g.pace = pace.NewTracker(s.VM, g.logPace)
 	g.peers = upstream.NewPool(upstream.Options{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, MaxIdlePerAddress: maxIdlePeerConns, TCPUserTimeout: peerTCPUserTimeout})
 	g.initFollowers()
 	g.relay, err = gossip.NewRelay(s.PeerAddress, map[string]gossip.Table{declarationsTable: g.declarations, serversTable: g.serverList})
@@ -356,6 +361,7 @@
 	g.adapter.CloseExpired()
 	g.expireQuarantines()
 	g.watchQuota()
+	g.metrics.setGauge("servers_paced", int64(g.pace.Paced()))
 	for _, id := range g.table.ExpireMissing(g.now()) {
 		g.parts.RemoveHolder(id)
 		event.ServerDelisted.Log(g.log, nil, log.Fields{"server": id})
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -45,6 +45,8 @@
 		running := g.newRunningAttempt(callCtx, cancel, f, c, "", timeout, timeout)
 		defer func() { running.finish(f, answered) }()
 	}
+	paceSample := g.beginSample(f, c)
+	defer paceSample.End()
 	g.table.Begin(c.server.ID, 0)
 	defer g.endLoad(f, c.server.ID)
 	defer g.holdMemory(f, c)()
@@ -54,6 +56,9 @@
 		sample.broken(ctx, err, g.now())
 		return false
 	}
+	if resp.Status < http.StatusInternalServerError && !resp.NotRun && !resp.WrongServer {
+		paceSample.Responded(g.now())
+	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.NotRun || resp.WrongServer {
 		sample.refused()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -71,7 +71,7 @@
 	// mayQueue is set if calls may wait for engines.
 	mayQueue bool
 	// returned is set if the call counts as one that was refused before, and retryAfter
-	// when a call that the queue refused may return.
+	// when a call that is refused may return.
 	returned   bool
 	retryAfter time.Duration
 	// lastChoice is the server of the last attempt.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -82,6 +82,8 @@
 		sentAt = f.takeover.sentAt
 	}
 
+	paceSample := g.beginSample(f, c)
+	defer paceSample.End()
 	st.running = nil
 	if f.canRetry() && f.possibleRuns+1 < f.route.MaxAttempts {
 		running := g.newRunningAttempt(callCtx, cancel, f, c, st.lastEventID,
@@ -113,6 +115,7 @@
 		}
 		promptRead()
 		sample.firstByte(g.now())
+		paceSample.Responded(g.now())
 		if f.firstByteAt == 0 {
 			f.firstByteAt = g.now()
 			g.markPartsReady(f, c)
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -29,6 +29,7 @@
 			v.Servers[i].CapacityTokens = f.engine.CapacityTokens
 		}
 	}
+	g.viewPace(statuses, v, now)
 	if f.call.Prompt.Model != "" {
 		g.viewVersions(f, statuses, v, now)
 		g.viewParts(f, statuses, v, now)
