Gateway: limits for connections, heads and bodies of clients

Cause: each connection could hold a head of 64 KB, which takes up to ten times as much once parsed, and there was no bound on connections; bodies were read before route and key were checked. Change: internal/inbound counts the bytes and lines of each head, takes their memory from a share of the buffer budget (now 20 % of the memory, 8 % for heads), bounds connections by descriptors and memory, and makes room by closing connections that carry no request. Route and key are checked before a body is read; requests without a key have half of the buffers for bodies. Readiness, metrics and peer listeners have limits of their own; the list of other VMs is bounded. Limits are settings (group limits).

--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -32,9 +32,11 @@
 // of buffers that are no longer held. It is safe for concurrent use.
 type Budget struct {
 	limit int64
+	// whole is the budget of which this one is a share, or nil.
+	whole *Budget
 	used  atomic.Int64
 	// allocated is the size of the buffers allocated since the last garbage collection
-	// that collectGarbage knows of. Beyond maxGarbageShare of limit, no buffer is
+	// that CollectGarbage knows of. Beyond maxGarbageShare of limit, no buffer is
 	// allocated before another one.
 	allocated atomic.Int64
 
@@ -46,24 +48,41 @@
 // NewBudget returns a budget of limit bytes.
 func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
 
+// NewShare returns a budget of limit bytes whose uses count in b, too.
+func (b *Budget) NewShare(limit int64) *Budget { return &Budget{limit: limit, whole: b} }
+
 // Limit returns the number of bytes that buffers may hold together.
 func (b *Budget) Limit() int64 { return b.limit }
 
 // Used returns the number of bytes that buffers hold.
 func (b *Budget) Used() int64 { return b.used.Load() }
 
-func (b *Budget) take(n int) bool {
-	if b.used.Add(int64(n)) > b.limit {
+// Take takes n bytes, to be given back with Return. It returns false if there are not as
+// many left.
+func (b *Budget) Take(n int) bool {
+	if b.used.Add(int64(n)) > b.limit || b.whole != nil && !b.whole.Take(n) {
 		b.used.Add(-int64(n))
 		return false
 	}
 	return true
 }
 
-// collectGarbage runs the garbage collector before n bytes are allocated if much of the
+// Return gives back n bytes.
+func (b *Budget) Return(n int) {
+	b.used.Add(-int64(n))
+	if b.whole != nil {
+		b.whole.Return(n)
+	}
+}
+
+// CollectGarbage runs the garbage collector before n bytes are allocated if much of the
 // memory of former buffers may be left. The collector runs often enough by itself unless
 // several processors allocate buffers at once.
-func (b *Budget) collectGarbage(n int) {
+func (b *Budget) CollectGarbage(n int) {
+	if b.whole != nil {
+		b.whole.CollectGarbage(n)
+		return
+	}
 	limit := max(int64(maxGarbageShare*float64(b.limit)), int64(n))
 	for b.allocated.Add(int64(n)) > limit {
 		b.mu.Lock()
@@ -113,11 +132,11 @@
 	}
 	size := min(max(2*cap(b.bytes), need, minBufferBytes), b.limit)
 	if size > minBufferBytes {
-		if !b.budget.take(size - b.taken) {
+		if !b.budget.Take(size - b.taken) {
 			return ErrFull
 		}
 		b.taken = size
-		b.budget.collectGarbage(size)
+		b.budget.CollectGarbage(size)
 	}
 	b.bytes = append(make([]byte, 0, size), b.bytes...)
 	return nil
@@ -172,6 +191,6 @@
 
 // Release empties the buffer and returns what it holds to the budget.
 func (b *Buffer) Release() {
-	b.budget.used.Add(-int64(b.taken))
+	b.budget.Return(b.taken)
 	b.bytes, b.taken = nil, 0
 }
--- a/internal/feed/page.go
+++ b/internal/feed/page.go
@@ -35,6 +35,18 @@
 	Since time.Duration
 }
 
+// rowOverheadBytes is the size of a row beside its key and value, rounded up.
+const rowOverheadBytes = 32
+
+// Size returns the approximate size of the page as a message.
+func (p Page) Size() int {
+	size := 0
+	for _, r := range p.Rows {
+		size += rowOverheadBytes + len(r.Key) + len(r.Value)
+	}
+	return size
+}
+
 // Source reads a table, from the store or from another VM.
 type Source interface {
 	// Snapshot returns all rows.
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -15,19 +15,39 @@
 // the caller, and differences in clock rates.
 const proofAgeShare = 0.92
 
-// admit matches the route of a call, authenticates the caller and charges its
-// team.
-func (g *Gateway) admit(f *forwardedCall) *Refusal {
+// Precheck refuses a call whose body has not been read yet if it has no route, or an
+// invalid key. It reports whether the call may go on, and whether that is without a key
+// where others need one. Serve checks again: the body may take long.
+func (g *Gateway) Precheck(call *Call, writer ResponseWriter) (keyless, ok bool) {
+	f := &forwardedCall{call: call, writer: writer, startedAt: g.now()}
+	c, r := g.matchRoute(f)
+	if r != nil {
+		g.refuse(f, *r)
+		g.recordOutcome(f)
+		return false, false
+	}
+	return c.RequiresKeys() && f.route.Public, true
+}
+
+// matchRoute matches the route of a call and authenticates the caller.
+func (g *Gateway) matchRoute(f *forwardedCall) (*catalog.Catalog, *Refusal) {
 	c := g.catalog.Current()
 	if c == nil {
 		f.detail = "no configuration yet"
-		return &Refusal{Reason: ReasonUnavailable, RetryAfter: defaultRetryAfter}
+		return nil, &Refusal{Reason: ReasonUnavailable, RetryAfter: defaultRetryAfter}
 	}
 	f.generation = c.Version()
 	if f.route = c.Match(f.call.Host, f.call.Path); f.route == nil {
-		return &Refusal{Reason: ReasonNoRoute}
+		return nil, &Refusal{Reason: ReasonNoRoute}
 	}
-	if r := g.authenticate(c, f); r != nil {
+	return c, g.authenticate(c, f)
+}
+
+// admit matches the route of a call, authenticates the caller and charges its
+// team.
+func (g *Gateway) admit(f *forwardedCall) *Refusal {
+	c, r := g.matchRoute(f)
+	if r != nil {
 		return r
 	}
 	if r := g.admitPart(f); r != nil {
--- a/internal/gateway/buffer.go
+++ b/internal/gateway/buffer.go
@@ -1,16 +1,19 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"io"
 
+	"github.com/apex/log"
 	"github.com/marjoramrock/marjoramrock/internal/buffer"
+	"github.com/marjoramrock/marjoramrock/internal/event"
 )
 
 const (
-	// bufferShare is the share of the process's memory that may hold bodies and events
-	// of calls. The rest holds the state of the fleet, connections and garbage.
-	bufferShare = 0.15
+	// bufferShare is the share of the process's memory that may hold bodies, events
+	// and heads of calls. The rest holds the state of the fleet, connections and garbage.
+	bufferShare = 0.2
 	// defaultBufferBytes is the limit if the memory of the process is not limited.
 	defaultBufferBytes = 256 << 20
 )
@@ -23,13 +26,21 @@
 	return buffer.NewBudget(limit)
 }
 
-// ReadBody reads the body of a caller's request of at most limit bytes. The caller of
-// ReadBody must call release when the call has ended. The error is buffer.ErrTooLarge,
+// ReadBody reads the body of a caller's request of at most limit bytes. Requests without a
+// key have a share of the buffers only, so that they leave some to the others. The caller
+// of ReadBody must call release when the call has ended. The error is buffer.ErrTooLarge,
 // buffer.ErrFull, or that of r.
-func (g *Gateway) ReadBody(r io.Reader, limit int) (body []byte, release func(), err error) {
-	b := buffer.New(g.buffers, limit)
+func (g *Gateway) ReadBody(r io.Reader, limit int, keyless bool) (body []byte, release func(), err error) {
+	budget := g.buffers
+	if keyless {
+		budget = g.publicBuffers
+	}
+	b := buffer.New(budget, limit)
 	if err := b.ReadAll(r); err != nil {
 		b.Release()
+		if errors.Is(err, buffer.ErrFull) {
+			g.recordLimit(event.BodyRefused, "bodies_out_of_memory", log.Fields{"keyless": keyless})
+		}
 		return nil, nil, fmt.Errorf("gateway: request body: %w", err)
 	}
 	return b.Bytes(), b.Release, nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/marjoramrock/marjoramrock/internal/event"
 	"github.com/marjoramrock/marjoramrock/internal/feed"
 	"github.com/marjoramrock/marjoramrock/internal/gossip"
+	"github.com/marjoramrock/marjoramrock/internal/inbound"
 	"github.com/marjoramrock/marjoramrock/internal/lease"
 	"github.com/marjoramrock/marjoramrock/internal/parts"
 	"github.com/marjoramrock/marjoramrock/internal/quarantine"
@@ -133,6 +134,11 @@
 	promptThroughput parts.ThroughputMeter
 	movableStreams   movableStreams
 	buffers          *buffer.Budget
+	// headMemory and publicBuffers are shares of buffers: for heads of requests, and for
+	// bodies of requests without a key.
+	headMemory    *buffer.Budget
+	publicBuffers *buffer.Budget
+	limitLog      limitLog
 	// refused remembers calls that servers refused: they may write such a refusal again.
 	refused *refusedCalls
 
@@ -147,12 +153,15 @@
 
 // New starts the background work of a gateway. The adapter passes calls to Serve.
 func New(s Settings, a Adapter, logger log.Interface) (*Gateway, error) {
+	s.Limits = s.Limits.WithDefaults(s.MemoryLimitMB, inbound.UsableDescriptors())
 	g := &Gateway{
 		settings: s, log: logger.WithField("vm", s.VM), clock: timer.NewSystemClock(), adapter: a, serverClient: a,
 		metrics: newGatewayMetrics(), catalog: catalog.NewTracker(), table: backend.NewTable(), parts: parts.NewDirectory(),
 		quota: quota.NewEstimator(s.FirstStart), buffers: newBufferBudget(s.MemoryLimitMB), quarantine: quarantine.NewTracker(),
 		refused: newRefusedCalls(), invalidServers: make(map[string]bool),
 	}
+	g.headMemory = g.buffers.NewShare(int64(s.Limits.HeadShare / bufferShare * float64(g.buffers.Limit())))
+	g.publicBuffers = g.buffers.NewShare(int64(s.Limits.PublicShare * float64(g.buffers.Limit())))
 	g.announcer = &announcer{g: g}
 	g.retries = quota.NewRetryBudget(s.Bounds.RetryRatio*retryBudgetShare, time.Duration(s.Bounds.RetryWindow), func() float64 {
 		return s.Bounds.RetryAllowance * retryBudgetShare / float64(g.node.MemberCount()+1)
@@ -161,7 +170,10 @@
 	g.node, err = gossip.NewNode(gossip.Options{
 		VM: s.VM, Zone: s.Zone, Address: s.PeerAddress, Epoch: uint64(time.Now().UnixNano()), Now: timer.SinceBoot,
 		OnMessage: g.handleMessage, OnInvalid: func(from string, err error) {
-			event.PeerMessageRejected.Log(g.log, err, log.Fields{"from": from})
+			g.recordRejectedMessage(from, err)
+		},
+		MaxMembers: s.Limits.VMs, OnMemberLimit: func(vm string) {
+			g.recordLimit(event.PeerLimitReached, "vms", log.Fields{"peer": vm})
 		},
 	})
 	if err != nil {
@@ -170,7 +182,12 @@
 	}
 	g.peers = upstream.NewPool(upstream.Options{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, MaxIdlePerAddress: maxIdlePeerConns, TCPUserTimeout: peerTCPUserTimeout})
 	g.initFollowers()
-	g.relay, err = gossip.NewRelay(s.PeerAddress, map[string]gossip.Table{declarationsTable: g.declarations, serversTable: g.serverList})
+	g.relay, err = gossip.NewRelay(s.PeerAddress, map[string]gossip.Table{declarationsTable: g.declarations, serversTable: g.serverList}, gossip.RelayOptions{
+		Limits: g.listenerLimits("peer", s.Limits.PeerConns), Responses: g.buffers.NewShare(int64(relayShare * float64(g.buffers.Limit()))),
+		OnFull: func(from string) {
+			g.recordLimit(event.PeerLimitReached, "relay_out_of_memory", log.Fields{"from": from})
+		},
+	})
 	if err != nil {
 		g.node.Close()
 		g.clock.Close()
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -30,6 +30,8 @@
 	// MemoryLimitMB is the memory limit of the process, in megabytes.
 	MemoryLimitMB int    `json:"memory"`
 	Bounds        Bounds `json:"bounds"`
+	// Limits bound what clients may use.
+	Limits ClientLimits `json:"limits,omitzero"`
 }
 
 // Bounds are the limits that operators guarantee to their users.
@@ -107,6 +109,7 @@
 	if s.Bounds.RetryRatio < 0 || s.Bounds.RetryAllowance < 0 {
 		report("bounds.repeats", "below zero; write a share of the calls such as 0.2")
 	}
+	s.Limits.check(report)
 	if len(e.Problems) > 0 {
 		return e
 	}
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -56,6 +56,10 @@
 	// OnInvalid is called for datagrams that are not valid messages, with the address
 	// of the sender.
 	OnInvalid func(from string, err error)
+	// MaxMembers bounds the number of other VMs that are known; zero means no bound.
+	// OnMemberLimit is called for a VM that is not recorded because of it.
+	MaxMembers    int
+	OnMemberLimit func(vm string)
 }
 
 // Node exchanges messages with the other VMs over one UDP socket. It is safe for
@@ -168,6 +172,9 @@
 		if o != nil && o.epoch > epoch {
 			return false, false
 		}
+		if o == nil && !n.hasRoom(vm) {
+			return false, false
+		}
 		o = &member{epoch: epoch, learnedAt: now}
 		n.members[vm] = o
 		fresh = true
@@ -178,6 +185,18 @@
 	return fresh, true
 }
 
+// hasRoom reports whether another VM can be recorded: messages are not authenticated, and
+// may name any number of VMs.
+func (n *Node) hasRoom(vm string) bool {
+	if n.options.MaxMembers <= 0 || len(n.members) < n.options.MaxMembers {
+		return true
+	}
+	if n.options.OnMemberLimit != nil {
+		n.options.OnMemberLimit(vm)
+	}
+	return false
+}
+
 // AddMember adds a VM whose name and address are known from the list of VMs. An
 // address that was learned from recent messages takes precedence.
 func (n *Node) AddMember(vm, address string) {
@@ -189,6 +208,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if o := n.members[vm]; o == nil {
+		if !n.hasRoom(vm) {
+			return
+		}
 		n.members[vm] = &member{address: addr, learnedAt: now}
 	} else if o.address != addr && now-o.lastHeard > silentAfter {
 		o.address = addr
--- a/internal/gossip/relay.go
+++ b/internal/gossip/relay.go
@@ -4,14 +4,16 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/marjoramrock/marjoramrock/internal/buffer"
 	"github.com/marjoramrock/marjoramrock/internal/feed"
+	"github.com/marjoramrock/marjoramrock/internal/inbound"
+	"github.com/marjoramrock/marjoramrock/internal/timer"
 	"github.com/marjoramrock/marjoramrock/internal/upstream"
 )
 
@@ -25,8 +27,25 @@
 	maxRelayWait = 5 * time.Second
 	// readHeaderTimeout bounds the reading of a request's header.
 	readHeaderTimeout = 5 * time.Second
+	// idleTimeout exceeds the idle time after which VMs close their connections.
+	idleTimeout = 2 * time.Minute
+	// maxResponseWait is how long a response waits for memory, responseRetryDelay the time
+	// between two attempts to get it.
+	maxResponseWait    = time.Second
+	responseRetryDelay = 20 * time.Millisecond
+	// maxRelayHeaderBytes bounds the header of a request, which has about 200 bytes.
+	maxRelayHeaderBytes = 4 << 10
 )
 
+// RelayOptions bound what the clients of a Relay may use.
+type RelayOptions struct {
+	Limits inbound.Limits
+	// Responses bounds the memory of responses that are being written. It may be nil. A
+	// response that finds it full is status 503, and OnFull is called.
+	Responses *buffer.Budget
+	OnFull    func(from string)
+}
+
 // ErrTableUnavailable means that the other VM does not have the table, or that its
 // copy is not current.
 var ErrTableUnavailable = errors.New("gossip: table not served by the other VM")
@@ -43,8 +62,8 @@
 type Relay struct{ server *http.Server }
 
 // NewRelay listens on a TCP address and serves the tables by their names.
-func NewRelay(address string, tables map[string]Table) (*Relay, error) {
-	l, err := net.Listen("tcp4", address)
+func NewRelay(address string, tables map[string]Table, o RelayOptions) (*Relay, error) {
+	l, err := inbound.Listen(address, o.Limits)
 	if err != nil {
 		return nil, fmt.Errorf("gossip: relay: %w", err)
 	}
@@ -55,9 +74,12 @@
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		serveTable(w, r, t)
+		o.serveTable(w, r, t)
 	})
-	relay := &Relay{server: &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}}
+	relay := &Relay{server: &http.Server{
+		Handler: inbound.Handler(inbound.WithoutBody(mux)), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxRelayHeaderBytes, ConnState: inbound.Track, ConnContext: inbound.ConnContext,
+	}}
 	go func() {
 		// Serve returns after Close, or if the listener fails, which is not expected
 		// while the VM runs.
@@ -69,7 +91,7 @@
 // Close closes the listener and all connections without waiting for requests.
 func (r *Relay) Close() { _ = r.server.Close() }
 
-func serveTable(w http.ResponseWriter, r *http.Request, t Table) {
+func (o RelayOptions) serveTable(w http.ResponseWriter, r *http.Request, t Table) {
 	q := r.URL.Query()
 	after, errAfter := strconv.ParseInt(q.Get("after"), 10, 64)
 	wait, errWait := time.ParseDuration(q.Get("wait"))
@@ -86,6 +108,13 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	size := page.Size()
+	if !o.takeResponse(r.Context(), size) {
+		o.OnFull(r.RemoteAddr)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer o.returnResponse(size)
 	raw, err := cbor.Marshal(page)
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
@@ -96,6 +125,26 @@
 	_, _ = w.Write(raw)
 }
 
+// takeResponse waits up to maxResponseWait for the memory of a response: after the start of
+// a zone, all of its VMs read whole tables at once.
+func (o RelayOptions) takeResponse(ctx context.Context, size int) bool {
+	if o.Responses == nil {
+		return true
+	}
+	for deadline := time.Now().Add(maxResponseWait); !o.Responses.Take(size); {
+		if time.Now().After(deadline) || !timer.Sleep(ctx, responseRetryDelay) {
+			return false
+		}
+	}
+	return true
+}
+
+func (o RelayOptions) returnResponse(size int) {
+	if o.Responses != nil {
+		o.Responses.Return(size)
+	}
+}
+
 // RemoteTable is a table that another VM serves. It implements feed.Source.
 type RemoteTable struct {
 	Pool    *upstream.Pool
--- a/internal/gossip/relay_test.go
+++ b/internal/gossip/relay_test.go
@@ -28,7 +28,7 @@
 func TestTablesAreRelayed(t *testing.T) {
 	address := loopback.FreeAddress(t)
 	served := &table{page: feed.Page{Rows: []feed.Row{{Key: "k", Version: 3, Value: []byte("v")}}, Version: 7, Since: -time.Second}}
-	r, err := NewRelay(address, map[string]Table{"servers": served})
+	r, err := NewRelay(address, map[string]Table{"servers": served}, RelayOptions{})
 	require.NoError(t, err)
 	defer r.Close()
 	pool := upstream.NewPool(upstream.Options{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxIdlePerAddress: 2, TCPUserTimeout: time.Second})
--- /dev/null
+++ b/internal/inbound/limits.go
@@ -0,0 +1,324 @@
+package inbound
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/marjoramrock/marjoramrock/internal/buffer"
+	"golang.org/x/sys/unix"
+)
+
+// Limits bound what the connections of a listener may use. The zero value has no limits.
+type Limits struct {
+	// Conns bounds the number of connections, HeadFields the lines of one head.
+	Conns      int
+	HeadFields int
+	// HeadMemory bounds the memory that heads hold until their requests have ended. It may
+	// be shared with other listeners.
+	HeadMemory *buffer.Budget
+	// WriteTimeout bounds one write to a caller that reads nothing.
+	WriteTimeout time.Duration
+	// OnLimit is called when a limit has closed a connection.
+	OnLimit func(r Reason, from net.Addr)
+}
+
+// Reason says which limit closed a connection.
+type Reason string
+
+// Reasons to close a connection.
+const (
+	// ReasonConns: another connection needed its place; ReasonRefusedConn: it was not
+	// accepted, since all others carry requests.
+	ReasonConns       Reason = "evicted_connections"
+	ReasonRefusedConn Reason = "refused_connections"
+	// ReasonFields: its head had too many lines; ReasonHeadMemory: it held the most memory
+	// of all heads when they held as much as they may together.
+	ReasonFields     Reason = "heads_with_many_fields"
+	ReasonHeadMemory Reason = "heads_out_of_memory"
+)
+
+const (
+	// reservedDescriptors is the number of descriptors kept for files.
+	reservedDescriptors = 200
+	// maxUsableDescriptors bounds the result of UsableDescriptors where the process has no
+	// limit worth the name.
+	maxUsableDescriptors = 1 << 16
+	// ConnBytes is the memory of a connection without its head: read and write buffer of
+	// net/http (4 KB each), goroutine, the first buffer of a body (8 KB) and the records.
+	ConnBytes = 24 << 10
+)
+
+// UsableDescriptors returns the number of descriptors that the process may use for
+// connections.
+func UsableDescriptors() int {
+	var r unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &r); err != nil || r.Cur > maxUsableDescriptors {
+		return maxUsableDescriptors
+	}
+	return max(1, int(r.Cur)-reservedDescriptors)
+}
+
+// Memory of a head that net/http reads: a line costs entries of a map and a slice beside
+// its bytes, which are copied while the line grows and once more when it is complete. Of
+// 60 KB in three-byte fields, 600 KB were resident.
+const (
+	headByteCost     = 4
+	keptHeadByteCost = 2
+	headFieldCost    = 64
+	// freeHeadBytes is the cost up to which a head counts as part of ConnBytes.
+	freeHeadBytes = 4 << 10
+)
+
+// headScanner counts the bytes and lines of a head.
+type headScanner struct {
+	bytes, lines int
+	lineLength   int
+	ended        bool
+}
+
+// scan counts the part of the head in p. A head ends with an empty line.
+func (s *headScanner) scan(p []byte) {
+	for _, b := range p {
+		if s.ended {
+			return
+		}
+		s.bytes++
+		switch b {
+		case '\n':
+			s.ended = s.lineLength == 0 && s.lines > 0
+			s.lines++
+			s.lineLength = 0
+		case '\r':
+		default:
+			s.lineLength++
+		}
+	}
+}
+
+// cost returns the memory that the head takes in addition to that of its connection. The
+// byteCost is headByteCost while the head is read, then keptHeadByteCost.
+func (s *headScanner) cost(byteCost int) int {
+	if cost := byteCost*s.bytes + headFieldCost*s.lines; cost > freeHeadBytes {
+		return cost
+	}
+	return 0
+}
+
+// Values of conn.phase.
+const (
+	// readingHead connections carry no request that a handler has seen. They may be closed
+	// to make room.
+	readingHead int32 = iota
+	// handling connections carry a request that a handler may have passed on.
+	handling
+	// evicted connections have been closed to make room.
+	evicted
+)
+
+// countHead counts bytes of a head. It returns an error if the connection must not be
+// read any further.
+func (c *conn) countHead(p []byte) error {
+	l := c.listener.limits
+	if c.head.bytes == 0 {
+		c.headBeganAt.Store(int64(time.Since(c.acceptedAt)))
+	}
+	c.head.scan(p)
+	if l.HeadFields > 0 && c.head.lines > l.HeadFields {
+		c.refuse("431 Request Header Fields Too Large", ReasonFields)
+		return errClosedByLimit
+	}
+	need := c.head.cost(headByteCost) - int(c.charged.Load())
+	if l.HeadMemory == nil || need <= 0 {
+		return nil
+	}
+	for !l.HeadMemory.Take(need) {
+		if !c.listener.evictHead(c) {
+			c.refuse("503 Service Unavailable\r\nRetry-After: 0.5", ReasonHeadMemory)
+			return errClosedByLimit
+		}
+	}
+	c.charged.Add(int64(need))
+	l.HeadMemory.CollectGarbage(need)
+	if c.phase.Load() == evicted {
+		c.release()
+		return errClosedByLimit
+	}
+	return nil
+}
+
+// errClosedByLimit is of a type that net/http takes for a failed connection, to which it
+// writes nothing more.
+var errClosedByLimit = &net.OpError{Op: "read", Err: net.ErrClosed}
+
+// refuse answers a request whose head is not complete, so that it cannot have run. The
+// caller may still be sending, and then loses the response with its connection.
+func (c *conn) refuse(status string, r Reason) {
+	// An error means that the caller has left.
+	_ = c.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
+	_, _ = c.TCPConn.Write([]byte("HTTP/1.1 " + status + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"))
+	_ = c.CloseWrite()
+	c.listener.report(r, c)
+}
+
+// refusalWriteTimeout bounds the time to write a response without a body.
+const refusalWriteTimeout = 100 * time.Millisecond
+
+func (l *Listener) report(r Reason, c *conn) {
+	if l.limits.OnLimit != nil {
+		l.limits.OnLimit(r, c.RemoteAddr())
+	}
+}
+
+// release returns the memory of the head to its budget.
+func (c *conn) release() {
+	if n := c.charged.Swap(0); n > 0 {
+		c.listener.limits.HeadMemory.Return(int(n))
+	}
+}
+
+// evictHead closes the connection with the largest incomplete head, the oldest one of
+// those. It returns false if that is c itself.
+func (l *Listener) evictHead(c *conn) bool {
+	l.mu.Lock()
+	victim, largest := c, c.charged.Load()
+	for x := range l.conns {
+		n := x.charged.Load()
+		if x != c && x.phase.Load() == readingHead && (n > largest || n == largest && n > 0 && x.acceptedAt.Before(victim.acceptedAt)) {
+			victim, largest = x, n
+		}
+	}
+	l.mu.Unlock()
+	if victim == c {
+		return false
+	}
+	if victim.phase.CompareAndSwap(readingHead, evicted) {
+		l.report(ReasonHeadMemory, victim)
+		_ = victim.Close()
+	}
+	return true
+}
+
+// makeRoom closes a connection if there are as many as there may be. It reports whether
+// there is room for another one.
+func (l *Listener) makeRoom() bool {
+	for l.limits.Conns > 0 {
+		l.mu.Lock()
+		if len(l.conns) < l.limits.Conns {
+			l.mu.Unlock()
+			return true
+		}
+		victim := l.pickVictim()
+		l.mu.Unlock()
+		if victim == nil {
+			return false
+		}
+		if victim.phase.CompareAndSwap(readingHead, evicted) {
+			l.report(ReasonConns, victim)
+			// The caller may have closed it, too.
+			_ = victim.Close()
+		}
+	}
+	return true
+}
+
+// freshHeadTime is how long a connection may take to send a head before others that
+// carry no request are preferred to it.
+const freshHeadTime = time.Second
+
+// pickVictim returns the connection to close for a new one, or nil if all carry requests:
+// first one that takes long to send a head, the largest and then the oldest; then one that
+// has been idle for the longest time; then the largest and oldest of the other heads.
+func (l *Listener) pickVictim() *conn {
+	var slow, idle, fresh *conn
+	prefer := func(a, b *conn) bool {
+		if b == nil {
+			return true
+		}
+		x, y := a.charged.Load(), b.charged.Load()
+		return x > y || x == y && a.waitingSince().Before(b.waitingSince())
+	}
+	for c := range l.conns {
+		if c.phase.Load() != readingHead {
+			continue
+		}
+		isIdle := http.ConnState(c.state.Load()) == http.StateIdle && c.usage.Load() == unread
+		switch {
+		case isIdle:
+			if idle == nil || c.waitingSince().Before(idle.waitingSince()) {
+				idle = c
+			}
+		case time.Since(c.waitingSince()) > freshHeadTime:
+			if prefer(c, slow) {
+				slow = c
+			}
+		case prefer(c, fresh):
+			fresh = c
+		}
+	}
+	if slow != nil {
+		return slow
+	}
+	if idle != nil && !idle.hasUnread() && idle.usage.CompareAndSwap(unread, claimed) {
+		return idle
+	}
+	return fresh
+}
+
+// waitingSince returns since when a connection waits for a head or its rest.
+func (c *conn) waitingSince() time.Time { return c.acceptedAt.Add(time.Duration(c.headBeganAt.Load())) }
+
+// headRead returns the memory that only the reading of a head has taken.
+func (c *conn) headRead() {
+	kept := int64(c.head.cost(keptHeadByteCost))
+	if n := c.charged.Load() - kept; n > 0 {
+		c.charged.Add(-n)
+		c.listener.limits.HeadMemory.Return(int(n))
+	}
+}
+
+// headEnded resets the count of a head once its request has ended.
+func (c *conn) headEnded() {
+	c.head = headScanner{}
+	c.headBeganAt.Store(int64(time.Since(c.acceptedAt)))
+	c.release()
+	c.phase.CompareAndSwap(handling, readingHead)
+}
+
+// unwantedBodyTimeout bounds the time to read a body that the handler ignores.
+const unwantedBodyTimeout = time.Second
+
+// WithoutBody is for handlers that ignore bodies. The server would wait without end for the
+// rest of a body before it completes the request.
+func WithoutBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			w.Header().Set("Connection", "close")
+			// A connection without deadlines fails later, when it is read or written.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unwantedBodyTimeout))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+type connKey struct{}
+
+// ConnContext is the hook of the same name of the server.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// Handler passes requests on to next unless their connections have been closed to make
+// room. From then on, these are not closed for others.
+func Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+			if !c.phase.CompareAndSwap(readingHead, handling) {
+				panic(http.ErrAbortHandler)
+			}
+			c.headRead()
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/internal/inbound/limits_test.go
@@ -0,0 +1,137 @@
+package inbound
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/marjoramrock/marjoramrock/internal/buffer"
+	"github.com/stretchr/testify/require"
+)
+
+// startLimitedServer starts a server whose handler waits for release if the path is /wait.
+func startLimitedServer(t *testing.T, limits Limits) (l *Listener, running, release chan struct{}) {
+	t.Helper()
+	l, err := Listen("127.0.0.1:0", limits)
+	require.NoError(t, err)
+	running, release = make(chan struct{}, 8), make(chan struct{})
+	s := &http.Server{ConnState: Track, ConnContext: ConnContext, Handler: Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			running <- struct{}{}
+			<-release
+		}
+	}))}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return l, running, release
+}
+
+func write(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	_, err := io.WriteString(c, text)
+	require.NoError(t, err)
+}
+
+func requireStatus(t *testing.T, c net.Conn, status int) {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.Equal(t, status, resp.StatusCode)
+}
+
+func requireClosed(t *testing.T, c net.Conn) {
+	t.Helper()
+	_, err := c.Read(make([]byte, 1))
+	require.Error(t, err)
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+}
+
+// A request that a handler has passed on must not be cut to make room for another.
+func TestConnectionsThatCarryRequestsAreNotEvicted(t *testing.T) {
+	l, running, release := startLimitedServer(t, Limits{Conns: 2})
+	busy, half := dial(t, l), dial(t, l)
+	write(t, busy, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-running
+	write(t, half, request[:10])
+	time.Sleep(20 * time.Millisecond)
+	next := dial(t, l)
+	write(t, next, request)
+	requireStatus(t, next, http.StatusOK)
+	requireClosed(t, half)
+	close(release)
+	requireStatus(t, busy, http.StatusOK)
+}
+
+func TestNewConnectionsAreRefusedWhileAllCarryRequests(t *testing.T) {
+	l, running, release := startLimitedServer(t, Limits{Conns: 1})
+	busy := dial(t, l)
+	write(t, busy, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-running
+	requireClosed(t, dial(t, l))
+	close(release)
+	requireStatus(t, busy, http.StatusOK)
+}
+
+// The largest head must make room, not the ordinary requests that come after it.
+func TestLargestHeadIsEvicted(t *testing.T) {
+	budget := buffer.NewBudget(300 << 10)
+	l, _, _ := startLimitedServer(t, Limits{HeadMemory: budget})
+	large := dial(t, l)
+	write(t, large, "GET / HTTP/1.1\r\nHost: h\r\nField: "+strings.Repeat("x", 50<<10))
+	require.Eventually(t, func() bool { return budget.Used() > 150<<10 }, time.Second, time.Millisecond)
+	c := dial(t, l)
+	write(t, c, "GET / HTTP/1.1\r\nHost: h\r\nField: "+strings.Repeat("x", 40<<10)+"\r\n\r\n")
+	requireStatus(t, c, http.StatusOK)
+	requireClosed(t, large)
+	require.Eventually(t, func() bool { return budget.Used() == 0 }, time.Second, time.Millisecond)
+}
+
+func TestHeadsWithManyFieldsAreRefused(t *testing.T) {
+	l, _, _ := startLimitedServer(t, Limits{HeadFields: 100})
+	c := dial(t, l)
+	write(t, c, "GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("a:\n", 100))
+	requireStatus(t, c, http.StatusRequestHeaderFieldsTooLarge)
+	kept := dial(t, l)
+	for range 3 {
+		// Lines of a body are none of a head.
+		write(t, kept, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200\r\n\r\n"+strings.Repeat("\n", 200))
+		requireStatus(t, kept, http.StatusOK)
+	}
+}
+
+// A handler that ignores bodies must not wait for the rest of one.
+func TestRestOfAnIgnoredBodyIsNotAwaited(t *testing.T) {
+	l := listen(t)
+	s := &http.Server{Handler: WithoutBody(http.NotFoundHandler())}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	c := dial(t, l)
+	write(t, c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200\r\n\r\nx")
+	requireStatus(t, c, http.StatusNotFound)
+	requireClosed(t, c)
+}
+
+// The scanner must find the end of a head where net/http does, however it is split.
+func FuzzHeadScanner(f *testing.F) {
+	f.Add([]byte(request+"body\n\n"), 3)
+	f.Add([]byte("GET / HTTP/1.1\nA: b\n\n\n"), 1)
+	f.Add([]byte("\r\n\r\nGET / HTTP/1.1\r\n"), 2)
+	f.Fuzz(func(t *testing.T, raw []byte, split int) {
+		var whole, parts headScanner
+		whole.scan(raw)
+		split = max(0, min(split, len(raw)))
+		parts.scan(raw[:split])
+		parts.scan(raw[split:])
+		require.Equal(t, whole, parts)
+		r := bufio.NewReader(strings.NewReader(string(raw)))
+		if _, err := http.ReadRequest(r); err == nil {
+			require.True(t, whole.ended)
+			require.LessOrEqual(t, whole.bytes, len(raw))
+		}
+	})
+}
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -31,6 +31,7 @@
 // it has just read, and leaves those that only the kernel has accepted to be reset.
 type Listener struct {
 	*net.TCPListener
+	limits  Limits
 	closing atomic.Bool
 	// done is set once nothing is accepted any more.
 	done atomic.Bool
@@ -48,6 +49,15 @@
 	// usage is unread until bytes of a request have been read, and again once its
 	// response is complete. It never leaves claimed.
 	usage atomic.Int32
+	// phase says whether the connection may be closed to make room for others.
+	phase atomic.Int32
+	// head counts the head that is being read. Only the goroutine that reads it uses it.
+	head headScanner
+	// headBeganAt is when the connection began to wait for a head, or for its rest once
+	// that has begun, as a duration since acceptedAt.
+	headBeganAt atomic.Int64
+	// charged is the memory of the head that is taken from the listener's HeadMemory.
+	charged atomic.Int64
 }
 
 // Values of conn.usage.
@@ -60,27 +70,36 @@
 	claimed
 )
 
-// Listen listens on a TCP address.
-func Listen(address string) (*Listener, error) {
+// Listen listens on a TCP address. The server needs the hooks Track and ConnContext, and a
+// handler wrapped by Handler.
+func Listen(address string, limits Limits) (*Listener, error) {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, fmt.Errorf("inbound: %w", err)
 	}
-	return &Listener{TCPListener: l.(*net.TCPListener), conns: make(map[*conn]struct{})}, nil
+	return &Listener{TCPListener: l.(*net.TCPListener), limits: limits, conns: make(map[*conn]struct{})}, nil
 }
 
 // Accept implements net.Listener. After Stop it returns net.ErrClosed once the backlog
 // is empty.
 func (l *Listener) Accept() (net.Conn, error) {
-	c, err := l.acceptWaiting()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.acceptWaiting()
+		if err != nil {
+			return nil, err
+		}
+		accepted := &conn{TCPConn: c, listener: l, acceptedAt: time.Now()}
+		if !l.makeRoom() {
+			l.report(ReasonRefusedConn, accepted)
+			// The caller may have closed it, too.
+			_ = c.Close()
+			continue
+		}
+		l.mu.Lock()
+		l.conns[accepted] = struct{}{}
+		l.mu.Unlock()
+		return accepted, nil
 	}
-	accepted := &conn{TCPConn: c, listener: l, acceptedAt: time.Now()}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.conns[accepted] = struct{}{}
-	return accepted, nil
 }
 
 // acceptWaiting accepts a connection. After Stop, it waits for one from the moment at
@@ -108,6 +127,7 @@
 	if c, ok := c.(*conn); ok {
 		c.state.Store(int32(s))
 		if s == http.StateIdle {
+			c.headEnded()
 			c.usage.CompareAndSwap(inUse, unread)
 		}
 	}
@@ -119,14 +139,30 @@
 	if n > 0 && !c.usage.CompareAndSwap(unread, inUse) && c.usage.Load() == claimed {
 		return 0, net.ErrClosed
 	}
+	if n > 0 && c.phase.Load() == readingHead {
+		if limitErr := c.countHead(p[:n]); limitErr != nil {
+			return 0, limitErr
+		}
+	}
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	if t := c.listener.limits.WriteTimeout; t > 0 {
+		if err := c.SetWriteDeadline(time.Now().Add(t)); err != nil {
+			return 0, err
+		}
+	}
+	return c.TCPConn.Write(p)
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
+	c.release()
 	return c.TCPConn.Close()
 }
 
--- a/internal/inbound/listener_test.go
+++ b/internal/inbound/listener_test.go
@@ -33,7 +33,7 @@
 
 func listen(t *testing.T) *Listener {
 	t.Helper()
-	l, err := Listen("127.0.0.1:0")
+	l, err := Listen("127.0.0.1:0", Limits{})
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	return l
