Router: limits for connections, heads and bodies of callers

Cause: the HTTP library kept each body, up to 16 MB, before the handler could check the key, and parsed tiny fields of half-sent heads into 1.3 MB for each connection. The parser copied each body once more. Change: bodies are streamed, and read within a budget once the key has been checked; a refused body is read for up to 2 s without being kept, so that the caller sees the response. Listeners are those of internal/inbound, with limits on connections, lines and memory of heads. The listener hands out no byte beyond a head, so that the heads of pipelined requests are counted, too. Settings: group limits. The status address accepts bodies of up to 64 KB, which only the fault switches of tests use.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -138,7 +138,7 @@
 	// bodies of requests without a key.
 	headMemory    *buffer.Budget
 	publicBuffers *buffer.Budget
-	limitLog      limitLog
+	limitLog      event.Sampler
 	// refused remembers calls that servers refused: they may write such a refusal again.
 	refused *refusedCalls
 
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"fmt"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -137,11 +135,10 @@
 	return g.listenerLimits(name, g.settings.Limits.ProbeConns)
 }
 
-// recordLimit counts what a limit has prevented, and logs it unless the same was logged
-// within limitLogPeriod.
+// recordLimit counts what a limit has prevented, and logs it now and then.
 func (g *Gateway) recordLimit(e event.Event, reason string, fields log.Fields) {
 	g.metrics.incrementCounter("limit_" + reason)
-	if n := g.limitLog.allow(fmt.Sprint(e.Number(), reason), g.now()); n > 0 {
+	if n := g.limitLog.Count(reason, time.Now()); n > 0 {
 		fields["reason"], fields["times"] = reason, n
 		e.Log(g.log, nil, fields)
 	}
@@ -153,45 +150,7 @@
 // recordRejectedMessage counts a datagram that is no valid message.
 func (g *Gateway) recordRejectedMessage(from string, err error) {
 	g.metrics.incrementCounter("limit_invalid_messages")
-	if n := g.limitLog.allow("invalid message", g.now()); n > 0 {
+	if n := g.limitLog.Count("invalid messages", time.Now()); n > 0 {
 		event.PeerMessageRejected.Log(g.log, err, log.Fields{"from": from, "times": n})
 	}
 }
-
-// limitLogPeriod is the time between two log lines with the same reason.
-const limitLogPeriod = 10 * time.Second
-
-// limitLog bounds the number of log lines about limits. It is safe for concurrent use.
-type limitLog struct {
-	mu sync.Mutex // guards the field below
-	// byReason has few keys: reasons are constants.
-	byReason map[string]*limitLogEntry
-}
-
-type limitLogEntry struct {
-	loggedAt time.Duration
-	// times counts what has happened since loggedAt.
-	times int
-}
-
-// allow reports how often it was called for a reason since it last returned a number
-// above zero, or 0 if that was a short time ago.
-func (l *limitLog) allow(reason string, now time.Duration) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	e := l.byReason[reason]
-	if e == nil {
-		if l.byReason == nil {
-			l.byReason = make(map[string]*limitLogEntry)
-		}
-		e = &limitLogEntry{loggedAt: now - limitLogPeriod}
-		l.byReason[reason] = e
-	}
-	e.times++
-	if now-e.loggedAt < limitLogPeriod {
-		return 0
-	}
-	n := e.times
-	e.loggedAt, e.times = now, 0
-	return n
-}
--- a/internal/inbound/limits.go
+++ b/internal/inbound/limits.go
@@ -74,27 +74,33 @@
 // headScanner counts the bytes and lines of a head.
 type headScanner struct {
 	bytes, lines int
-	lineLength   int
-	ended        bool
+	// lineLength is the length of the current line, lastByte its last byte.
+	lineLength int
+	lastByte   byte
+	// begun is set once there was a line that is not empty, ended after the empty line that
+	// ends the head.
+	begun, ended bool
 }
 
-// scan counts the part of the head in p. A head ends with an empty line.
-func (s *headScanner) scan(p []byte) {
-	for _, b := range p {
+// scan counts the part of the head at the start of p and returns its length.
+func (s *headScanner) scan(p []byte) int {
+	for i, b := range p {
 		if s.ended {
-			return
+			return i
 		}
 		s.bytes++
-		switch b {
-		case '\n':
-			s.ended = s.lineLength == 0 && s.lines > 0
-			s.lines++
-			s.lineLength = 0
-		case '\r':
-		default:
+		if b != '\n' {
 			s.lineLength++
+			s.lastByte = b
+			continue
 		}
+		empty := s.lineLength == 0 || s.lineLength == 1 && s.lastByte == '\r'
+		s.ended = empty && s.begun
+		s.begun = s.begun || !empty
+		s.lines++
+		s.lineLength = 0
 	}
+	return len(p)
 }
 
 // cost returns the memory that the head takes in addition to that of its connection. The
@@ -117,14 +123,78 @@
 	evicted
 )
 
-// countHead counts bytes of a head. It returns an error if the connection must not be
-// read any further.
-func (c *conn) countHead(p []byte) error {
-	l := c.listener.limits
+const (
+	// readAheadBytes bounds what is read at once after a head: a server that reads a body
+	// through its buffer would get the next head with it, uncounted. It applies to reads of
+	// up to maxBufferBytes, the largest buffer of a server; larger ones go to the body.
+	readAheadBytes = 2 << 10
+	maxBufferBytes = 32 << 10
+	// headReadBytes bounds what is read of a head at once, and so what is kept beyond it.
+	headReadBytes = 4 << 10
+)
+
+// readCounted reads from the connection. While it reads a head, it counts it and returns
+// no more than the head; what was read beyond it comes first the next time. It returns an
+// error if the connection must not be read further.
+func (c *conn) readCounted(p []byte) (int, error) {
+	counting := c.phase.Load() == readingHead && !c.head.ended
+	switch {
+	case counting:
+		p = p[:min(len(p), headReadBytes)]
+	case len(p) <= maxBufferBytes:
+		p = p[:min(len(p), readAheadBytes)]
+	}
+	if len(c.rest) > 0 {
+		return c.readRest(p, counting)
+	}
+	n, err := c.TCPConn.Read(p)
+	if n == 0 || !counting {
+		return n, err
+	}
+	end, limitErr := c.countHead(p[:n])
+	if limitErr != nil {
+		return 0, limitErr
+	}
+	if end < n {
+		c.setRest(append([]byte(nil), p[end:n]...))
+	}
+	return end, err
+}
+
+// readRest is readCounted for what was read before.
+func (c *conn) readRest(p []byte, counting bool) (int, error) {
+	n := min(len(p), len(c.rest))
+	if counting {
+		var err error
+		if n, err = c.countHead(c.rest[:n]); err != nil {
+			return 0, err
+		}
+	}
+	copy(p, c.rest[:n])
+	c.setRest(c.rest[n:])
+	return n, nil
+}
+
+func (c *conn) setRest(rest []byte) {
+	if len(rest) == 0 {
+		rest = nil
+	}
+	c.rest = rest
+	c.restLength.Store(int64(len(rest)))
+}
+
+// countHead counts the part of a head at the start of p and returns its length. It returns
+// an error if the head exceeds a limit.
+func (c *conn) countHead(p []byte) (int, error) {
 	if c.head.bytes == 0 {
 		c.headBeganAt.Store(int64(time.Since(c.acceptedAt)))
 	}
-	c.head.scan(p)
+	end := c.head.scan(p)
+	return end, c.checkHead()
+}
+
+func (c *conn) checkHead() error {
+	l := c.listener.limits
 	if l.HeadFields > 0 && c.head.lines > l.HeadFields {
 		c.refuse("431 Request Header Fields Too Large", ReasonFields)
 		return errClosedByLimit
@@ -313,12 +383,24 @@
 // room. From then on, these are not closed for others.
 func Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
-			if !c.phase.CompareAndSwap(readingHead, handling) {
-				panic(http.ErrAbortHandler)
-			}
-			c.headRead()
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok && !BeginRequest(c) {
+			panic(http.ErrAbortHandler)
 		}
 		next.ServeHTTP(w, r)
 	})
 }
+
+// BeginRequest reports whether the request on a connection may be handled. If it may not,
+// the connection has been closed to make room. From then on, it is not closed for others
+// until the server reports http.StateIdle.
+func BeginRequest(c net.Conn) bool {
+	x, ok := c.(*conn)
+	if !ok {
+		return true
+	}
+	if !x.phase.CompareAndSwap(readingHead, handling) {
+		return false
+	}
+	x.headRead()
+	return true
+}
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -53,6 +53,10 @@
 	phase atomic.Int32
 	// head counts the head that is being read. Only the goroutine that reads it uses it.
 	head headScanner
+	// rest holds bytes that were read together with a head and follow it, restLength their
+	// number.
+	rest       []byte
+	restLength atomic.Int64
 	// headBeganAt is when the connection began to wait for a head, or for its rest once
 	// that has begun, as a duration since acceptedAt.
 	headBeganAt atomic.Int64
@@ -73,7 +77,12 @@
 // Listen listens on a TCP address. The server needs the hooks Track and ConnContext, and a
 // handler wrapped by Handler.
 func Listen(address string, limits Limits) (*Listener, error) {
-	l, err := net.Listen("tcp4", address)
+	return ListenOn("tcp4", address, limits)
+}
+
+// ListenOn is Listen for another network than "tcp4".
+func ListenOn(network, address string, limits Limits) (*Listener, error) {
+	l, err := net.Listen(network, address)
 	if err != nil {
 		return nil, fmt.Errorf("inbound: %w", err)
 	}
@@ -135,15 +144,10 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+	n, err := c.readCounted(p)
 	if n > 0 && !c.usage.CompareAndSwap(unread, inUse) && c.usage.Load() == claimed {
 		return 0, net.ErrClosed
 	}
-	if n > 0 && c.phase.Load() == readingHead {
-		if limitErr := c.countHead(p[:n]); limitErr != nil {
-			return 0, limitErr
-		}
-	}
 	return n, err
 }
 
@@ -227,4 +231,4 @@
 }
 
 // hasUnread reports whether bytes have arrived that nobody has read.
-func (c *conn) hasUnread() bool { return socket.Peek(c) == socket.Unread }
+func (c *conn) hasUnread() bool { return c.restLength.Load() > 0 || socket.Peek(c) == socket.Unread }
--- a/internal/router/body.go
+++ b/internal/router/body.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"bytes"
 	"fmt"
 	"strings"
 
@@ -44,10 +43,10 @@
 // parseNoCopy lets parsed values alias the body that they were parsed from.
 const parseNoCopy = json.DontCopyString | json.DontCopyRawMessage | json.DontCopyNumber
 
-// parseBody parses and validates a model request.
+// parseBody parses and validates a model request. The result refers to raw.
 func parseBody(raw []byte, chat bool) (*body, error) {
 	b := &body{chat: chat}
-	rest, err := json.Parse(bytes.Clone(raw), &b.fields, parseNoCopy)
+	rest, err := json.Parse(raw, &b.fields, parseNoCopy)
 	if err != nil || len(rest) > 0 || b.fields == nil {
 		return nil, badRequestError("the body is no JSON object")
 	}
--- a/internal/router/complete.go
+++ b/internal/router/complete.go
@@ -44,7 +44,20 @@
 	if !ctx.IsPost() {
 		return false, newRefusal(fasthttp.StatusMethodNotAllowed, "bad_request", "use POST")
 	}
-	parsed, err := parseBody(ctx.PostBody(), chat)
+	keyless, err := r.checkKeyBeforeBody(ctx)
+	if err != nil {
+		return false, err
+	}
+	held, err := r.readBody(ctx, keyless)
+	if err != nil {
+		return false, err
+	}
+	defer func() {
+		if !streaming {
+			held.Release()
+		}
+	}()
+	parsed, err := parseBody(held.Bytes(), chat)
 	if err != nil {
 		return false, err
 	}
@@ -62,6 +75,7 @@
 		c.r.streams.remove(c.stream)
 		c.r.queues.forModel(r, c.model.Name).Leave()
 		cancel()
+		held.Release()
 	}
 	if !parsed.stream {
 		used, err := c.answerNonStreaming(deadlineCtx, ctx)
--- a/internal/router/entry.go
+++ b/internal/router/entry.go
@@ -53,6 +53,7 @@
 		err = r.serveService(ctx, id, path)
 	}
 	if err != nil {
+		discardBody(ctx)
 		r.writeError(ctx, id, err)
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/marjoramrock/marjoramrock/internal/engine"
 	"github.com/marjoramrock/marjoramrock/internal/event"
 	"github.com/marjoramrock/marjoramrock/internal/fleet"
+	"github.com/marjoramrock/marjoramrock/internal/inbound"
 	"github.com/marjoramrock/marjoramrock/internal/peer"
 	"github.com/marjoramrock/marjoramrock/internal/platform"
 	"github.com/marjoramrock/marjoramrock/internal/receipt"
@@ -65,6 +67,7 @@
 	streams       *streams
 	orderer       *orderer
 	unreachable   *unreachableTargets
+	callerMemory  *callerMemory
 	follower      *configFollower
 
 	entryServer   *fasthttp.Server
@@ -89,7 +92,9 @@
 
 // New starts a router. It runs until Shutdown or Close is called.
 func New(s Settings, tlsConfig *tls.Config, logger log.Interface) (*Router, error) {
+	s.Limits = s.Limits.withDefaults(inbound.UsableDescriptors())
 	r := &Router{
+		callerMemory:  newCallerMemory(s.Limits),
 		settings:      s,
 		log:           logger.WithField("vm", s.VM),
 		clock:         timer.NewSystemClock(),
@@ -141,12 +146,12 @@
 	if err != nil {
 		return fmt.Errorf("router: %w", err)
 	}
-	r.statusServer, r.statusAddress, err = r.serve(r.settings.StatusAddress, r.handleStatus, 4<<20)
+	r.statusServer, r.statusAddress, err = r.serve(r.settings.StatusAddress, r.handleStatus, maxStatusBodyBytes, r.settings.Limits.StatusConns)
 	if err != nil {
 		r.node.Close()
 		return err
 	}
-	r.entryServer, r.entryAddress, err = r.serve(r.settings.EntryAddress, r.handleEntry, maxRequestBytes)
+	r.entryServer, r.entryAddress, err = r.serve(r.settings.EntryAddress, r.handleEntry, maxRequestBytes, r.settings.Limits.Conns)
 	if err != nil {
 		r.node.Close()
 		_ = r.statusServer.Shutdown()
@@ -157,25 +162,40 @@
 
 // serve starts an HTTP server with a timeout for each write rather than for the
 // whole response, so that long streams are not cut off but stuck callers are.
-func (r *Router) serve(address string, handler fasthttp.RequestHandler, maxBodyBytes int) (*fasthttp.Server, string, error) {
-	listener, err := net.Listen("tcp", address)
+func (r *Router) serve(address string, handler fasthttp.RequestHandler, maxBodyBytes, maxConns int) (*fasthttp.Server, string, error) {
+	listener, err := inbound.ListenOn("tcp", address, r.listenerLimits(address, maxConns))
 	if err != nil {
 		return nil, "", fmt.Errorf("router: listen: %w", err)
 	}
 	server := &fasthttp.Server{
-		Handler:               handler,
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			if !inbound.BeginRequest(ctx.Conn()) {
+				ctx.SetConnectionClose()
+				return
+			}
+			handler(ctx)
+		},
+		ConnState: func(c net.Conn, s fasthttp.ConnState) {
+			if s == fasthttp.StateIdle {
+				inbound.Track(c, http.StateIdle)
+			}
+		},
 		Name:                  "marjoramrock",
 		ReadTimeout:           callerReadTimeout,
 		IdleTimeout:           callerIdleTimeout,
 		MaxRequestBodySize:    maxBodyBytes,
 		ReadBufferSize:        maxHeaderBytes,
 		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
-		ErrorHandler:          writeReadError,
-		Logger:                discardLogger{},
+		// Handlers read bodies, once they know that they need them.
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		ReduceMemoryUsage:            true,
+		CloseOnShutdown:              true,
+		ErrorHandler:                 writeReadError,
+		Logger:                       discardLogger{},
 	}
 	r.listeners.Go(func() {
-		if err := server.Serve(writeTimeoutListener{listener}); err != nil {
+		if err := server.Serve(listener); err != nil {
 			event.ListenerFailed.Log(r.log, err, log.Fields{"address": address})
 		}
 	})
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -52,6 +52,11 @@
 	if err != nil {
 		return err
 	}
+	held, err := r.readBody(ctx, who.public)
+	if err != nil {
+		return err
+	}
+	defer held.Release()
 	r.metrics.requests.Mark(1)
 	c := &serviceCall{r: r, id: id, route: route, caller: who, ctx: ctx, stream: r.streams.add(who)}
 	defer r.streams.remove(c.stream)
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -41,6 +41,8 @@
 	// AbsenceTimeout is how long the platform's list of VMs may lag.
 	DrainDelay     config.Duration `json:"drain,omitempty"`
 	AbsenceTimeout config.Duration `json:"confirm,omitempty"`
+	// Limits bound what callers may use.
+	Limits Limits `json:"limits,omitzero"`
 	// AllowFaults enables fault injection on the status address. It is meant
 	// for tests.
 	AllowFaults bool `json:"faults,omitempty"`
@@ -94,6 +96,7 @@
 	if _, err := newPlacementPolicy(s.PlacementPolicy); err != nil {
 		report("placement", err.Error())
 	}
+	s.Limits.validate(report)
 	if len(e.Problems) > 0 {
 		return e
 	}
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -105,7 +105,8 @@
 // switchFaults sets the links to cut, if the settings allow it.
 func (r *Router) switchFaults(ctx *fasthttp.RequestCtx) {
 	var cut CutLinks
-	if !r.settings.AllowFaults || json.Unmarshal(ctx.PostBody(), &cut) != nil {
+	size := ctx.Request.Header.ContentLength()
+	if !r.settings.AllowFaults || size < 0 || size > maxStatusBodyBytes || json.Unmarshal(ctx.PostBody(), &cut) != nil {
 		newRefusal(fasthttp.StatusForbidden, "forbidden", "fault switches are off").write(&ctx.Response)
 		return
 	}
