Bodies that are sent slowly make room for other requests

Cause: 400 half-sent bodies on a route that needs no key held all connections of a gateway for the body timeout: an ordinary request was answered after 30.1 s (TestUntrustedClients, small half body on a public route). Change: a connection may be closed to make room until its body is complete and the request is passed on. When the memory for bodies is full, the largest body without a key that has taken more than a second makes room.

--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -8,6 +8,7 @@
 	"runtime/metrics"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 const (
@@ -173,6 +174,29 @@
 	}
 }
 
+// Parameters of ReadAllMakingRoom: how often it makes room, and how long it waits each time
+// for the memory to be given back.
+const (
+	maxRoomAttempts = 4
+	roomWait        = 50 * time.Millisecond
+	roomCheckPeriod = time.Millisecond
+)
+
+// ReadAllMakingRoom is ReadAll, but calls makeRoom when the budget is full. That reports
+// whether it has ended the use of another buffer, which is released soon.
+func (b *Buffer) ReadAllMakingRoom(r io.Reader, makeRoom func() bool) error {
+	for range maxRoomAttempts {
+		err := b.ReadAll(r)
+		if !errors.Is(err, ErrFull) || !makeRoom() {
+			return err
+		}
+		for used, end := b.budget.Used(), time.Now().Add(roomWait); b.budget.Used() >= used && time.Now().Before(end); {
+			time.Sleep(roomCheckPeriod)
+		}
+	}
+	return b.ReadAll(r)
+}
+
 // expectEOF returns ErrTooLarge unless r is at its end.
 func (b *Buffer) expectEOF(r io.Reader) error {
 	var one [1]byte
--- a/internal/gateway/buffer.go
+++ b/internal/gateway/buffer.go
@@ -26,20 +26,28 @@
 	return buffer.NewBudget(limit)
 }
 
-// ReadBody reads the body of a caller's request of at most limit bytes. Requests without a
-// key have a share of the buffers only, so that they leave some to the others. The caller
-// of ReadBody must call release when the call has ended. The error is buffer.ErrTooLarge,
-// buffer.ErrFull, or that of r.
-func (g *Gateway) ReadBody(r io.Reader, limit int, keyless bool) (body []byte, release func(), err error) {
+// BodyOptions say how to read a body.
+type BodyOptions struct {
+	Limit int
+	// Keyless is set for requests without a key. They have a share of the buffers only, so
+	// that they leave some to the others.
+	Keyless bool
+	// MakeRoom ends the reading of another body. It reports whether there was one.
+	MakeRoom func() bool
+}
+
+// ReadBody reads the body of a caller's request. The caller of ReadBody must call release
+// when the call has ended. The error is buffer.ErrTooLarge, buffer.ErrFull, or that of r.
+func (g *Gateway) ReadBody(r io.Reader, o BodyOptions) (body []byte, release func(), err error) {
 	budget := g.buffers
-	if keyless {
+	if o.Keyless {
 		budget = g.publicBuffers
 	}
-	b := buffer.New(budget, limit)
-	if err := b.ReadAll(r); err != nil {
+	b := buffer.New(budget, o.Limit)
+	if err := b.ReadAllMakingRoom(r, o.MakeRoom); err != nil {
 		b.Release()
 		if errors.Is(err, buffer.ErrFull) {
-			g.recordLimit(event.BodyRefused, "bodies_out_of_memory", log.Fields{"keyless": keyless})
+			g.recordLimit(event.BodyRefused, "bodies_out_of_memory", log.Fields{"keyless": o.Keyless})
 		}
 		return nil, nil, fmt.Errorf("gateway: request body: %w", err)
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"net"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -293,3 +294,23 @@
 		}
 	})
 }
+
+// Messages are not authenticated: any number of names must not use up the memory.
+func TestNumberOfMembersIsBounded(t *testing.T) {
+	const limit = 3
+	refused := 0
+	n := &Node{
+		options: Options{VM: "own", Now: func() time.Duration { return time.Second }, MaxMembers: limit, OnMemberLimit: func(string) { refused++ }},
+		members: make(map[string]*member), seeds: make(map[netip.AddrPort]bool),
+	}
+	for i := range 10 {
+		m := &Message{VM: fmt.Sprint("vm", i), Address: "127.0.0.1:1", Epoch: 1, Sequence: 1, Members: []Member{{VM: fmt.Sprint("x", i), Address: "127.0.0.1:1", Epoch: 1, Sequence: 1}}}
+		_, accepted := n.receive(m)
+		require.Equal(t, i < 1, accepted)
+		n.AddMember(fmt.Sprint("listed", i), "127.0.0.1:1")
+	}
+	require.Equal(t, limit, n.MemberCount())
+	require.NotZero(t, refused)
+	_, accepted := n.receive(&Message{VM: "vm0", Address: "127.0.0.1:1", Epoch: 1, Sequence: 2})
+	require.True(t, accepted, "known VMs are heard")
+}
--- a/internal/inbound/limits.go
+++ b/internal/inbound/limits.go
@@ -37,6 +37,9 @@
 	// of all heads when they held as much as they may together.
 	ReasonFields     Reason = "heads_with_many_fields"
 	ReasonHeadMemory Reason = "heads_out_of_memory"
+	// ReasonBodyMemory: it had sent most of a body, without a key, when the memory for
+	// bodies was full.
+	ReasonBodyMemory Reason = "slow_bodies"
 )
 
 const (
@@ -112,17 +115,25 @@
 	return 0
 }
 
-// Values of conn.phase.
+// Values of conn.phase. Connections may be closed to make room while they read a head or a
+// body: no handler can have passed their requests on.
 const (
-	// readingHead connections carry no request that a handler has seen. They may be closed
-	// to make room.
 	readingHead int32 = iota
+	readingBody
 	// handling connections carry a request that a handler may have passed on.
 	handling
 	// evicted connections have been closed to make room.
 	evicted
 )
 
+// evict marks a connection that is to be closed to make room. It returns false if the
+// connection must stay.
+func (c *conn) evict() bool {
+	return c.phase.CompareAndSwap(readingHead, evicted) || c.phase.CompareAndSwap(readingBody, evicted)
+}
+
+func (c *conn) isEvictable() bool { return c.phase.Load() <= readingBody }
+
 const (
 	// readAheadBytes bounds what is read at once after a head: a server that reads a body
 	// through its buffer would get the next head with it, uncounted. It applies to reads of
@@ -149,6 +160,7 @@
 	}
 	n, err := c.TCPConn.Read(p)
 	if n == 0 || !counting {
+		c.bodyBytes.Add(int64(n))
 		return n, err
 	}
 	end, limitErr := c.countHead(p[:n])
@@ -255,7 +267,7 @@
 	victim, largest := c, c.charged.Load()
 	for x := range l.conns {
 		n := x.charged.Load()
-		if x != c && x.phase.Load() == readingHead && (n > largest || n == largest && n > 0 && x.acceptedAt.Before(victim.acceptedAt)) {
+		if x != c && x.isEvictable() && (n > largest || n == largest && n > 0 && x.acceptedAt.Before(victim.acceptedAt)) {
 			victim, largest = x, n
 		}
 	}
@@ -263,7 +275,7 @@
 	if victim == c {
 		return false
 	}
-	if victim.phase.CompareAndSwap(readingHead, evicted) {
+	if victim.evict() {
 		l.report(ReasonHeadMemory, victim)
 		_ = victim.Close()
 	}
@@ -284,7 +296,7 @@
 		if victim == nil {
 			return false
 		}
-		if victim.phase.CompareAndSwap(readingHead, evicted) {
+		if victim.evict() {
 			l.report(ReasonConns, victim)
 			// The caller may have closed it, too.
 			_ = victim.Close()
@@ -293,13 +305,14 @@
 	return true
 }
 
-// freshHeadTime is how long a connection may take to send a head before others that
-// carry no request are preferred to it.
-const freshHeadTime = time.Second
+// freshTime is how long a connection may take to send a request before others are preferred
+// to it.
+const freshTime = time.Second
 
 // pickVictim returns the connection to close for a new one, or nil if all carry requests:
-// first one that takes long to send a head, the largest and then the oldest; then one that
-// has been idle for the longest time; then the largest and oldest of the other heads.
+// first one that takes long to send a head or body, the one with the largest head and then
+// the oldest; then one that has been idle for the longest time; then the largest and oldest
+// of the others.
 func (l *Listener) pickVictim() *conn {
 	var slow, idle, fresh *conn
 	prefer := func(a, b *conn) bool {
@@ -310,7 +323,7 @@
 		return x > y || x == y && a.waitingSince().Before(b.waitingSince())
 	}
 	for c := range l.conns {
-		if c.phase.Load() != readingHead {
+		if !c.isEvictable() {
 			continue
 		}
 		isIdle := http.ConnState(c.state.Load()) == http.StateIdle && c.usage.Load() == unread
@@ -319,7 +332,7 @@
 			if idle == nil || c.waitingSince().Before(idle.waitingSince()) {
 				idle = c
 			}
-		case time.Since(c.waitingSince()) > freshHeadTime:
+		case time.Since(c.waitingSince()) > freshTime:
 			if prefer(c, slow) {
 				slow = c
 			}
@@ -353,7 +366,11 @@
 	c.head = headScanner{}
 	c.headBeganAt.Store(int64(time.Since(c.acceptedAt)))
 	c.release()
-	c.phase.CompareAndSwap(handling, readingHead)
+	c.untrustedBody.Store(false)
+	c.bodyBytes.Store(0)
+	if !c.phase.CompareAndSwap(handling, readingHead) {
+		c.phase.CompareAndSwap(readingBody, readingHead)
+	}
 }
 
 // unwantedBodyTimeout bounds the time to read a body that the handler ignores.
@@ -382,25 +399,81 @@
 // Handler passes requests on to next unless their connections have been closed to make
 // room. From then on, these are not closed for others.
 func Handler(next http.Handler) http.Handler {
+	return BodyHandler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !BeginRequest(Conn(r)) {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	}))
+}
+
+// BodyHandler is Handler for a next that reads a body and must call BeginRequest before it
+// passes the request on.
+func BodyHandler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*conn); ok && !BeginRequest(c) {
+		if !BeginBody(Conn(r)) {
 			panic(http.ErrAbortHandler)
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
-// BeginRequest reports whether the request on a connection may be handled. If it may not,
-// the connection has been closed to make room. From then on, it is not closed for others
-// until the server reports http.StateIdle.
-func BeginRequest(c net.Conn) bool {
+// Conn returns the connection of a request, or nil if its server lacks the hook ConnContext.
+func Conn(r *http.Request) net.Conn {
+	c, _ := r.Context().Value(connKey{}).(net.Conn)
+	return c
+}
+
+// BeginBody must be called when the head of a request has been read. It returns false if
+// the connection has been closed to make room.
+func BeginBody(c net.Conn) bool {
 	x, ok := c.(*conn)
 	if !ok {
 		return true
 	}
-	if !x.phase.CompareAndSwap(readingHead, handling) {
+	if !x.phase.CompareAndSwap(readingHead, readingBody) {
 		return false
 	}
 	x.headRead()
 	return true
 }
+
+// BeginRequest must be called before a request is passed on. It returns false if the
+// connection has been closed to make room: then the request must not run. From then on, the
+// connection is not closed for others until the server reports http.StateIdle.
+func BeginRequest(c net.Conn) bool {
+	x, ok := c.(*conn)
+	return !ok || x.phase.CompareAndSwap(readingBody, handling)
+}
+
+// MarkUntrusted lets MakeRoomForBody close the connection while the body is read.
+func MarkUntrusted(c net.Conn) {
+	if x, ok := c.(*conn); ok {
+		x.untrustedBody.Store(true)
+	}
+}
+
+// MakeRoomForBody closes the connection that has sent most of a body, of those that are
+// marked as untrusted and have taken more than freshTime. It reports whether there was one.
+func MakeRoomForBody(c net.Conn) bool {
+	x, ok := c.(*conn)
+	if !ok {
+		return false
+	}
+	l := x.listener
+	var victim *conn
+	l.mu.Lock()
+	for y := range l.conns {
+		slow := y != x && y.untrustedBody.Load() && y.phase.Load() == readingBody && time.Since(y.waitingSince()) > freshTime
+		if slow && (victim == nil || y.bodyBytes.Load() > victim.bodyBytes.Load()) {
+			victim = y
+		}
+	}
+	l.mu.Unlock()
+	if victim == nil || !victim.evict() {
+		return false
+	}
+	l.report(ReasonBodyMemory, victim)
+	_ = victim.Close()
+	return true
+}
--- a/internal/inbound/limits_test.go
+++ b/internal/inbound/limits_test.go
@@ -86,6 +86,38 @@
 	requireStatus(t, busy, http.StatusOK)
 }
 
+// Half-sent bodies of routes that need no key kept all others out until they timed out.
+func TestSlowBodiesMakeRoom(t *testing.T) {
+	l, err := Listen("127.0.0.1:0", Limits{Conns: 2})
+	require.NoError(t, err)
+	small, full := make(chan net.Conn, 1), make(chan net.Conn, 1)
+	s := &http.Server{ConnState: Track, ConnContext: ConnContext, Handler: BodyHandler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		MarkUntrusted(Conn(r))
+		if r.ContentLength > 100 {
+			full <- Conn(r)
+		} else {
+			small <- Conn(r)
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil || !BeginRequest(Conn(r)) {
+			panic(http.ErrAbortHandler)
+		}
+	}))}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	first, second := dial(t, l), dial(t, l)
+	write(t, first, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n"+strings.Repeat("x", 4000))
+	<-full
+	write(t, second, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nx")
+	c := <-small
+	require.False(t, MakeRoomForBody(c), "no body is slow yet")
+	time.Sleep(freshTime + 50*time.Millisecond)
+	require.True(t, MakeRoomForBody(c))
+	requireClosed(t, first)
+	require.False(t, MakeRoomForBody(c), "its own body is the only one left")
+	write(t, second, strings.Repeat("x", 9))
+	requireStatus(t, second, http.StatusOK)
+}
+
 // The largest head must make room, not the ordinary requests that come after it.
 func TestLargestHeadIsEvicted(t *testing.T) {
 	budget := buffer.NewBudget(300 << 10)
@@ -150,3 +182,36 @@
 		}
 	})
 }
+
+// What follows a head in one read must reach the server, whatever it reads next.
+func FuzzAllBytesAreReadOnce(f *testing.F) {
+	f.Add([]byte(request+request+"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"+request), uint16(7), uint8(1))
+	f.Add([]byte(request+strings.Repeat("x", 9000)), uint16(4096), uint8(2))
+	f.Fuzz(func(t *testing.T, raw []byte, size uint16, each uint8) {
+		l := listen(t)
+		client := dial(t, l)
+		accepted, err := l.Accept()
+		require.NoError(t, err)
+		go func() {
+			_, _ = client.Write(raw)
+			_ = client.(*net.TCPConn).CloseWrite()
+		}()
+		var got []byte
+		for i := 0; ; i++ {
+			p := make([]byte, int(size)+1)
+			n, err := accepted.Read(p)
+			got = append(got, p[:n]...)
+			if err != nil {
+				break
+			}
+			// Requests begin and end between any two reads.
+			if i%(int(each)+1) == 0 {
+				Track(accepted, http.StateIdle)
+			} else if BeginBody(accepted) {
+				BeginRequest(accepted)
+			}
+		}
+		require.Equal(t, string(raw), string(got))
+		_ = accepted.Close()
+	})
+}
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -60,6 +60,10 @@
 	// headBeganAt is when the connection began to wait for a head, or for its rest once
 	// that has begun, as a duration since acceptedAt.
 	headBeganAt atomic.Int64
+	// untrustedBody is set while a body is read that needs no key, bodyBytes the part of it
+	// that has been read.
+	untrustedBody atomic.Bool
+	bodyBytes     atomic.Int64
 	// charged is the memory of the head that is taken from the listener's HeadMemory.
 	charged atomic.Int64
 }
--- a/internal/router/limits.go
+++ b/internal/router/limits.go
@@ -140,15 +140,20 @@
 	b := buffer.New(budget, maxRequestBytes)
 	stream := ctx.RequestBodyStream()
 	if stream == nil {
-		return b, nil
+		return b, beginRequest(ctx)
 	}
 	if ctx.Request.Header.ContentLength() > maxRequestBytes {
 		return nil, newRefusal(fasthttp.StatusRequestEntityTooLarge, "body_too_large", "the body exceeds the size limit")
 	}
-	err := b.ReadAll(stream)
+	if keyless {
+		inbound.MarkUntrusted(ctx.Conn())
+	}
+	err := b.ReadAllMakingRoom(stream, func() bool { return inbound.MakeRoomForBody(ctx.Conn()) })
 	if err == nil {
 		ctx.Request.SetBodyRaw(b.Bytes())
-		return b, nil
+		if err = beginRequest(ctx); err == nil {
+			return b, nil
+		}
 	}
 	b.Release()
 	switch {
@@ -162,6 +167,14 @@
 	return nil, badRequestError("the body is not complete")
 }
 
+// beginRequest returns an error if the connection has been closed to make room for others.
+func beginRequest(ctx *fasthttp.RequestCtx) error {
+	if !inbound.BeginRequest(ctx.Conn()) {
+		return net.ErrClosed
+	}
+	return nil
+}
+
 // discardTimeout bounds the time to read the body of a request that is refused. A caller
 // that still writes when its connection is closed may not see the response.
 const discardTimeout = 2 * time.Second
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -169,7 +169,7 @@
 	}
 	server := &fasthttp.Server{
 		Handler: func(ctx *fasthttp.RequestCtx) {
-			if !inbound.BeginRequest(ctx.Conn()) {
+			if !inbound.BeginBody(ctx.Conn()) {
 				ctx.SetConnectionClose()
 				return
 			}
