--- a/internal/inbound/limits.go
+++ b/internal/inbound/limits.go
@@ -446,6 +446,16 @@
 	return !ok || x.phase.CompareAndSwap(readingBody, handling)
 }
 
+// pressureTime is how long after a refused connection others end with their responses.
+const pressureTime = time.Second
+
+// ShouldClose reports whether a connection should end with its response, since others have
+// been refused: a client that always has another request would keep its place for good.
+func ShouldClose(c net.Conn) bool {
+	x, ok := c.(*conn)
+	return ok && time.Since(time.Unix(0, x.listener.refusedAt.Load())) < pressureTime
+}
+
 // MarkUntrusted lets MakeRoomForBody close the connection while the body is read.
 func MarkUntrusted(c net.Conn) {
 	if x, ok := c.(*conn); ok {
--- a/internal/inbound/limits_test.go
+++ b/internal/inbound/limits_test.go
@@ -81,7 +81,13 @@
 	busy := dial(t, l)
 	write(t, busy, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
 	<-running
-	requireClosed(t, dial(t, l))
+	refused := dial(t, l)
+	requireClosed(t, refused)
+	l.mu.Lock()
+	for c := range l.conns {
+		require.True(t, ShouldClose(c))
+	}
+	l.mu.Unlock()
 	close(release)
 	requireStatus(t, busy, http.StatusOK)
 }
@@ -124,7 +130,8 @@
 	l, _, _ := startLimitedServer(t, Limits{HeadMemory: budget})
 	large := dial(t, l)
 	write(t, large, "GET / HTTP/1.1\r\nHost: h\r\nField: "+strings.Repeat("x", 50<<10))
-	require.Eventually(t, func() bool { return budget.Used() > 150<<10 }, time.Second, time.Millisecond)
+	// All of the head has been read.
+	require.Eventually(t, func() bool { return budget.Used() > 200<<10 }, time.Second, time.Millisecond)
 	c := dial(t, l)
 	write(t, c, "GET / HTTP/1.1\r\nHost: h\r\nField: "+strings.Repeat("x", 40<<10)+"\r\n\r\n")
 	requireStatus(t, c, http.StatusOK)
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -33,6 +33,8 @@
 	*net.TCPListener
 	limits  Limits
 	closing atomic.Bool
+	// refusedAt is when a connection was refused last, in Unix nanoseconds.
+	refusedAt atomic.Int64
 	// done is set once nothing is accepted any more.
 	done atomic.Bool
 
@@ -103,6 +105,7 @@
 		}
 		accepted := &conn{TCPConn: c, listener: l, acceptedAt: time.Now()}
 		if !l.makeRoom() {
+			l.refusedAt.Store(time.Now().UnixNano())
 			l.report(ReasonRefusedConn, accepted)
 			// The caller may have closed it, too.
 			_ = c.Close()
--- a/internal/router/entry.go
+++ b/internal/router/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/marjoramrock/marjoramrock/internal/answer"
 	"github.com/marjoramrock/marjoramrock/internal/config"
+	"github.com/marjoramrock/marjoramrock/internal/inbound"
 	"github.com/marjoramrock/marjoramrock/internal/platform"
 	"github.com/marjoramrock/marjoramrock/internal/timer"
 	"github.com/valyala/fasthttp"
@@ -33,7 +34,7 @@
 			r.inFlight.Add(-1)
 		}
 	}()
-	if r.draining.Load() {
+	if r.draining.Load() || inbound.ShouldClose(ctx.Conn()) {
 		ctx.SetConnectionClose()
 	}
 	id := platform.NewToken()
