--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -8,6 +8,7 @@
 	"runtime/metrics"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 const (
@@ -32,9 +33,11 @@
 // of buffers that are no longer held. It is safe for concurrent use.
 type Budget struct {
 	limit int64
+	// whole is the budget of which this one is a share, or nil.
+	whole *Budget
 	used  atomic.Int64
 	// allocated is the size of the buffers allocated since the last garbage collection
-	// that collectGarbage knows of. Beyond maxGarbageShare of limit, no buffer is
+	// that CollectGarbage knows of. Beyond maxGarbageShare of limit, no buffer is
 	// allocated before another one.
 	allocated atomic.Int64
 
@@ -46,24 +49,41 @@
 // NewBudget returns a budget of limit bytes.
 func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
 
+// NewShare returns a budget of limit bytes whose uses count in b, too.
+func (b *Budget) NewShare(limit int64) *Budget { return &Budget{limit: limit, whole: b} }
+
 // Limit returns the number of bytes that buffers may hold together.
 func (b *Budget) Limit() int64 { return b.limit }
 
 // Used returns the number of bytes that buffers hold.
 func (b *Budget) Used() int64 { return b.used.Load() }
 
-func (b *Budget) take(n int) bool {
-	if b.used.Add(int64(n)) > b.limit {
+// Take takes n bytes, to be given back with Return. It returns false if there are not as
+// many left.
+func (b *Budget) Take(n int) bool {
+	if b.used.Add(int64(n)) > b.limit || b.whole != nil && !b.whole.Take(n) {
 		b.used.Add(-int64(n))
 		return false
 	}
 	return true
 }
 
-// collectGarbage runs the garbage collector before n bytes are allocated if much of the
+// Return gives back n bytes.
+func (b *Budget) Return(n int) {
+	b.used.Add(-int64(n))
+	if b.whole != nil {
+		b.whole.Return(n)
+	}
+}
+
+// CollectGarbage runs the garbage collector before n bytes are allocated if much of the
 // memory of former buffers may be left. The collector runs often enough by itself unless
 // several processors allocate buffers at once.
-func (b *Budget) collectGarbage(n int) {
+func (b *Budget) CollectGarbage(n int) {
+	if b.whole != nil {
+		b.whole.CollectGarbage(n)
+		return
+	}
 	limit := max(int64(maxGarbageShare*float64(b.limit)), int64(n))
 	for b.allocated.Add(int64(n)) > limit {
 		b.mu.Lock()
@@ -113,11 +133,11 @@
 	}
 	size := min(max(2*cap(b.bytes), need, minBufferBytes), b.limit)
 	if size > minBufferBytes {
-		if !b.budget.take(size - b.taken) {
+		if !b.budget.Take(size - b.taken) {
 			return ErrFull
 		}
 		b.taken = size
-		b.budget.collectGarbage(size)
+		b.budget.CollectGarbage(size)
 	}
 	b.bytes = append(make([]byte, 0, size), b.bytes...)
 	return nil
@@ -154,6 +174,29 @@
 	}
 }
 
+// Parameters of ReadAllMakingRoom: how often it makes room, and how long it waits each time
+// for the memory to be given back.
+const (
+	maxRoomAttempts = 4
+	roomWait        = 50 * time.Millisecond
+	roomCheckPeriod = time.Millisecond
+)
+
+// ReadAllMakingRoom is ReadAll, but calls makeRoom when the budget is full. That reports
+// whether it has ended the use of another buffer, which is released soon.
+func (b *Buffer) ReadAllMakingRoom(r io.Reader, makeRoom func() bool) error {
+	for range maxRoomAttempts {
+		err := b.ReadAll(r)
+		if !errors.Is(err, ErrFull) || !makeRoom() {
+			return err
+		}
+		for used, end := b.budget.Used(), time.Now().Add(roomWait); b.budget.Used() >= used && time.Now().Before(end); {
+			time.Sleep(roomCheckPeriod)
+		}
+	}
+	return b.ReadAll(r)
+}
+
 // expectEOF returns ErrTooLarge unless r is at its end.
 func (b *Buffer) expectEOF(r io.Reader) error {
 	var one [1]byte
@@ -172,6 +215,6 @@
 
 // Release empties the buffer and returns what it holds to the budget.
 func (b *Buffer) Release() {
-	b.budget.used.Add(-int64(b.taken))
+	b.budget.Return(b.taken)
 	b.bytes, b.taken = nil, 0
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -36,6 +36,8 @@
 	// of sending them to engines that are full or refuse calls. The adapter sets it.
 	QueueCalls bool   `json:"-"`
 	Bounds     Bounds `json:"bounds"`
+	// Limits bound what clients may use.
+	Limits ClientLimits `json:"limits,omitzero"`
 }
 
 // Bounds are the limits that operators guarantee to their users.
@@ -136,6 +138,7 @@
 			report("bounds.expose.rollback", "not above zero; write a duration such as \"5s\"")
 		}
 	}
+	s.Limits.check(report)
 	if len(e.Problems) > 0 {
 		return e
 	}
