--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -31,7 +31,7 @@
 	MemoryLimitMB int `json:"memory"`
 	// Contracts names what the platform has agreed with its users. Only the adapter knows
 	// the names.
-	Contracts []string `json:"contracts"`
+	Contracts []string `json:"contracts,omitempty"`
 	// QueueCalls makes calls wait for engines whose slots and memory are declared, in place
 	// of sending them to engines that are full or refuse calls. The adapter sets it.
 	QueueCalls bool   `json:"-"`
