gateway: calls for a new version use the old one while the new one asks for no requests

Cause: the side of a rollout counted a server as usable while it asked for no requests, but placement excludes such servers. Calls of the new version's share found no server and were refused, with servers of the old version free. Change: such a server does not count as usable, as one in backoff does not.

--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -430,7 +430,7 @@
 	for _, x := range statuses {
 		switch {
 		case s.isTarget(x.Server.Release):
-			usableNew = usableNew || !x.Server.Draining && !x.InBackoff && !f.excluded[x.Server.ID]
+			usableNew = usableNew || !x.Server.Draining && !x.InBackoff && !x.BackingOff && !f.excluded[x.Server.ID]
 		case s.class(x.Server.Release) != releaseBanned:
 			anyOld = anyOld || !x.Server.Draining
 		}
--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -238,6 +238,19 @@
 	}
 }
 
+// Calls that were to go to the new version were refused while its servers asked for no
+// requests, although servers of the old version took them.
+func TestOldReleaseServesWhileNewBacksOff(t *testing.T) {
+	r := newRolloutTest(t)
+	g := r.start("vm1")
+	r.order("v2")
+	r.adapter.list("b1", "plain", "v2")
+	r.controller.set(rollout.Running, 0.5)
+	require.Eventually(t, func() bool { return r.used(g)["v2"] > 0 }, 5*time.Second, 5*time.Millisecond)
+	g.table.RecordBackoff("b1", 0, g.now()+30*time.Second, g.now())
+	require.Equal(t, map[string]int{"v1": 60}, r.used(g))
+}
+
 // A successor started the rollout anew: the deadline moved, and earlier exposures did not
 // count. Counts of a VM in another zone than the owner, and grants to it, were lost.
 func TestSuccessorContinuesRollout(t *testing.T) {
