placement: a server at its limit takes calls if no other has room

Cause: the surcharge for a server that starts or recovers (120 ms) exceeds that for an engine over its memory by one call (60 ms). With no other free server, calls were sent to the full engine, which preempts calls then. Change: the surcharge applies only while another server is free. Result: TestServerAtItsLimitTakesCallsIfNoOtherHasRoom failed before; it and all tests of internal/placement and internal/pace pass (go test ./internal/placement ./internal/pace).

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Expected costs of an attempt on a server, in milliseconds of delay or of
 // equivalent worth. The server with the lowest sum is selected.
@@ -31,7 +34,8 @@
 	latencyGoalShare = 0.6
 	overGoalFactor   = 3.0
 	// pacedCostMillis reserves servers that start or recover, and have as many calls as
-	// they should, for calls that would wait on the others. It is below
+	// they should, for calls that would wait on the others. It does not apply if no other
+	// server is free. It is below
 	// lateVersionCostMillis, so that no call begins on late weights instead.
 	pacedCostMillis = 120.0
 	// silentZoneCostMillis reserves servers in zones that seem to be partitioned for
@@ -98,7 +102,7 @@
 //
 // It answers bursts at one prefix by spreading over engines once the expected delay
 // exceeds what a copy of the prefix costs, and engines that slow down, fail or load
-// weights by their costs. It looks at each server of the service once.
+// weights by their costs. It looks at each server of the service at most twice.
 func Choose(c *Call, v *View, random func() float64) (Choice, bool) {
 	var best Choice
 	leastCost, found, free := 0.0, false, 0
@@ -107,14 +111,22 @@
 	if c.AvoidIdle {
 		suspectLoad = suspectLoadShare * v.meanLoad()
 	}
+	// A server at its limit comes before those without room, which would be sent more than
+	// their memory holds.
+	reservesPaced := slices.ContainsFunc(v.Servers, func(s Server) bool {
+		return !s.Excluded && !s.AtLimit && (c.Model == "" || s.Version != 0) && s.isFree(c)
+	})
 	for i := range v.Servers {
 		if v.Servers[i].Excluded {
 			continue
 		}
 		choice, cost, ok := attemptCost(c, v, i, random)
-		if s := &v.Servers[i]; ok && s.hasRoom(c) && !s.InBackoff && !s.Refusing && !s.Reloading {
+		if ok && v.Servers[i].isFree(c) {
 			free++
 		}
+		if reservesPaced && v.Servers[i].AtLimit {
+			cost += pacedCostMillis
+		}
 		if s := &v.Servers[i]; !s.Accepting && float64(s.Load) < suspectLoad {
 			cost += suspectCostMillis
 		}
@@ -152,9 +164,6 @@
 			cost += silentZoneCostMillis
 		}
 	}
-	if s.AtLimit {
-		cost += pacedCostMillis
-	}
 	if s.InBackoff {
 		cost += backoffCostMillis
 	}
@@ -217,6 +226,12 @@
 	return s.callsOverSlots() <= max(minWaitingCalls, s.Slots>>min(max(c.Priority, 0), maxPriorityShift)) && s.callsOverMemory(c) == 0
 }
 
+// isFree reports whether a server has room for the call and neither fails, refuses calls
+// nor loads weights.
+func (s *Server) isFree(c *Call) bool {
+	return s.hasRoom(c) && !s.InBackoff && !s.Refusing && !s.Reloading
+}
+
 const (
 	// As many calls of priority 0 may wait on a server as it has slots, and half as many of
 	// each lower priority down to maxPriorityShift: servers serve by priority, and VMs that
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -159,3 +159,21 @@
 		require.Equal(t, tt.want, c.Index, tt.name)
 	}
 }
+
+// Calls were sent to an engine over its memory while a server that recovers, and had as
+// many calls as it should, was the only one with room.
+func TestServerAtItsLimitTakesCallsIfNoOtherHasRoom(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		settled := Server{Load: 20, Slots: 32, TokensPerMilli: 30, Version: 1, OutdatedFor: -1, CapacityTokens: 100000}
+		atLimit := settled
+		atLimit.AtLimit = true
+		if full {
+			settled.MemoryTokens = 99500
+		}
+		v := &View{Servers: []Server{settled, atLimit}, MaxOutdated: time.Minute}
+		c, ok := Choose(&Call{Model: "m", InputTokens: 100, MemoryTokens: 1000, LatencyGoal: time.Second}, v, func() float64 { return 0 })
+		require.True(t, ok)
+		require.Equal(t, full, c.Index == 1)
+		require.True(t, c.HasRoom)
+	}
+}
