gateway: queued calls for a new version use old engines while the new ones are full

Cause: a call on the new version's side of a rollout waited for a new engine although old ones had room. Calls for the old version wait in the same queue, behind it: they did not look for an engine once four calls ahead had looked in vain. Change: a call that finds no free new engine is sent to a free old one. If there is none it stays on its side.

--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -11,6 +11,7 @@
 	"github.com/marjoramrock/marjoramrock/internal/admission"
 	"github.com/marjoramrock/marjoramrock/internal/backend"
 	"github.com/marjoramrock/marjoramrock/internal/event"
+	"github.com/marjoramrock/marjoramrock/internal/rollout"
 	"github.com/marjoramrock/marjoramrock/internal/timer"
 )
 
@@ -277,6 +278,16 @@
 		return serverChoice{}, needsRetry
 	}
 	c, ok := g.chooseServer(f, f.service)
+	if f.side == rollout.New && (!ok || c.Free == 0) {
+		// Waiting for the new version would also hold up the calls for the old one, which
+		// wait in the same queue.
+		f.side = rollout.Old
+		if old, okOld := g.chooseServer(f, f.service); okOld && old.Free > 0 {
+			c, ok = old, true
+		} else {
+			f.side = rollout.New
+		}
+	}
 	if !ok || c.Free == 0 && (!lastResort || !c.HasRoom || c.refusing && f.attempts > 0) {
 		return serverChoice{}, needsEngine
 	}
--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -251,6 +251,48 @@
 	require.Equal(t, map[string]int{"v1": 60}, r.used(g))
 }
 
+// Calls for a new version whose engines were full waited, ahead of those for the old
+// version, and none of both was sent to the old engines, which had room.
+func TestCallsForFullNewEnginesUseOldOnes(t *testing.T) {
+	r := newRolloutTest(t)
+	g := r.start("vm1")
+	g.settings.QueueCalls = true
+	r.adapter.list("e2", "model", "v2")
+	r.adapter.operators.put("row", rollout.Order{Service: "model", To: "v2", Duration: time.Minute})
+	r.controller.set(rollout.Running, 0.5)
+	shared := func() float64 {
+		g.rollouts.mu.Lock()
+		defer g.rollouts.mu.Unlock()
+		share, _ := g.rollouts.service("model").share(g.now())
+		return share
+	}
+	require.Eventually(t, func() bool { return shared() > 0.4 }, 5*time.Second, 5*time.Millisecond)
+	for range 20 {
+		g.table.Begin("e2", 0)
+	}
+	const calls = 30
+	began, done := now(), make(chan *responseRecorder, calls)
+	for i := range calls {
+		go func() {
+			c, answer := newCall("/long-goals/", "isolated-key"), &responseRecorder{}
+			c.ID = strconv.Itoa(i)
+			g.Serve(context.Background(), c, answer)
+			done <- answer
+		}()
+	}
+	served := 0
+	for range calls {
+		if answer := <-done; answer.status == 200 {
+			served++
+		}
+	}
+	require.Equal(t, calls, served)
+	require.Less(t, now()-began, time.Second)
+	for _, a := range r.adapter.sentAttempts() {
+		require.Equal(t, "e1", a.Server.ID)
+	}
+}
+
 // A successor started the rollout anew: the deadline moved, and earlier exposures did not
 // count. Counts of a VM in another zone than the owner, and grants to it, were lost.
 func TestSuccessorContinuesRollout(t *testing.T) {
