gateway: calls for a new version wait in a queue of their own

Cause: calls for both versions of a rollout waited in one queue, though for other engines. While the old engines were full, calls for the new version were not sent to free new engines: calls for the old one were ahead, and filled the queue, so that those for the new one were refused. Change: calls on the new version's side have a queue of their own. They use free old engines only while no call waits for those. A caller that returns after a refusal counts as returned in either queue.

--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -46,13 +46,20 @@
 	// stopped is closed when no call may wait any more.
 	stopped chan struct{}
 
-	mu       sync.Mutex // guards the fields below
+	mu sync.Mutex // guards the fields below
+	// services holds the queues by service and, for calls that are to be sent to the new
+	// version of a rollout, by service and newVersionSuffix.
 	services map[string]*serviceQueue
 	waiting  int
 	ticks    timer.Subscription
 	closed   bool
 }
 
+// newVersionSuffix follows the service in the name of the queue of calls for a new version.
+// They wait for other servers than the calls for the old one: in one queue, each would wait
+// while the servers of the other are full.
+const newVersionSuffix = "\x00new"
+
 // serviceQueue is the queue of one service.
 type serviceQueue struct {
 	*admission.Queue
@@ -95,6 +102,12 @@
 	f(q.service(service))
 }
 
+// length returns the number of calls that wait in a queue.
+func (q *callQueues) length(name string) (n int) {
+	q.with(name, func(s *serviceQueue) { n = s.Len() })
+	return n
+}
+
 // add registers a call that has entered the queue.
 func (q *callQueues) add(s *serviceQueue, w *admission.Waiter) *waitingCall {
 	c := &waitingCall{wake: make(chan look, 1), displaced: make(chan admission.Refusal, 1)}
@@ -121,8 +134,22 @@
 func (q *callQueues) wakeAfterEnd(service string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if s := q.services[service]; s != nil {
-		s.wakeNext(nil, look{left: looksPerEnd})
+	for _, name := range []string{service, service + newVersionSuffix} {
+		if s := q.services[name]; s != nil {
+			s.wakeNext(nil, look{left: looksPerEnd})
+		}
+	}
+}
+
+// arrive is Queue.Arrive for both queues of a service: a caller that returns has a new call,
+// which may be for the other version.
+func (q *callQueues) arrive(service string, c *admission.Call, now time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, name := range []string{service, service + newVersionSuffix} {
+		if s := q.services[name]; s != nil && !c.Returned {
+			s.Arrive(c, now)
+		}
 	}
 }
 
@@ -278,9 +305,8 @@
 		return serverChoice{}, needsRetry
 	}
 	c, ok := g.chooseServer(f, f.service)
-	if f.side == rollout.New && (!ok || c.Free == 0) {
-		// Waiting for the new version would also hold up the calls for the old one, which
-		// wait in the same queue.
+	if f.side == rollout.New && (!ok || c.Free == 0) && g.queues.length(f.service) == 0 {
+		// The old version may have room, and no call waits for it.
 		f.side = rollout.Old
 		if old, okOld := g.chooseServer(f, f.service); okOld && old.Free > 0 {
 			c, ok = old, true
@@ -301,11 +327,15 @@
 func (g *Gateway) nextQueuedServer(ctx context.Context, f *forwardedCall) (serverChoice, error) {
 	call := g.admissionCall(f)
 	mustWait := false
-	g.queues.with(f.service, func(s *serviceQueue) {
-		if f.attempts == 0 {
-			s.Arrive(&call, g.now())
-			f.returned = call.Returned
-		}
+	f.queue = f.service
+	if g.rollouts.isForNew(f, g.now()) {
+		f.queue += newVersionSuffix
+	}
+	if f.attempts == 0 {
+		g.queues.arrive(f.service, &call, g.now())
+		f.returned = call.Returned
+	}
+	g.queues.with(f.queue, func(s *serviceQueue) {
 		call.Returned = f.returned
 		mustWait = s.MustWait(&call, g.now())
 	})
@@ -313,7 +343,7 @@
 	if !mustWait || f.attempts >= maxAttempts {
 		var c serverChoice
 		if c, missing = g.lookForServer(f, false); missing == needsNothing {
-			g.queues.with(f.service, func(s *serviceQueue) { s.BeginAtOnce(g.now()) })
+			g.queues.with(f.queue, func(s *serviceQueue) { s.BeginAtOnce(g.now()) })
 			return c, nil
 		}
 	}
@@ -335,7 +365,7 @@
 	var w *admission.Waiter
 	var self *waitingCall
 	var refusal *admission.Refusal
-	g.queues.with(f.service, func(s *serviceQueue) {
+	g.queues.with(f.queue, func(s *serviceQueue) {
 		var displaced *admission.Waiter
 		w, displaced, refusal = s.Enter(call, limit, enteredAt, rand.Float64)
 		if displaced != nil {
@@ -351,7 +381,7 @@
 	}
 	g.updateWaiting()
 	defer func() {
-		g.queues.with(f.service, func(s *serviceQueue) { s.Leave(w); g.queues.drop(s, w) })
+		g.queues.with(f.queue, func(s *serviceQueue) { s.Leave(w); g.queues.drop(s, w) })
 		g.updateWaiting()
 		g.metrics.observeDuration("queue_wait_us", g.now()-enteredAt)
 	}()
@@ -386,21 +416,21 @@
 		now := g.now()
 		var c serverChoice
 		if c, missing = g.lookForServer(f, now >= lastResortAt); missing == needsNothing {
-			g.queues.with(f.service, func(s *serviceQueue) {
+			g.queues.with(f.queue, func(s *serviceQueue) {
 				s.Begin(w, g.now())
 				s.wakeNext(nil, look{left: looksPerWake})
 			})
 			event.CallWaited.Log(g.log, nil, log.Fields{"request": f.call.ID, "ms": (now - enteredAt).Milliseconds(), "server": c.server.ID, "sent": f.attempts})
 			return c, nil
 		}
-		g.queues.with(f.service, func(s *serviceQueue) {
+		g.queues.with(f.queue, func(s *serviceQueue) {
 			w.NeedsRetry = missing == needsRetry
 			s.wakeNext(w, look{left: woken.left - 1, noRetry: woken.noRetry || w.NeedsRetry})
 		})
 		switch {
 		case missing == needsEngine && now >= call.LatestStart:
 			var r admission.Refusal
-			g.queues.with(f.service, func(s *serviceQueue) { r = s.Refuse(w, admission.TooLate, now, rand.Float64) })
+			g.queues.with(f.queue, func(s *serviceQueue) { r = s.Refuse(w, admission.TooLate, now, rand.Float64) })
 			return serverChoice{}, g.refuseWaiting(f, r)
 		case missing == needsRetry && now >= call.GoalStart:
 			return serverChoice{}, g.refuseRetry(f, &call)
@@ -420,7 +450,7 @@
 func (g *Gateway) refuseRetry(f *forwardedCall, call *admission.Call) error {
 	now := g.now()
 	var r *admission.Refusal
-	g.queues.with(f.service, func(s *serviceQueue) {
+	g.queues.with(f.queue, func(s *serviceQueue) {
 		r = s.Promise(call, admission.NoRetry, 0, now, rand.Float64)
 	})
 	f.retryAfter = r.RetryAfter
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -413,19 +413,7 @@
 // chooseSide returns the side of the servers that a call may be sent to while a rollout
 // is running. The caller must hold r.mu.
 func (r *rollouts) chooseSide(f *forwardedCall, s *serviceRollout, share float64, statuses []backend.Status) (side rollout.Side, targetOnly bool) {
-	if f.sideRevision != s.order.Revision {
-		f.sideRevision, f.side = s.order.Revision, rollout.Old
-		if rollout.ToNew(share, rollout.RequestHash(f.call.ID)) {
-			f.side = rollout.New
-		}
-	}
-	side = f.side
-	switch {
-	case share <= 0:
-		side = rollout.Old
-	case share >= 1:
-		side = rollout.New
-	}
+	side = s.sideOf(f, share)
 	usableNew, anyOld := false, false
 	for _, x := range statuses {
 		switch {
@@ -444,6 +432,40 @@
 	return side, false
 }
 
+// sideOf returns the side of a call by the share of the new version, which it keeps while
+// the order is in force.
+func (s *serviceRollout) sideOf(f *forwardedCall, share float64) rollout.Side {
+	if f.sideRevision != s.order.Revision {
+		f.sideRevision, f.side = s.order.Revision, rollout.Old
+		if rollout.ToNew(share, rollout.RequestHash(f.call.ID)) {
+			f.side = rollout.New
+		}
+	}
+	switch {
+	case share <= 0:
+		return rollout.Old
+	case share >= 1:
+		return rollout.New
+	}
+	return f.side
+}
+
+// isForNew reports whether a call is to be sent to the new version of a rollout that is
+// running.
+func (r *rollouts) isForNew(f *forwardedCall, now time.Duration) bool {
+	if !r.enabled {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.services[f.service]
+	if s == nil || s.order.Revision == 0 {
+		return false
+	}
+	share, final := s.share(now)
+	return !final && s.sideOf(f, share) == rollout.New
+}
+
 // mayRun reports whether a server of a release may still be sent a call. If targetOnly is
 // set, it was chosen since the service has no other servers.
 func (r *rollouts) mayRun(service, release string, targetOnly bool, now time.Duration) bool {
--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -251,25 +251,32 @@
 	require.Equal(t, map[string]int{"v1": 60}, r.used(g))
 }
 
-// Calls for a new version whose engines were full waited, ahead of those for the old
-// version, and none of both was sent to the old engines, which had room.
-func TestCallsForFullNewEnginesUseOldOnes(t *testing.T) {
-	r := newRolloutTest(t)
+// startEngineRollout starts a VM and a rollout of the engines at a share of 0.5. The old
+// engine is e1, the new one e2; the given one is full.
+func (r *rolloutTest) startEngineRollout(full string) *Gateway {
 	g := r.start("vm1")
 	g.settings.QueueCalls = true
 	r.adapter.list("e2", "model", "v2")
 	r.adapter.operators.put("row", rollout.Order{Service: "model", To: "v2", Duration: time.Minute})
 	r.controller.set(rollout.Running, 0.5)
-	shared := func() float64 {
+	require.Eventually(r, func() bool {
+		_, listed := g.table.Get("e2", g.now())
 		g.rollouts.mu.Lock()
 		defer g.rollouts.mu.Unlock()
 		share, _ := g.rollouts.service("model").share(g.now())
-		return share
-	}
-	require.Eventually(t, func() bool { return shared() > 0.4 }, 5*time.Second, 5*time.Millisecond)
+		return listed && share > 0.4
+	}, 5*time.Second, 5*time.Millisecond)
 	for range 20 {
-		g.table.Begin("e2", 0)
+		g.table.Begin(full, 0)
 	}
+	return g
+}
+
+// Calls for a new version whose engines were full waited, ahead of those for the old
+// version, and none of both was sent to the old engines, which had room.
+func TestCallsForFullNewEnginesUseOldOnes(t *testing.T) {
+	r := newRolloutTest(t)
+	g := r.startEngineRollout("e2")
 	const calls = 30
 	began, done := now(), make(chan *responseRecorder, calls)
 	for i := range calls {
@@ -293,6 +300,36 @@
 	}
 }
 
+// Calls for a new version with room were refused because the queue was full of calls for
+// the old one, whose engines were full.
+func TestCallsForFullOldEnginesDoNotHoldUpNewOnes(t *testing.T) {
+	g := newRolloutTest(t).startEngineRollout("e1")
+	const calls = 10
+	serve := func(side rollout.Side) <-chan *responseRecorder {
+		done, sent := make(chan *responseRecorder, calls), 0
+		for i := 0; sent < calls; i++ {
+			c, answer := newCall("/long-goals/", "isolated-key"), &responseRecorder{}
+			c.ID = strconv.Itoa(i)
+			if rollout.ToNew(0.4, rollout.RequestHash(c.ID)) != (side == rollout.New) || side == rollout.Old && rollout.ToNew(0.6, rollout.RequestHash(c.ID)) {
+				continue
+			}
+			sent++
+			go func() {
+				g.Serve(context.Background(), c, answer)
+				done <- answer
+			}()
+		}
+		return done
+	}
+	serve(rollout.Old)
+	requireWaiting(t, g, calls)
+	began, done := now(), serve(rollout.New)
+	for range calls {
+		require.Equal(t, 200, (<-done).status)
+		require.Less(t, now()-began, time.Second)
+	}
+}
+
 // A successor started the rollout anew: the deadline moved, and earlier exposures did not
 // count. Counts of a VM in another zone than the owner, and grants to it, were lost.
 func TestSuccessorContinuesRollout(t *testing.T) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -68,8 +68,10 @@
 	// its proof.
 	generation int64
 	proofAge   time.Duration
-	// mayQueue is set if calls may wait for engines.
+	// mayQueue is set if calls may wait for engines, queue is the name of the queue in which
+	// the call waited last.
 	mayQueue bool
+	queue    string
 	// returned is set if the call counts as one that was refused before, and retryAfter
 	// when a call that is refused may return.
 	returned   bool
