quota: other VMs learn of a refund of all charges

Cause: Totals leaves out teams with a total of zero, and teams that are not listed keep their totals at other VMs. If a VM's only charges were refunded, the others went on to count them, until the VM charged the team again. Change: a team that was listed once stays listed. Result: TestOthersLearnOfARefundOfAllCharges: 100 tokens counted before, 0 after.

--- a/internal/quota/estimator.go
+++ b/internal/quota/estimator.go
@@ -96,6 +96,9 @@
 	// charged is the total that this VM has charged since it started. Only
 	// refunds decrease it.
 	charged float64
+	// reported is set once others may have been told of charges, and must be told if all
+	// are refunded.
+	reported bool
 	// allowance is what has accrued of this VM's equal part of the rate, at least 0.
 	// debt is what a call has charged beyond the allowance.
 	allowance float64
@@ -471,8 +474,8 @@
 	defer e.mu.Unlock()
 	out := make(map[string]float64, len(e.accounts))
 	for team, a := range e.accounts {
-		if a.charged != 0 {
-			out[team] = a.charged
+		if a.charged != 0 || a.reported {
+			out[team], a.reported = a.charged, true
 		}
 		if n := len(a.sent); a.drawn > a.confirmedDrawn && (n == 0 || a.sent[n-1].drawn != a.drawn) {
 			a.sent = append(a.sent, sentDraw{now, a.drawn})
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -35,6 +35,18 @@
 	require.Equal(t, map[string]float64{"t": 100}, f.Totals(0))
 }
 
+// A VM whose only charge was refunded no longer listed the team, so that other VMs kept
+// the charge that they had heard of.
+func TestOthersLearnOfARefundOfAllCharges(t *testing.T) {
+	f, other := NewEstimator(true), NewEstimator(true)
+	f.Take("t", limits, 0, 100, 0)
+	other.UpdatePeer("f", 1, f.Totals(0), 0)
+	other.Take("t", limits, 0, 1, 0)
+	f.Refund("t", 100)
+	other.UpdatePeer("f", 1, f.Totals(0), 0)
+	require.Zero(t, other.peers["f"].totals["t"])
+}
+
 func TestACallAboveTheBurstNeedsAFullAccount(t *testing.T) {
 	f := NewEstimator(true)
 	ok, _ := f.Take("t", limits, 0, 300, 0)
