--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -238,6 +238,98 @@
 	}
 }
 
+// Calls that were to go to the new version were refused while its servers asked for no
+// requests, although servers of the old version took them.
+func TestOldReleaseServesWhileNewBacksOff(t *testing.T) {
+	r := newRolloutTest(t)
+	g := r.start("vm1")
+	r.order("v2")
+	r.adapter.list("b1", "plain", "v2")
+	r.controller.set(rollout.Running, 0.5)
+	require.Eventually(t, func() bool { return r.used(g)["v2"] > 0 }, 5*time.Second, 5*time.Millisecond)
+	g.table.RecordBackoff("b1", 0, g.now()+30*time.Second, g.now())
+	require.Equal(t, map[string]int{"v1": 60}, r.used(g))
+}
+
+// startEngineRollout starts a VM and a rollout of the engines at a share of 0.5. The old
+// engine is e1, the new one e2; the given one is full.
+func (r *rolloutTest) startEngineRollout(full string) *Gateway {
+	g := r.start("vm1")
+	g.settings.QueueCalls = true
+	r.adapter.list("e2", "model", "v2")
+	r.adapter.operators.put("row", rollout.Order{Service: "model", To: "v2", Duration: time.Minute})
+	r.controller.set(rollout.Running, 0.5)
+	require.Eventually(r, func() bool {
+		_, listed := g.table.Get("e2", g.now())
+		g.rollouts.mu.Lock()
+		defer g.rollouts.mu.Unlock()
+		share, _ := g.rollouts.service("model").share(g.now())
+		return listed && share > 0.4
+	}, 5*time.Second, 5*time.Millisecond)
+	for range 20 {
+		g.table.Begin(full, 0)
+	}
+	return g
+}
+
+// Calls for a new version whose engines were full waited, ahead of those for the old
+// version, and none of both was sent to the old engines, which had room.
+func TestCallsForFullNewEnginesUseOldOnes(t *testing.T) {
+	r := newRolloutTest(t)
+	g := r.startEngineRollout("e2")
+	const calls = 30
+	began, done := now(), make(chan *responseRecorder, calls)
+	for i := range calls {
+		go func() {
+			c, answer := newCall("/long-goals/", "isolated-key"), &responseRecorder{}
+			c.ID = strconv.Itoa(i)
+			g.Serve(context.Background(), c, answer)
+			done <- answer
+		}()
+	}
+	served := 0
+	for range calls {
+		if answer := <-done; answer.status == 200 {
+			served++
+		}
+	}
+	require.Equal(t, calls, served)
+	require.Less(t, now()-began, time.Second)
+	for _, a := range r.adapter.sentAttempts() {
+		require.Equal(t, "e1", a.Server.ID)
+	}
+}
+
+// Calls for a new version with room were refused because the queue was full of calls for
+// the old one, whose engines were full.
+func TestCallsForFullOldEnginesDoNotHoldUpNewOnes(t *testing.T) {
+	g := newRolloutTest(t).startEngineRollout("e1")
+	const calls = 10
+	serve := func(side rollout.Side) <-chan *responseRecorder {
+		done, sent := make(chan *responseRecorder, calls), 0
+		for i := 0; sent < calls; i++ {
+			c, answer := newCall("/long-goals/", "isolated-key"), &responseRecorder{}
+			c.ID = strconv.Itoa(i)
+			if rollout.ToNew(0.4, rollout.RequestHash(c.ID)) != (side == rollout.New) || side == rollout.Old && rollout.ToNew(0.6, rollout.RequestHash(c.ID)) {
+				continue
+			}
+			sent++
+			go func() {
+				g.Serve(context.Background(), c, answer)
+				done <- answer
+			}()
+		}
+		return done
+	}
+	serve(rollout.Old)
+	requireWaiting(t, g, calls)
+	began, done := now(), serve(rollout.New)
+	for range calls {
+		require.Equal(t, 200, (<-done).status)
+		require.Less(t, now()-began, time.Second)
+	}
+}
+
 // A successor started the rollout anew: the deadline moved, and earlier exposures did not
 // count. Counts of a VM in another zone than the owner, and grants to it, were lost.
 func TestSuccessorContinuesRollout(t *testing.T) {
