--- a/internal/rollout/applied.go
+++ b/internal/rollout/applied.go
@@ -39,7 +39,7 @@
 // Grant returns the newest grant and whether there is one.
 func (a *Applied) Grant() (Grant, bool) { return a.grant, a.known }
 
-// Expired reports whether the grant is of a running roll-out and has not been renewed for
+// Expired reports whether the grant is of a running rollout and has not been renewed for
 // GrantTTL. It is false if there is no grant.
 func (a *Applied) Expired(now time.Duration) bool {
 	return a.known && a.grant.State == Running && now-a.at >= GrantTTL
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -77,7 +77,7 @@
 	share float64
 }
 
-// Controller decides on one roll-out. It is not safe for concurrent use.
+// Controller decides on one rollout. It is not safe for concurrent use.
 type Controller struct {
 	last Decision
 	now  time.Duration
@@ -448,7 +448,7 @@
 	return float64(v.Total.side(New).completed()) >= min(3, enoughPart*requests(v.Total)/2)
 }
 
-// settled reports whether the roll-out is done before its deadline: all calls have gone to
+// settled reports whether the rollout is done before its deadline: all calls have gone to
 // the new version for fullTime, all VMs say so, and no call runs on an old server.
 func (c *Controller) settled(v View) bool {
 	return v.Elapsed-c.fullSince >= fullTime && v.OldCalls == 0 && v.Silent == 0 &&
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -6,20 +6,20 @@
 	"time"
 )
 
-// State is the state of a roll-out.
+// State is the state of a rollout.
 type State string
 
-// States of a roll-out.
+// States of a rollout.
 const (
-	// Running roll-outs send a share of the traffic to the new version.
+	// Running rollouts send a share of the traffic to the new version.
 	Running State = "running"
-	// Done roll-outs send all traffic to the new version.
+	// Done rollouts send all traffic to the new version.
 	Done State = "done"
-	// RolledBack roll-outs send no traffic to the new version.
+	// RolledBack rollouts send no traffic to the new version.
 	RolledBack State = "rolled_back"
 )
 
-// Bounds limit what a bad version may get. The zero value means that roll-outs are off.
+// Bounds limit what a bad version may get. The zero value means that rollouts are off.
 type Bounds struct {
 	// ExposureShare is the part of the requests of the service between the order and its
 	// deadline, and ExposureSlack the number in addition, that a bad version may get.
@@ -58,10 +58,10 @@
 	return nil
 }
 
-// Side says whether a server runs the new version of a roll-out.
+// Side says whether a server runs the new version of a rollout.
 type Side int
 
-// Sides of a roll-out.
+// Sides of a rollout.
 const (
 	Old Side = iota
 	New
@@ -90,7 +90,7 @@
 // Evidence holds the counts of one process of a VM since the order was known there.
 type Evidence map[Key]Counts
 
-// Grant is what the owner of a roll-out tells the other VMs.
+// Grant is what the owner of a rollout tells the other VMs.
 type Grant struct {
 	Service  string
 	To       string
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// simulateAll plays the roll-outs, a few at a time.
+// simulateAll plays the rollouts, a few at a time.
 func simulateAll(fleets []fleet) []outcome {
 	out := make([]outcome, len(fleets))
 	var wg sync.WaitGroup
@@ -206,7 +206,7 @@
 	require.InDelta(t, 1000, n, 100)
 }
 
-// BenchmarkOutcomes reports how many of 40 roll-outs have the wrong result, the most of the
+// BenchmarkOutcomes reports how many of 40 rollouts have the wrong result, the most of the
 // bound that was used and the mean of calls cut on old servers.
 func BenchmarkOutcomes(b *testing.B) {
 	for _, seconds := range []int{6, 12, 60} {
--- a/internal/rollout/simulation_test.go
+++ b/internal/rollout/simulation_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// fleet describes one simulated roll-out. Faults named by part are parts of the duration.
+// fleet describes one simulated rollout. Faults named by part are parts of the duration.
 type fleet struct {
 	seed     uint64
 	vms      int
@@ -29,7 +29,7 @@
 	exposures float64
 	// afterRollback is how long after the 50th bad answer the last call was sent.
 	afterRollback time.Duration
-	// cutCalls ran on old servers when the roll-out was done.
+	// cutCalls ran on old servers when the rollout was done.
 	cutCalls int
 }
 
@@ -53,7 +53,7 @@
 	oldOpen int
 }
 
-// simulate plays a roll-out. Counts and grants are 0.2 to 0.6 s old when they are used.
+// simulate plays a rollout. Counts and grants are 0.2 to 0.6 s old when they are used.
 func simulate(f fleet) outcome {
 	r := rand.New(rand.NewPCG(f.seed, 7))
 	var (
