rollout: the first bucket and the lead time have names

Cause: numbers without a name were left in the decision. Change: FirstLatencyBucket, shared with the gateway, and the bounds of the lead time are constants; same values. Measured: tests of internal/rollout, and of rollouts in internal/gateway, pass.

--- a/internal/gateway/rollout_counts.go
+++ b/internal/gateway/rollout_counts.go
@@ -146,7 +146,7 @@
 // latencyBucket returns the bucket of a time to the first byte. Bucket i counts times
 // below 16 ms << i, the last one all others.
 func latencyBucket(d time.Duration) int {
-	units := uint64(max(0, d) / (16 * time.Millisecond))
+	units := uint64(max(0, d) / rollout.FirstLatencyBucket)
 	return min(bits.Len64(units), rollout.LatencyBuckets-1)
 }
 
--- a/internal/rollout/analysis.go
+++ b/internal/rollout/analysis.go
@@ -347,7 +347,7 @@
 }
 
 // limit returns the lower limit of a latency bucket.
-func limit(bucket int) time.Duration { return 16 * time.Millisecond << (bucket - 1) }
+func limit(bucket int) time.Duration { return FirstLatencyBucket << (bucket - 1) }
 
 // compareUnfinished compares the calls that had been sent at an earlier time and have no
 // answer. It finds versions that do not answer at all.
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -65,6 +65,11 @@
 	// latestDecision is the time before the deadline at which done or rolled_back is
 	// decided at the latest. The status has to be written by the deadline.
 	latestDecision = 200 * time.Millisecond
+	// leadTimeShare divides the duration into the time before the deadline at which the
+	// result is decided, within minLeadTime and maxLeadTime.
+	leadTimeShare = 40
+	minLeadTime   = 250 * time.Millisecond
+	maxLeadTime   = time.Second
 	// enoughAnswers of the new version, or enoughPart of the requests if these are fewer,
 	// are needed for done.
 	enoughAnswers = 10
@@ -209,7 +214,7 @@
 // leadTime returns the time before the deadline at which the result is decided. It leaves
 // time for writing the status.
 func leadTime(o Order) time.Duration {
-	return min(max(o.Duration/40, 250*time.Millisecond), time.Second)
+	return min(max(o.Duration/leadTimeShare, minLeadTime), maxLeadTime)
 }
 
 // observe takes in the evidence of a view.
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -71,6 +71,9 @@
 // to the first byte below 16 ms << i, the last one all others.
 const LatencyBuckets = 10
 
+// FirstLatencyBucket is the upper limit of the first bucket; each further one is twice as wide.
+const FirstLatencyBucket = 16 * time.Millisecond
+
 // Counts are the calls of one side and route. All are totals that never decrease.
 type Counts struct {
 	// Sent counts calls sent to servers, Answered complete answers that are no failure, and
