config: syntax errors of a settings file name their line and an unfilled placeholder

The line in front is always 1, the field is empty, and nothing says that a template was not filled in. Event 107 told of an invalid file after SIGHUP at level info, as if it had been read. Change: a syntax error is reported at its line and column; if that line has a placeholder of a template, the message names it.

--- a/internal/config/check_test.go
+++ b/internal/config/check_test.go
@@ -62,6 +62,37 @@
 	}
 }
 
+// TestSyntaxErrorsNameLineAndCause guards against messages that give line 1 and an empty
+// field for every syntax error, and that leave the operator to find out that a template
+// was not filled in.
+func TestSyntaxErrorsNameLineAndCause(t *testing.T) {
+	tests := []struct {
+		give   string
+		source string
+		want   string
+	}{
+		{give: "missing comma", source: "{\n  \"a\": 1\n  \"b\": 2\n}", want: "f:3: column 3: invalid character '\"' after object value (expecting ',' or '}'); correct the JSON"},
+		{
+			give: "section of a template", source: "{\n  \"a\": 1{{#x.y}},\n  \"b\": 2{{/x.y}}\n}",
+			want: `f:2: column 9: the placeholder "{{#x.y}}" of the template has not been filled in; check the program that renders the settings`,
+		},
+		{
+			give: "placeholder of a template", source: `{"a": {{x|json}}}`,
+			want: `f:1: column 9: the placeholder "{{x|json}}" of the template has not been filled in; check the program that renders the settings`,
+		},
+		{give: "empty file", source: "", want: "f:1: column 1: parsing value: unexpected EOF; correct the JSON"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.give, func(t *testing.T) {
+			var out struct {
+				A int `json:"a"`
+				B int `json:"b"`
+			}
+			require.EqualError(t, ReadSettings("f", []byte(tt.source), &out), tt.want)
+		})
+	}
+}
+
 func TestDiffAppliedYieldsDocument(t *testing.T) {
 	doc, problems := Read("f", []byte(valid))
 	require.Empty(t, problems)
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"reflect"
 	"sort"
@@ -27,9 +28,13 @@
 // Field returns the path of the field, such as "teams[2].rate".
 func (p Problem) Field() string { return p.field }
 
-// String returns the problem on one line.
+// String returns the problem on one line. A syntax error names no field.
 func (p Problem) String() string {
-	return fmt.Sprintf("%s:%d: %s: %s; %s", p.file, p.line, p.field, p.text, p.remedy)
+	place := fmt.Sprintf("%s:%d: ", p.file, p.line)
+	if p.field != "" {
+		place += p.field + ": "
+	}
+	return place + p.text + "; " + p.remedy
 }
 
 // ProblemsError holds all problems found in one pass over a file.
@@ -78,7 +83,7 @@
 	p := &parser{file: file, source: source, lines: make(map[string]int)}
 	value, err := hujson.Parse(source)
 	if err != nil {
-		p.report("", err.Error(), "correct the JSON")
+		p.syntaxError(err)
 		return p
 	}
 	p.walk(&value, reflect.TypeOf(out).Elem(), "")
@@ -92,6 +97,27 @@
 	return p
 }
 
+// placeholderStart begins a placeholder or a section of a settings template. It occurs in
+// no valid JSON outside of strings and comments.
+const placeholderStart = "{{"
+
+// syntaxError reports an error of hujson.Parse with the line that it names.
+func (p *parser) syntaxError(err error) {
+	var line, column int
+	if _, scanErr := fmt.Sscanf(err.Error(), "hujson: line %d, column %d:", &line, &column); scanErr != nil {
+		p.report("", err.Error(), "correct the JSON")
+		return
+	}
+	problem := Problem{file: p.file, line: line, text: fmt.Sprintf("column %d: %v", column, errors.Unwrap(err)), remedy: "correct the JSON"}
+	text := strings.Split(string(p.source), "\n")[line-1]
+	if _, after, found := strings.Cut(text, placeholderStart); found {
+		name, _, _ := strings.Cut(after, "}}")
+		problem.text = fmt.Sprintf("column %d: the placeholder %q of the template has not been filled in", column, placeholderStart+name+"}}")
+		problem.remedy = "check the program that renders the settings"
+	}
+	p.problems = append(p.problems, problem)
+}
+
 // ReadSettings decodes a file of JSON with comments into out. It returns all
 // syntax and type errors as a ProblemsError.
 func ReadSettings(file string, source []byte, out any) error {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -34,6 +34,7 @@
 	ConnectionClosed      = add(108, log.WarnLevel, "connection closed or refused: a limit is reached")
 	BodyRefused           = add(109, log.WarnLevel, "request body refused: the buffers are full")
 	PeerLimitReached      = add(110, log.WarnLevel, "message of a VM ignored, or its request refused: a limit is reached")
+	SettingsInvalid       = add(111, log.ErrorLevel, "settings file cannot be read or is invalid")
 	ConfigApplied         = add(200, log.InfoLevel, "configuration applied")
 	ConfigReadFailed      = add(201, log.WarnLevel, "configuration could not be read")
 	ConfigInvalid         = add(202, log.ErrorLevel, "configuration change is invalid")
