config: null in a settings file counts as absent

Cause: a template renders null for a field that the platform does not state ("{{a|json}}"), and settings files were checked like declared configurations, where null is an error. Change: fields of settings that are null are ignored. In lists, at the top and in declared configurations null stays an error, and an unknown field is one whatever its value. Measured: TestNullInSettingsCountsAsAbsent failed in the two rows with null fields before, and passes; the tests of internal/config, internal/router and the settings tests of platform pass.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -20,7 +20,7 @@
 // document is valid only if there are no problems.
 func Read(file string, source []byte) (Document, ProblemsError) {
 	var doc Document
-	r := parse(file, source, &doc)
+	r := parse(file, source, &doc, false)
 	if len(r.problems) == 0 {
 		checker{r}.document(doc)
 	}
--- a/internal/config/check_test.go
+++ b/internal/config/check_test.go
@@ -93,6 +93,47 @@
 	}
 }
 
+// TestNullInSettingsCountsAsAbsent guards against processes that do not start because the
+// platform states no value for a field.
+func TestNullInSettingsCountsAsAbsent(t *testing.T) {
+	type part struct {
+		Number int `json:"number"`
+	}
+	type settings struct {
+		Text    string   `json:"text"`
+		Number  float64  `json:"number"`
+		Flag    bool     `json:"flag"`
+		List    []string `json:"list"`
+		Time    Duration `json:"time"`
+		Part    part     `json:"part"`
+		Pointer *part    `json:"pointer"`
+	}
+	defaults := settings{Text: "a", Number: 1, Flag: true, List: []string{"b"}, Time: 2, Part: part{3}, Pointer: &part{4}}
+	tests := []struct {
+		give   string
+		source string
+		want   string
+	}{
+		{give: "all fields", source: `{"text": null, "number": null, "flag": null, "list": null, "time": null, "part": null, "pointer": null}`},
+		{give: "with comments and trailing commas", source: "{\"text\": null, // a comment\n\"part\": {\"number\": null,},}"},
+		{give: "in a list", source: `{"list": ["c", null]}`, want: "f:1: list[1]: not a string; write a string"},
+		{give: "unknown field", source: `{"other": null}`, want: "f:1: other: unknown field; use one of flag, list, number, part, pointer, text, time"},
+		{give: "file", source: "null", want: "f:1: not an object; write an object in braces"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.give, func(t *testing.T) {
+			got := defaults
+			err := ReadSettings("f", []byte(tt.source), &got)
+			if tt.want != "" {
+				require.EqualError(t, err, tt.want)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, defaults, got)
+		})
+	}
+}
+
 func TestDiffAppliedYieldsDocument(t *testing.T) {
 	doc, problems := Read("f", []byte(valid))
 	require.Empty(t, problems)
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"slices"
 	"sort"
 	"strings"
 
@@ -55,6 +56,8 @@
 	source   []byte
 	lines    map[string]int
 	problems ProblemsError
+	// nullable makes null stand for a field that is absent.
+	nullable bool
 }
 
 func (p *parser) report(field, text, remedy string) {
@@ -78,9 +81,10 @@
 }
 
 // parse decodes JSON with comments into out and reports all syntax and type
-// errors. The returned parser has the line of each field for later checks.
-func parse(file string, source []byte, out any) *parser {
-	p := &parser{file: file, source: source, lines: make(map[string]int)}
+// errors. The returned parser has the line of each field for later checks. If
+// nullable is set, fields that are null are ignored.
+func parse(file string, source []byte, out any, nullable bool) *parser {
+	p := &parser{file: file, source: source, lines: make(map[string]int), nullable: nullable}
 	value, err := hujson.Parse(source)
 	if err != nil {
 		p.syntaxError(err)
@@ -118,10 +122,11 @@
 	p.problems = append(p.problems, problem)
 }
 
-// ReadSettings decodes a file of JSON with comments into out. It returns all
-// syntax and type errors as a ProblemsError.
+// ReadSettings decodes a file of JSON with comments into out. A field that is null
+// counts as absent: templates render null for what the platform does not state.
+// ReadSettings returns all syntax and type errors as a ProblemsError.
 func ReadSettings(file string, source []byte, out any) error {
-	if p := parse(file, source, out); len(p.problems) > 0 {
+	if p := parse(file, source, out, true); len(p.problems) > 0 {
 		return p.problems
 	}
 	return nil
@@ -205,8 +210,19 @@
 			p.report(field, "unknown field", "use one of "+strings.Join(sortedNames(fields), ", "))
 			continue
 		}
+		if p.nullable && isNull(*member) {
+			continue
+		}
 		p.walk(&member.Value, ft, field)
 	}
+	if p.nullable {
+		object.Members = slices.DeleteFunc(object.Members, isNull)
+	}
+}
+
+func isNull(m hujson.ObjectMember) bool {
+	literal, ok := m.Value.Value.(hujson.Literal)
+	return ok && literal.Kind() == 'n'
 }
 
 func fieldsOf(t reflect.Type) map[string]reflect.Type {
