deploy: the settings template needs values only, no sections

Cause: since rollouts were added, the template held a section for their bounds. The section was there because a duration had to be text with its unit, which a template cannot leave out. Change: the template has values only. In settings a duration may also be a number with its unit, such as {"ms": 5000}, and one without a number counts as absent. An object "expose" without any value turns rollouts off, as none does. The message on a placeholder that was not filled in gives its own column.

--- a/internal/config/check_test.go
+++ b/internal/config/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -33,6 +34,7 @@
 		{give: "wrong type", old: `"rate": 10`, new: `"rate": "ten"`, want: []string{"f:7: teams[0].rate: not a number"}},
 		{give: "null", old: `"rate": 10`, new: `"rate": null`, want: []string{"f:7: teams[0].rate: not a number"}},
 		{give: "bad duration", old: `"10s"`, new: `"soon"`, want: []string{"f:9: routes[0].deadline"}},
+		{give: "duration with a unit", old: `"10s"`, new: `{"s": 10}`, want: []string{"f:9: routes[0].deadline: not a string"}},
 		{give: "rate of zero", old: `"rate": 10`, new: `"rate": 0`, want: []string{"f:7: teams[0].rate: not above zero"}},
 		{give: "duplicate name", old: `"name": "b", "weight"`, new: `"name": "a", "weight"`, want: []string{`f:3: zones[1].name: duplicate name "a"`, `no zone "b"`}},
 		{give: "dangling reference", old: `"zone": "a"`, new: `"zone": "x"`, want: []string{`f:5: engines[0].zone: no zone "x"`}},
@@ -78,7 +80,7 @@
 		},
 		{
 			give: "placeholder of a template", source: `{"a": {{x|json}}}`,
-			want: `f:1: column 9: the placeholder "{{x|json}}" of the template has not been filled in; check the program that renders the settings`,
+			want: `f:1: column 7: the placeholder "{{x|json}}" of the template has not been filled in; check the program that renders the settings`,
 		},
 		{give: "empty file", source: "", want: "f:1: column 1: parsing value: unexpected EOF; correct the JSON"},
 	}
@@ -134,6 +136,43 @@
 	}
 }
 
+func TestDurationsInSettings(t *testing.T) {
+	tests := []struct {
+		give    string
+		want    time.Duration
+		problem string
+	}{
+		{give: `"1.5s"`, want: 1500 * time.Millisecond},
+		{give: `{"ms": 1500}`, want: 1500 * time.Millisecond},
+		{give: `{"ms": 15e2}`, want: 1500 * time.Millisecond},
+		{give: `{"s": 1.5, /* a comment */}`, want: 1500 * time.Millisecond},
+		{give: `{"s": 0}`},
+		{give: `{"ms": null}`, want: time.Minute},
+		{give: `{}`, want: time.Minute},
+		{give: `null`, want: time.Minute},
+		{give: `{"ms": 1, "s": 1}`, problem: "f:1: time: config: duration: more than one unit"},
+		{give: `{"h": 1}`, problem: `f:1: time: config: duration: json: unknown field "h"`},
+		{give: `{"ms": "1"}`, problem: "f:1: time: config: duration: json: cannot unmarshal"},
+		{give: `{"s": 1e300}`, problem: "f:1: time: config: duration: out of range"},
+		{give: `1500`, problem: "f:1: time: not a string"},
+		{give: `"ms"`, problem: "f:1: time: config: duration: time: invalid duration"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.give, func(t *testing.T) {
+			got := struct {
+				Time Duration `json:"time"`
+			}{Duration(time.Minute)}
+			err := ReadSettings("f", []byte(`{"time": `+tt.give+`}`), &got)
+			if tt.problem != "" {
+				require.ErrorContains(t, err, tt.problem)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, tt.want, time.Duration(got.Time))
+		})
+	}
+}
+
 func TestDiffAppliedYieldsDocument(t *testing.T) {
 	doc, problems := Read("f", []byte(valid))
 	require.Empty(t, problems)
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -1,12 +1,16 @@
 package config
 
 import (
+	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"time"
 )
 
-// Duration is a time.Duration written as text, such as "1.5s".
+// Duration is a time.Duration written as text, such as "1.5s". Settings may also hold it
+// as a number with its unit, such as {"ms": 1500}.
 type Duration time.Duration
 
 // MarshalText implements encoding.TextMarshaler.
@@ -24,6 +28,43 @@
 	return nil
 }
 
+// UnmarshalJSON implements json.Unmarshaler. It leaves d as it is if the value has no
+// number.
+func (d *Duration) UnmarshalJSON(raw []byte) error {
+	if string(raw) == "null" {
+		return nil
+	}
+	var text string
+	if err := json.Unmarshal(raw, &text); err == nil {
+		return d.UnmarshalText([]byte(text))
+	}
+	var number struct {
+		Milliseconds *float64 `json:"ms"`
+		Seconds      *float64 `json:"s"`
+	}
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&number); err != nil {
+		return fmt.Errorf("config: duration: %w", err)
+	}
+	var nanoseconds float64
+	switch {
+	case number.Milliseconds != nil && number.Seconds != nil:
+		return errors.New("config: duration: more than one unit")
+	case number.Milliseconds != nil:
+		nanoseconds = *number.Milliseconds * float64(time.Millisecond)
+	case number.Seconds != nil:
+		nanoseconds = *number.Seconds * float64(time.Second)
+	default:
+		return nil
+	}
+	if math.Abs(nanoseconds) >= math.MaxInt64 {
+		return errors.New("config: duration: out of range")
+	}
+	*d = Duration(nanoseconds)
+	return nil
+}
+
 // Document is the declared configuration as an operator writes it.
 type Document struct {
 	Zones      []Zone      `json:"zones,omitempty"`
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -56,8 +56,9 @@
 	source   []byte
 	lines    map[string]int
 	problems ProblemsError
-	// nullable makes null stand for a field that is absent.
-	nullable bool
+	// settings is set for the settings of a process, which templates render: fields that
+	// are null are ignored, and durations may be a number with its unit.
+	settings bool
 }
 
 func (p *parser) report(field, text, remedy string) {
@@ -81,10 +82,9 @@
 }
 
 // parse decodes JSON with comments into out and reports all syntax and type
-// errors. The returned parser has the line of each field for later checks. If
-// nullable is set, fields that are null are ignored.
-func parse(file string, source []byte, out any, nullable bool) *parser {
-	p := &parser{file: file, source: source, lines: make(map[string]int), nullable: nullable}
+// errors. The returned parser has the line of each field for later checks.
+func parse(file string, source []byte, out any, settings bool) *parser {
+	p := &parser{file: file, source: source, lines: make(map[string]int), settings: settings}
 	value, err := hujson.Parse(source)
 	if err != nil {
 		p.syntaxError(err)
@@ -114,9 +114,9 @@
 	}
 	problem := Problem{file: p.file, line: line, text: fmt.Sprintf("column %d: %v", column, errors.Unwrap(err)), remedy: "correct the JSON"}
 	text := strings.Split(string(p.source), "\n")[line-1]
-	if _, after, found := strings.Cut(text, placeholderStart); found {
+	if before, after, found := strings.Cut(text, placeholderStart); found {
 		name, _, _ := strings.Cut(after, "}}")
-		problem.text = fmt.Sprintf("column %d: the placeholder %q of the template has not been filled in", column, placeholderStart+name+"}}")
+		problem.text = fmt.Sprintf("column %d: the placeholder %q of the template has not been filled in", len(before)+1, placeholderStart+name+"}}")
 		problem.remedy = "check the program that renders the settings"
 	}
 	p.problems = append(p.problems, problem)
@@ -154,6 +154,14 @@
 }
 
 func (p *parser) text(v *hujson.Value, t reflect.Type, path string) {
+	if number, ok := reflect.New(t).Interface().(json.Unmarshaler); ok && p.settings && v.Value.Kind() == '{' {
+		standard := v.Clone()
+		standard.Standardize()
+		if err := number.UnmarshalJSON(standard.Pack()); err != nil {
+			p.report(path, err.Error(), "write a number with its unit such as {\"ms\": 1500}")
+		}
+		return
+	}
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok || literal.Kind() != '"' {
 		p.report(path, "not a string", "write a string such as \"1.5s\"")
@@ -210,12 +218,12 @@
 			p.report(field, "unknown field", "use one of "+strings.Join(sortedNames(fields), ", "))
 			continue
 		}
-		if p.nullable && isNull(*member) {
+		if p.settings && isNull(*member) {
 			continue
 		}
 		p.walk(&member.Value, ft, field)
 	}
-	if p.nullable {
+	if p.settings {
 		object.Members = slices.DeleteFunc(object.Members, isNull)
 	}
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -63,7 +63,8 @@
 	RateWindow      config.Duration `json:"span"`
 	RateExcessRatio float64         `json:"over"`
 	RateSlackTokens float64         `json:"slack"`
-	// Exposure limits rollouts of software versions; nil turns them off.
+	// Exposure limits rollouts of software versions; nil turns them off, in a settings file
+	// also an object that holds no value.
 	Exposure *ExposureBounds `json:"expose,omitempty"`
 }
 
@@ -87,6 +88,9 @@
 	if err := config.ReadSettings(file, raw, &s); err != nil {
 		return s, fmt.Errorf("gateway: settings: %w", err)
 	}
+	if x := s.Bounds.Exposure; x != nil && *x == (ExposureBounds{}) {
+		s.Bounds.Exposure = nil
+	}
 	if err := s.check(file); err != nil {
 		return s, fmt.Errorf("gateway: settings: %w", err)
 	}
