gateway: bounds that the platform does not state have defaults

Cause: a platform states the figures of the contracts that are in force, and the process refused to start unless there were seven of them: without the contract on engines, for example, with "bounds.lease: not above zero". Without a bound on retries, it would have begun with no retry at all. Change: each of these bounds has a default, which event 112 lists at the start.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -35,6 +35,7 @@
 	BodyRefused           = add(109, log.WarnLevel, "request body refused: the buffers are full")
 	PeerLimitReached      = add(110, log.WarnLevel, "message of a VM ignored, or its request refused: a limit is reached")
 	SettingsInvalid       = add(111, log.ErrorLevel, "settings file cannot be read or is invalid")
+	BoundsDefaulted       = add(112, log.WarnLevel, "settings do not state all bounds; defaults apply")
 	ConfigApplied         = add(200, log.InfoLevel, "configuration applied")
 	ConfigReadFailed      = add(201, log.WarnLevel, "configuration could not be read")
 	ConfigInvalid         = add(202, log.ErrorLevel, "configuration change is invalid")
