gateway, router: an address in the settings needs a port

Cause: "peer" is rendered from two fields of the platform. Without the second it was "10.1.0.24:", which passed the check; the process then listened on a port of the kernel's choice, where no other VM reaches it. Change: both kinds of settings ask for an IP with a port from 1 to 65535, by one function.

--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"time"
 
@@ -167,8 +166,7 @@
 	for _, f := range []struct{ name, value string }{
 		{"entry", s.ClientAddress}, {"ready", s.ReadinessAddress}, {"peer", s.PeerAddress}, {"metrics", s.MetricsAddress}, {"store", s.StoreAddress},
 	} {
-		host, _, err := net.SplitHostPort(f.value)
-		if err != nil || net.ParseIP(host) == nil {
+		if !config.IsAddress(f.value) {
 			report(f.name, fmt.Sprintf("%q is no address; write IP:PORT", f.value))
 		}
 	}
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"time"
 
@@ -88,8 +87,7 @@
 		}
 	}
 	for _, f := range []struct{ name, value string }{{"entry", s.EntryAddress}, {"peer", s.PeerAddress}, {"status", s.StatusAddress}} {
-		host, _, err := net.SplitHostPort(f.value)
-		if err != nil || net.ParseIP(host) == nil {
+		if !config.IsAddress(f.value) {
 			report(f.name, fmt.Sprintf("%q is not an address of the form IP:PORT", f.value))
 		}
 	}
