router: a slow store no longer delays the end of the drain in a stop

Cause: Shutdown released the slots before it began the drain delay, one write of up to 1 s after the other. Until both were over it took calls that may outlast the stop; a process would have cut them, once-only calls among them. Any slow store does that, a busy machine is not needed. Change: the slots are released during the drain delay, which begins at once. The stop waits for both before it ends. Tests: TestCallThatOutlastsAStopOfARouterIsRefused also plays a store that is slow by 1.5 s, and one that is down.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -265,8 +265,13 @@
 func (r *Router) Shutdown(ctx context.Context) error {
 	r.draining.Store(true)
 	event.Draining.Log(r.log, nil, nil)
-	r.releaseSlots(ctx)
-	r.follower.gossipRound()
+	// The slots are released meanwhile: a slow store must not delay the end of the drain.
+	var released sync.WaitGroup
+	released.Go(func() {
+		r.releaseSlots(ctx)
+		r.follower.gossipRound()
+	})
+	defer released.Wait()
 	drain := time.Duration(r.settings.DrainDelay)
 	if drain == 0 {
 		drain = DefaultDrainDelay
@@ -277,6 +282,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		r.servesUntil.Store(int64(r.clock.Now().Add(time.Until(deadline))))
 	}
+	released.Wait()
 	for r.inFlight.Load() > 0 {
 		if err := sleep(ctx, 10*time.Millisecond); err != nil {
 			return fmt.Errorf("router: %d requests in progress: %w", r.inFlight.Load(), err)
--- a/internal/trial/cluster_test.go
+++ b/internal/trial/cluster_test.go
@@ -41,6 +41,23 @@
 // A stopping router must not take a call that may outlast the stop: its end would cut the
 // call, whose outcome the caller could not know.
 func TestCallThatOutlastsAStopOfARouterIsRefused(t *testing.T) {
+	tests := []struct {
+		give string
+		// store are faults of the store from the beginning of the stop until the late call
+		// has been answered.
+		store standin.PlatformFaults
+	}{
+		{give: "in calm"},
+		{give: "with a slow store", store: standin.PlatformFaults{DelayMillis: 1500}},
+		{give: "without the store", store: standin.PlatformFaults{Down: true}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.give, func(t *testing.T) { testCallThatOutlastsAStop(t, tt.store) })
+	}
+}
+
+func testCallThatOutlastsAStop(t *testing.T, store standin.PlatformFaults) {
+	t.Helper()
 	const stopTime = 2 * time.Second
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
@@ -80,6 +97,7 @@
 	delay(stopTime / 2)
 	before := ask("before")
 	time.Sleep(100 * time.Millisecond)
+	c.Platform.SetFaults(store)
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -92,6 +110,7 @@
 	time.Sleep(400 * time.Millisecond)
 	delay(2 * stopTime)
 	late := <-ask("late")
+	c.Platform.SetFaults(standin.PlatformFaults{})
 	require.NoError(t, late.err, "the call was cut")
 	require.Equal(t, http.StatusServiceUnavailable, late.resp.StatusCode)
 	require.Equal(t, "no", late.resp.Header.Get("Marjoramrock-Run"))
