gateway: teams have an excess of a tenth where the platform states none

Cause: "over" and "slack" stayed zero where they are not stated. Change: "over" has a default of 0.1, and event 112 names it. "slack" has none: it does not scale with a team's rate.

--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -91,6 +91,7 @@
 	defaultRetryAllowance  = 50
 	defaultRetryWindow     = 10 * time.Second
 	defaultRateWindow      = 8 * time.Second
+	defaultRateExcessRatio = 0.1
 )
 
 // defaultBounds returns the bounds of a process whose settings state none.
@@ -99,7 +100,7 @@
 		KeyRevocation: config.Duration(defaultKeyRevocation), ServerDrain: config.Duration(defaultServerDrain),
 		ShutdownGrace: config.Duration(defaultShutdownGrace), OrderHandover: config.Duration(defaultOrderHandover),
 		OutdatedVersion: config.Duration(defaultOutdatedVersion), RetryRatio: defaultRetryRatio, RetryAllowance: defaultRetryAllowance,
-		RetryWindow: config.Duration(defaultRetryWindow), RateWindow: config.Duration(defaultRateWindow),
+		RetryWindow: config.Duration(defaultRetryWindow), RateWindow: config.Duration(defaultRateWindow), RateExcessRatio: defaultRateExcessRatio,
 	}
 }
 
@@ -152,6 +153,7 @@
 		{"bounds.revoke", float64(b.KeyRevocation)}, {"bounds.leave", float64(b.ServerDrain)}, {"bounds.grace", float64(b.ShutdownGrace)},
 		{"bounds.lease", float64(b.OrderHandover)}, {"bounds.version", float64(b.OutdatedVersion)}, {"bounds.repeats", b.RetryRatio},
 		{"bounds.spare", b.RetryAllowance}, {"bounds.window", float64(b.RetryWindow)}, {"bounds.span", float64(b.RateWindow)},
+		{"bounds.over", b.RateExcessRatio},
 	}
 }
 
