gateway: stated zeros in "expose" are an error again

Cause: since an object "expose" with zeros only turned rollouts off, like one without any value. A platform that states zeros was told nothing. Change: what is not stated is told from zero.

--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"os"
 	"time"
 
@@ -94,9 +95,14 @@
 	defaultRateExcessRatio = 0.1
 )
 
-// defaultBounds returns the bounds of a process whose settings state none.
+// unstatedShare is the share of exposure bounds that state none. It is no number of JSON.
+var unstatedShare = math.Inf(1)
+
+// defaultBounds returns the bounds of a process whose settings state none, with the share
+// unstatedShare.
 func defaultBounds() Bounds {
 	return Bounds{
+		Exposure:      &ExposureBounds{Share: unstatedShare},
 		KeyRevocation: config.Duration(defaultKeyRevocation), ServerDrain: config.Duration(defaultServerDrain),
 		ShutdownGrace: config.Duration(defaultShutdownGrace), OrderHandover: config.Duration(defaultOrderHandover),
 		OutdatedVersion: config.Duration(defaultOutdatedVersion), RetryRatio: defaultRetryRatio, RetryAllowance: defaultRetryAllowance,
@@ -119,8 +125,10 @@
 		return Settings{}, fmt.Errorf("gateway: settings: %w", err)
 	}
 	s.DefaultedBounds = defaultedBounds(stated.Bounds, s.Bounds)
-	if x := s.Bounds.Exposure; x != nil && *x == (ExposureBounds{}) {
+	if *s.Bounds.Exposure == (ExposureBounds{Share: unstatedShare}) {
 		s.Bounds.Exposure = nil
+	} else {
+		s.Bounds.Exposure = stated.Bounds.Exposure
 	}
 	if err := s.check(file); err != nil {
 		return s, fmt.Errorf("gateway: settings: %w", err)
