--- a/review/_standins/main.go
+++ b/review/_standins/main.go
@@ -19,6 +19,7 @@
 
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
 	"parts": runParts,
+	"inner": runInner,
 }
 
 func main() {
