--- a/review/_standins/main.go
+++ b/review/_standins/main.go
@@ -18,6 +18,7 @@
 )
 
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
+	"quiet": runQuiet,
 	"parts": runParts,
 	"inner": runInner,
 }
