review/7: streams are cut at their end while an engine is silent

Cause: streamState.copyEvents takes an answer without length and chunks that brings no further event for one that was broken off, also if the caller has all events. A stream that is handed over after its last event ends so.

--- a/review/_standins/main.go
+++ b/review/_standins/main.go
@@ -18,9 +18,10 @@
 )
 
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
-	"quiet": runQuiet,
-	"parts": runParts,
-	"inner": runInner,
+	"quiet":   runQuiet,
+	"silence": runSilence,
+	"parts":   runParts,
+	"inner":   runInner,
 }
 
 func main() {
