--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 # With TROUBLE=0 it does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/marjoramrock ] && [ -x target/review-standins ] || { echo "build the deploy file and run review/build-2.sh first"; exit 2; }
-exec target/review-standins quiet review/9/record.txt
+exec target/review-standins deep review/9/record.txt
--- a/review/_standins/main.go
+++ b/review/_standins/main.go
@@ -19,6 +19,7 @@
 
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
 	"quiet":   runQuiet,
+	"deep":    runDeep,
 	"silence": runSilence,
 	"parts":   runParts,
 	"inner":   runInner,
