gateway: leave a server only once the next one has answered

Cause: a call was handed over at the head of the next server's response. At the end of a stream without a length or chunks the next engine has nothing to add and closes its connection, as one that fails after its head does; the first engine, silent for 1.2 s, had been left by then. Change: the attempt to take a call over waits for an event that the caller lacks, or for the whole body of another response, before the running attempt ends. A continuation without a new event is complete if two servers end the stream after the same event, and is no failure of its server.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -213,6 +213,8 @@
 		// The call timed out or its caller left, which is no failure of the server.
 	case errors.Is(err, buffer.ErrFull), errors.Is(err, upstream.ErrNotPermitted):
 		// The cause lies with this VM.
+	case errors.Is(err, errNoNewEvent):
+		// The server may have had nothing to add.
 	case err != nil:
 		g.recordBreak(ctx, f, c, err)
 		g.recordFailure(s, ctx.Err() != nil || errors.Is(err, upstream.ErrUnsent))
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
 
 	"github.com/marjoramrock/marjoramrock/internal/backend"
+	"github.com/marjoramrock/marjoramrock/internal/buffer"
 	"github.com/marjoramrock/marjoramrock/internal/parts"
 )
 
@@ -90,6 +92,68 @@
 	// Version is the version of the model that the server runs, or 0.
 	Version int64
 	Body    io.ReadCloser
+	// events reads the body of a stream whose first event has been awaited, or is nil.
+	events *eventReader
+	// whole holds a body that has been read by awaitWhole, or is nil.
+	whole *buffer.Buffer
+}
+
+// close closes the body, and releases what has been read of it.
+func (r *Response) close() {
+	_ = r.Body.Close()
+	if r.events != nil {
+		r.events.release()
+	}
+	if r.whole != nil {
+		r.whole.Release()
+	}
+}
+
+// awaitWhole reads the body to its end and keeps it for takeWhole.
+func (r *Response) awaitWhole(budget *buffer.Budget) error {
+	b := buffer.New(budget, maxResponseBytes)
+	if err := b.ReadAll(r.Body); err != nil {
+		b.Release()
+		return err
+	}
+	r.whole = b
+	return nil
+}
+
+// takeWhole returns the whole body, which the caller must release.
+func (r *Response) takeWhole(budget *buffer.Budget) (*buffer.Buffer, error) {
+	if r.whole == nil {
+		if err := r.awaitWhole(budget); err != nil {
+			return nil, err
+		}
+	}
+	b := r.whole
+	r.whole = nil
+	return b, nil
+}
+
+// awaitEvent reads a stream up to the first event that follows the one with the last ID. It
+// returns an error if the stream ends before, unless the end shows that it is complete.
+func (r *Response) awaitEvent(lastID string, budget *buffer.Budget) error {
+	r.events = newEventReader(r.Body, budget)
+	err := r.events.peek(lastID)
+	if errors.Is(err, io.EOF) {
+		return r.checkEmptyEnd(lastID)
+	}
+	return err
+}
+
+// checkEmptyEnd returns an error if a stream that has ended without an event after the one
+// with the last ID may be incomplete: without a length or chunks, its end and the failure of
+// its server look the same.
+func (r *Response) checkEmptyEnd(lastID string) error {
+	switch {
+	case !r.EndsWithConn:
+		return nil
+	case lastID == "":
+		return io.ErrUnexpectedEOF
+	}
+	return errNoNewEvent
 }
 
 // ServerClient sends calls to backend servers. After an error other than
--- a/internal/gateway/event_reader.go
+++ b/internal/gateway/event_reader.go
@@ -15,6 +15,11 @@
 	maxEventBytes = 256 << 10
 	// eventBufferBytes is large enough for several events.
 	eventBufferBytes = 8 << 10
+	// maxPeekedEvents and maxPeekedBytes bound the events without data that are kept while
+	// the first one with data is awaited, and the size of each. Others, which are comments
+	// as a rule, are dropped.
+	maxPeekedEvents = 16
+	maxPeekedBytes  = 512
 )
 
 // streamEvent is an event of a stream as it was received.
@@ -32,6 +37,14 @@
 	current *buffer.Buffer
 	// begun is set once the first line has been read.
 	begun bool
+	// peeked holds what the next calls of next return, instead of reading on.
+	peeked []readEvent
+}
+
+// readEvent is a result of eventReader.next.
+type readEvent struct {
+	event streamEvent
+	err   error
 }
 
 // byteOrderMark may precede the first event of a stream.
@@ -46,10 +59,37 @@
 
 func (r *eventReader) release() { r.current.Release() }
 
+// peek reads up to the first event with data that follows the one with the last ID, and
+// returns the error that ends the stream before. The next calls of next return the event
+// or error, and before it what else has to be passed on.
+func (r *eventReader) peek(lastID string) error {
+	var others []readEvent
+	for {
+		e, err := r.read()
+		if err != nil || e.hasData && e.follows(lastID) {
+			r.peeked = append(others, readEvent{event: e, err: err})
+			return err
+		}
+		if !e.hasData && e.follows(lastID) && len(others) < maxPeekedEvents && len(e.raw) <= maxPeekedBytes {
+			e.raw = bytes.Clone(e.raw)
+			others = append(others, readEvent{event: e})
+		}
+	}
+}
+
 // next reads up to and including the empty line that ends an event. At the end of the
 // stream it returns io.EOF, or io.ErrUnexpectedEOF after an incomplete event, together
 // with what was read. It returns errNoEvent if a line is neither a field nor a comment.
 func (r *eventReader) next() (streamEvent, error) {
+	if len(r.peeked) > 0 {
+		first := r.peeked[0]
+		r.peeked = r.peeked[1:]
+		return first.event, first.err
+	}
+	return r.read()
+}
+
+func (r *eventReader) read() (streamEvent, error) {
 	r.current.Reset()
 	var e streamEvent
 	lineStart := 0
@@ -121,6 +161,9 @@
 	}
 }
 
+// follows reports whether the event is not a repetition of one up to that with the last ID.
+func (e *streamEvent) follows(lastID string) bool { return e.id == "" || isNewerEvent(e.id, lastID) }
+
 // isNewerEvent reports whether an event follows the one with the last ID. IDs are
 // numbers; events with other IDs count as newer unless they repeat the last one.
 func isNewerEvent(id, lastID string) bool {
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -10,6 +11,8 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/marjoramrock/marjoramrock/internal/buffer"
+	"github.com/marjoramrock/marjoramrock/internal/catalog"
 	"github.com/marjoramrock/marjoramrock/internal/event"
 	"github.com/marjoramrock/marjoramrock/internal/upstream"
 )
@@ -40,10 +43,13 @@
 	cancel context.CancelCauseFunc
 	// cause is why the other attempt is to be left.
 	cause error
-	// resp and err are set before done is closed.
+	// resp, err and bodyErr are set before done is closed. Until then, awaitAnswer waits for
+	// the body.
 	done chan struct{}
 	resp *Response
 	err  error
+	// bodyErr is why the body of resp does not answer the call.
+	bodyErr error
 	// releaseMemory ends what Gateway.holdMemory counted for the attempt.
 	releaseMemory func()
 	// decided is closed once the attempt is either rejected or continues the call.
@@ -53,7 +59,7 @@
 // accepted reports whether the server has begun to answer. A response that is no failure
 // is an answer too, unless a stream is to continue or leaves a sound server.
 func (t *takeover) accepted(headerSent bool) bool {
-	if t.err != nil || t.resp.NotRun || t.resp.WrongServer {
+	if t.err != nil || t.bodyErr != nil || t.resp.NotRun || t.resp.WrongServer {
 		return false
 	}
 	if headerSent || errors.Is(t.cause, errStreamMoved) {
@@ -82,11 +88,24 @@
 	go func() {
 		<-t.done
 		if t.resp != nil {
-			_ = t.resp.Body.Close()
+			t.resp.close()
 		}
 	}()
 }
 
+// awaitAnswer waits for the first event of a stream that the caller lacks, or for the whole
+// body of another response: until then, the server that is to be left may be the only one
+// that can answer the call. It must be called before done is closed.
+func (t *takeover) awaitAnswer(isStream bool, lastEventID string, budget *buffer.Budget) {
+	switch {
+	case t.err != nil || t.resp.NotRun || t.resp.WrongServer:
+	case isStream && t.resp.Status == http.StatusOK:
+		t.bodyErr = t.resp.awaitEvent(lastEventID, budget)
+	default:
+		t.bodyErr = t.resp.awaitWhole(budget)
+	}
+}
+
 // runningAttempt is an attempt from which another server may take the call over. It is
 // safe for concurrent use. A nil runningAttempt stays with its server.
 type runningAttempt struct {
@@ -119,6 +138,7 @@
 // something that it has sent. The caller must call finish.
 func (g *Gateway) newRunningAttempt(callCtx context.Context, cancel context.CancelCauseFunc, f *forwardedCall, c serverChoice, lastEventID string, firstTimeout, timeout time.Duration) *runningAttempt {
 	call := *f
+	call.emptyEnds = 0
 	call.excluded, call.sentTo = maps.Clone(f.excluded), maps.Clone(f.sentTo)
 	call.excluded[c.server.ID], call.sentTo[c.server.ID] = true, true
 	call.possibleRuns++
@@ -151,6 +171,7 @@
 		if r.next != nil {
 			r.reject(r.next)
 		}
+		r.call.emptyEnds = 0
 		r.silence.reset()
 		r.unnumbered = e.id == ""
 	}
@@ -175,6 +196,17 @@
 	}
 }
 
+// emptyEnds returns the number of attempts to take the call over that ended with
+// errNoNewEvent after the last event.
+func (r *runningAttempt) emptyEnds() int {
+	if r == nil {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.call.emptyEnds
+}
+
 // handOver makes an attempt at another server, and cancels this one once that server has
 // accepted the call. A sound server is left only within acceptTimeout, a silent one only
 // while it is silent. Nothing changes if no sound server can take the call, or if too
@@ -243,9 +275,11 @@
 	g.table.Begin(c.server.ID, c.UncachedTokens)
 	t.releaseMemory = g.holdMemory(r.call, c)
 	r.next = t
+	isStream, lastEventID := r.call.route.Kind == catalog.Stream, r.lastEventID
 	go func() {
 		defer close(t.done)
 		t.resp, t.err = g.sendAttempt(t.ctx, a)
+		t.awaitAnswer(isStream, lastEventID, g.buffers)
 	}()
 	return t, false
 }
@@ -258,7 +292,11 @@
 	mayHaveRun := t.mayHaveRun()
 	select {
 	case <-t.done:
-		g.recordAttempt(t.ctx, r.call, t.choice, t.resp, t.err)
+		r.call.progress.head = t.bodyErr != nil
+		if errors.Is(t.bodyErr, errNoNewEvent) {
+			r.call.emptyEnds++
+		}
+		g.recordAttempt(t.ctx, r.call, t.choice, t.resp, cmp.Or(t.err, t.bodyErr))
 	default:
 	}
 	if mayHaveRun {
@@ -294,6 +332,7 @@
 	}
 	maps.Copy(f.sentTo, r.call.sentTo)
 	maps.Copy(f.excluded, r.call.excluded)
+	f.emptyEnds += r.call.emptyEnds
 	t := r.next
 	if t == nil {
 		return
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -4,8 +4,6 @@
 	"context"
 	"net/http"
 	"time"
-
-	"github.com/marjoramrock/marjoramrock/internal/buffer"
 )
 
 const (
@@ -59,19 +57,19 @@
 	if resp.Status < http.StatusInternalServerError && !resp.NotRun && !resp.WrongServer {
 		paceSample.Responded(g.now())
 	}
-	defer func() { _ = resp.Body.Close() }()
+	defer resp.close()
 	if resp.NotRun || resp.WrongServer {
 		sample.refused()
 		return false
 	}
 	sample.firstByte(g.now())
-	body := buffer.New(g.buffers, maxResponseBytes)
-	defer f.releaseUnlessKept(body)
-	if err := body.ReadAll(resp.Body); err != nil {
+	body, err := resp.takeWhole(g.buffers)
+	if err != nil {
 		sample.broken(ctx, err, g.now())
 		g.recordAttempt(ctx, f, c, nil, err)
 		return false
 	}
+	defer f.releaseUnlessKept(body)
 	sample.answered(resp.Status >= http.StatusInternalServerError, g.now())
 	g.recordSuccess(c.server)
 	if resp.Status == http.StatusOK && !resp.EndsWithConn {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -57,6 +57,9 @@
 	progress    attemptProgress
 	beginning   *beginningCall
 	brokenOffBy quarantine.Engine
+	// emptyEnds counts the servers that ended a stream with errNoNewEvent after its last
+	// event.
+	emptyEnds int
 	// possibleRuns counts the servers on which the call may have run.
 	possibleRuns int
 	// chargedTokens is what the team was charged.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -99,7 +99,7 @@
 		g.removeParts(f, c)
 		return false
 	}
-	defer func() { _ = resp.Body.Close() }()
+	defer resp.close()
 	if resp.NotRun || resp.WrongServer {
 		sample.refused()
 		g.removeParts(f, c)
@@ -134,7 +134,16 @@
 		}
 		moved.Log(g.log, nil, log.Fields{"request": f.call.ID, "server": c.server.ID, "last": st.lastEventID})
 		return false
+	case errors.Is(err, errNoNewEvent) && f.emptyEnds+st.running.emptyEnds()+1 >= minEmptyEnds:
+		if err := st.writeHeader(resp); err != nil {
+			f.outcome = outcomeCallerLeft
+			return true
+		}
 	case err != nil:
+		if errors.Is(err, errNoNewEvent) {
+			f.emptyEnds++
+			sample.answered(false, g.now())
+		}
 		sample.broken(ctx, err, g.now())
 		g.recordAttempt(ctx, f, c, nil, err)
 		// The connection must not be used again, even if the response was read to its end.
@@ -152,12 +161,12 @@
 
 // handleNonStream handles a response of an engine that is not a stream.
 func (g *Gateway) handleNonStream(ctx context.Context, st *streamState, c serverChoice, resp *Response) bool {
-	body := buffer.New(g.buffers, maxResponseBytes)
-	defer st.releaseUnlessKept(body)
-	if err := body.ReadAll(resp.Body); err != nil {
+	body, err := resp.takeWhole(g.buffers)
+	if err != nil {
 		g.recordAttempt(ctx, st.forwardedCall, c, nil, err)
 		return false
 	}
+	defer st.releaseUnlessKept(body)
 	if st.headerSent {
 		st.excluded[c.server.ID] = true
 		return false
@@ -184,8 +193,15 @@
 	errCallerLeft = errors.New("caller left")
 	// errHandedOver means that another server continues the stream.
 	errHandedOver = errors.New("another server continues the stream")
+	// errNoNewEvent means that a server that was to continue a stream ended its connection
+	// without a further event: there may be none, or the server may have failed.
+	errNoNewEvent = errors.New("stream ended with its connection and without a further event")
 )
 
+// minEmptyEnds is the number of servers that must have ended a stream with errNoNewEvent,
+// after the same event, for it to be complete.
+const minEmptyEnds = 2
+
 // errNoContinuation means that a response does not continue the one that the caller has.
 var errNoContinuation = errors.New("response does not continue the stream")
 
@@ -204,17 +220,20 @@
 // caller has from an earlier attempt. It calls onData for each event with data and
 // onProgress for each new one; comments and repeated events show no progress of the call.
 func (st *streamState) copyEvents(resp *Response, budget *buffer.Budget, onData, onProgress func()) error {
-	events := newEventReader(resp.Body, budget)
-	defer events.release()
+	if resp.events == nil {
+		resp.events = newEventReader(resp.Body, budget)
+	}
+	events := resp.events
 	if st.headerSent && !st.isContinuation(resp) {
 		return fmt.Errorf("%w: content type %q, encoding %q", errNoContinuation, resp.Header.Get("Content-Type"), resp.Header.Get("Content-Encoding"))
 	}
 	continued, progressed := st.headerSent, false
 	for {
 		e, err := events.next()
-		if errors.Is(err, io.EOF) && resp.EndsWithConn && !progressed {
-			// A server that fails after the head closes its connection, too.
-			return io.ErrUnexpectedEOF
+		if errors.Is(err, io.EOF) && !progressed {
+			if err := resp.checkEmptyEnd(st.lastEventID); err != nil {
+				return err
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			if !st.headerSent {
@@ -228,7 +247,7 @@
 		if e.hasData {
 			onData()
 		}
-		if e.id != "" && !isNewerEvent(e.id, st.lastEventID) {
+		if !e.follows(st.lastEventID) {
 			continue
 		}
 		if !st.running.passOn(e) {
@@ -238,7 +257,7 @@
 			if continued && e.id == "" {
 				return fmt.Errorf("%w: event without ID", errNoContinuation)
 			}
-			progressed, st.unnumbered = true, e.id == ""
+			progressed, st.unnumbered, st.emptyEnds = true, e.id == "", 0
 			onProgress()
 		}
 		if st.headerSent {
