quarantine: watch all parts of a prompt, at any depth

Cause: only the outermost 32 parts were watched, so that messages on broken calls fit a datagram. Change: all shared parts are watched. A broken call is told with its most suspicious parts first, 512 parts a message; the others follow, with their positions (field 32, which older VMs ignore). Long IDs are replaced by digests. Evidence and outcomes are bounded by their numbers of parts. A review weighs the parts of all broken calls before it decides, and prefers the part of fewer calls: else a part of all calls is refused if a bystander's call comes first. Tests: with the limit of 32 put back, TestPartIsFoundAtAnyDepth fails in three cases; TestPartOfFewerCallsIsPreferred fails on the code before. TestUpdatesOfCallsWithManyPartsFitAMessage now demands also that every part and success is told, and no longer that each message has all 16 breaks, since takeBreaks builds it.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -186,11 +186,17 @@
 
 // newTestGateway returns a gateway in front of two engines and two plain servers.
 func newTestGateway(t testing.TB, respond func(ctx context.Context, n int, a *Attempt) (*Response, error)) (*Gateway, *fakeAdapter) {
+	t.Helper()
+	return newNamedTestGateway(t, "vm1", respond)
+}
+
+// newNamedTestGateway is newTestGateway for a VM with a name.
+func newNamedTestGateway(t testing.TB, vm string, respond func(ctx context.Context, n int, a *Attempt) (*Response, error)) (*Gateway, *fakeAdapter) {
 	t.Helper()
 	a := &fakeAdapter{reportErr: errors.New("reports not supported"), store: &memoryStore{rows: make(map[string]lease.Record)}, respond: respond}
 	g, err := New(Settings{
 		QueueCalls: true,
-		VM:         "vm1", Zone: "z1", PeerAddress: loopback.FreeAddress(t), FirstStart: true, Bounds: testBounds,
+		VM:         vm, Zone: "z1", PeerAddress: loopback.FreeAddress(t), FirstStart: true, Bounds: testBounds,
 	}, a, &log.Logger{Handler: discard.New()})
 	require.NoError(t, err)
 	t.Cleanup(g.Close)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"io"
+	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -23,10 +27,14 @@
 	// trialOwnerTimeout is how long after its last message a VM may still be the one
 	// that makes the trials of a part.
 	trialOwnerTimeout = 4 * time.Second
-	// maxWatchedParts bounds the parts of a call that may be put in quarantine.
-	maxWatchedParts = 32
-	// The size of a message is bounded by the numbers of its entries.
+	// maxPartIDBytes bounds the ID of a part in the evidence; longer ones are replaced by a
+	// digest. maxLoggedParts bounds the parts in a log line.
+	maxPartIDBytes = 32
+	maxLoggedParts = 32
+	// The size of a message is bounded by the numbers of its entries. The parts of a break
+	// that exceed their number are told with the next messages.
 	maxBreaksPerMessage      = 16
+	maxBreakPartsPerMessage  = 512
 	maxSuccessesPerMessage   = 128
 	maxCutsPerMessage        = 64
 	maxQuarantinesPerMessage = 16
@@ -55,21 +63,40 @@
 	return quarantine.Engine{ID: s.ID, Born: s.Born}
 }
 
-// sharedPartIDs returns the parts of a call's prompt that may be put in quarantine: the
-// outermost maxWatchedParts that other calls may share.
+// sharedPartIDs returns the parts of a call's prompt that may be put in quarantine: those
+// that other calls may share.
 func sharedPartIDs(c *Call) []string {
 	if c.Prompt.Model == "" {
 		return nil
 	}
 	shared := c.Prompt.SharedParts()
-	shared = shared[:min(len(shared), maxWatchedParts)]
 	ids := make([]string, len(shared))
 	for i, p := range shared {
-		ids[i] = p.ID
+		ids[i] = boundedPartID(p.ID)
 	}
 	return ids
 }
 
+// boundedPartID returns an ID of at most maxPartIDBytes that stands for a part on all VMs.
+func boundedPartID(id string) string {
+	if len(id) <= maxPartIDBytes {
+		return id
+	}
+	const digestBytes = 12
+	sum := sha256.Sum256([]byte(id))
+	return "sha256:" + hex.EncodeToString(sum[:digestBytes])
+}
+
+// detach returns copies of strings that share their memory with nothing else.
+func detach(texts []string) []string {
+	joined := strings.Join(texts, "")
+	out := make([]string, len(texts))
+	for i, text := range texts {
+		out[i], joined = joined[:len(text)], joined[len(text):]
+	}
+	return out
+}
+
 // quarantineRefusal returns the refusal of a call that has a part in quarantine and is
 // no trial.
 func (g *Gateway) quarantineRefusal(f *forwardedCall) *Refusal {
@@ -151,14 +178,16 @@
 		return
 	}
 	b := quarantine.Break{
-		Engine: incarnation(c.server), Request: xxhash.Sum64String(f.call.ID), Parts: f.sharedParts, Head: f.progress.head, At: g.now(), Local: true,
+		Engine: incarnation(c.server), Request: xxhash.Sum64String(f.call.ID), Parts: detach(f.sharedParts), Head: f.progress.head, At: g.now(), Local: true,
 	}
 	if b.Head && f.progress.headAt > 0 {
 		b.SinceHead = max(b.At-f.progress.headAt, time.Millisecond)
 		b.Uptime = g.table.ListedFor(c.server.ID, c.server.Born, b.At)
 	}
+	order := g.quarantine.BySuspicion(b.Parts)
 	event.CallBrokenOff.Log(g.log, err, log.Fields{
-		"request": f.call.ID, "engine": c.server.ID, "born": c.server.Born, "parts": f.sharedParts, "head": b.Head, "events": f.progress.events,
+		"request": f.call.ID, "engine": c.server.ID, "born": c.server.Born, "parts": partsAt(b, order[:min(len(order), maxLoggedParts)]), "of": len(b.Parts),
+		"head": b.Head, "events": f.progress.events,
 	})
 	f.trial = false
 	g.quarantine.RecordOutcome(b.Parts, false, b.Head, b.At)
@@ -170,11 +199,18 @@
 	g.applyBreak(b)
 	g.scheduleReview()
 	g.probes.schedule(c.server)
-	g.announcer.enqueue(func(m *gossip.Message) {
-		if len(m.Breaks) < maxBreaksPerMessage {
-			addBreak(m, b, g.now())
-		}
-	})
+	g.quarantineUpdates.addBreak(b, order)
+	g.announcer.enqueue(func(m *gossip.Message) { g.quarantineUpdates.takeBreaks(m, g.now()) })
+}
+
+// partsAt returns the parts of a break with the given indexes, in prompt order.
+func partsAt(b quarantine.Break, indexes []int) []string {
+	sorted := slices.Sorted(slices.Values(indexes))
+	out := make([]string, len(sorted))
+	for i, at := range sorted {
+		out[i] = b.Parts[at]
+	}
+	return out
 }
 
 // scheduleReview lets reviewQuarantines run once what other VMs know has arrived.
@@ -187,18 +223,6 @@
 	}
 }
 
-// addBreak adds a break to a message.
-func addBreak(m *gossip.Message, b quarantine.Break, now time.Duration) {
-	m.Breaks = append(m.Breaks, breakMessage(b, now))
-	m.BreakTimes = append(m.BreakTimes, gossip.BreakTimes{HeadMillis: b.SinceHead.Milliseconds(), UptimeMillis: b.Uptime.Milliseconds()})
-}
-
-func breakMessage(b quarantine.Break, now time.Duration) gossip.Break {
-	return gossip.Break{
-		Engine: gossip.Server{ID: b.Engine.ID, Born: b.Engine.Born}, Request: b.Request, Parts: b.Parts, Head: b.Head, AgeMillis: (now - b.At).Milliseconds(),
-	}
-}
-
 // applyBreak takes note of a break of this VM or another one.
 func (g *Gateway) applyBreak(b quarantine.Break) {
 	now := g.now()
@@ -313,8 +337,9 @@
 			continue
 		}
 		g.applyBreak(b)
-		addBreak(m, b, now)
+		g.quarantineUpdates.addBreak(b, g.quarantine.BySuspicion(b.Parts))
 	}
+	g.quarantineUpdates.takeBreaks(m, now)
 	g.quarantineUpdates.takeCuts(m, now, g.quarantine.Known)
 	if len(m.Breaks)+len(m.Succeeded)+len(m.Answered)+len(m.Cut) > 0 {
 		g.broadcastDelta(m)
@@ -361,6 +386,9 @@
 			x := m.BreakTimes[i]
 			b.SinceHead, b.Uptime = time.Duration(x.HeadMillis)*time.Millisecond, time.Duration(x.UptimeMillis)*time.Millisecond
 		}
+		if len(m.BreakPositions) > 0 {
+			b.Positions = m.BreakPositions[i]
+		}
 		g.applyBreak(b)
 	}
 	for _, x := range m.Cut {
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -252,30 +252,148 @@
 	}
 }
 
-// A caller chooses how many parts its prompts have: what VMs tell each other of them must
-// fit a message, or the others never hear of anything else that is in it.
+// A caller chooses how many parts its prompts have, and how long their IDs are: what VMs tell
+// each other of them must fit a message, or the others never hear of anything else that is in
+// it. No part may be left out for that.
 func TestUpdatesOfCallsWithManyPartsFitAMessage(t *testing.T) {
-	const maxMessageBytes = 60 << 10
+	const (
+		maxMessageBytes = 60 << 10
+		maxMessages     = 40
+	)
 	c := newCall("/stream/", "key")
 	for i := range 1000 {
 		c.Prompt.Parts = append(c.Prompt.Parts, parts.Part{ID: fmt.Sprintf("%064d", i), Tokens: 1})
 	}
 	updates := &quarantineUpdates{}
+	ids, order := sharedPartIDs(c), make([]int, len(c.Prompt.Parts)-1)
+	for i := range order {
+		order[i] = i
+	}
 	for i := range 100 {
-		updates.addHeadless(quarantine.Break{Engine: quarantine.Engine{ID: fmt.Sprint("engine", i)}, Request: uint64(i), Parts: sharedPartIDs(c)})
-		updates.addAnswer(quarantine.Engine{ID: fmt.Sprint("engine", i)}, 0)
+		b := quarantine.Break{Engine: quarantine.Engine{ID: fmt.Sprint("engine", i)}, Request: uint64(i), Parts: ids}
+		updates.addHeadless(b)
+		updates.addBreak(b, order)
+		updates.addAnswer(b.Engine, 0)
+		updates.addCut(b.Engine, 0)
+	}
+	for _, id := range ids {
+		updates.addSuccess(id, 0)
 	}
-	for _, p := range c.Prompt.Parts {
-		updates.addSuccess(p.ID, 0)
+	told, succeeded := make(map[uint64]map[string]bool), make(map[string]bool)
+	for n := 0; n == 0 || len(updates.untold) > 0 || len(updates.succeeded) > 0; n++ {
+		require.Less(t, n, maxMessages)
+		headless, m := updates.take(time.Second)
+		if n == 0 {
+			require.Len(t, headless, maxBreaksPerMessage)
+		}
+		updates.takeBreaks(m, time.Second)
+		updates.takeCuts(m, time.Second, func(quarantine.Engine) bool { return false })
+		raw, err := cbor.Marshal(m)
+		require.NoError(t, err)
+		require.Less(t, len(raw), maxMessageBytes)
+		for i, b := range m.Breaks {
+			if told[b.Request] == nil {
+				told[b.Request] = make(map[string]bool)
+			}
+			for j, part := range b.Parts {
+				require.Equal(t, ids[m.BreakPositions[i][j]], part)
+				told[b.Request][part] = true
+			}
+		}
+		for _, x := range m.Succeeded {
+			succeeded[x.Part] = true
+		}
 	}
-	headless, m := updates.take(time.Second)
-	for _, b := range headless {
-		m.Breaks = append(m.Breaks, breakMessage(b, time.Second))
+	require.Len(t, told, maxBreaksPerMessage)
+	for _, parts := range told {
+		require.Len(t, parts, len(ids))
+	}
+	require.Len(t, succeeded, len(ids))
+}
+
+// A part that crashes engines must be found wherever it stands in a prompt, on the VMs that
+// saw a crash and on the others, and none of the parts that sound calls share may be refused.
+func TestPartIsFoundAtAnyDepth(t *testing.T) {
+	tests := []struct {
+		name          string
+		shared, depth int
+		// sound is set if calls with the other parts succeed in between.
+		sound bool
+	}{
+		{"the 34th part", 34, 33, true},
+		{"the 34th part, quiet", 34, 33, false},
+		{"the first of many parts", 1500, 0, true},
+		{"in the middle of many parts", 1500, 700, true},
+		{"in the middle of many parts, quiet", 1500, 700, false},
+		{"the last of many parts", 1500, 1499, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			prompt := func(part string, request int) parts.Prompt {
+				p := parts.Prompt{Model: "m", InputTokens: 10 * (tt.shared + 1), MaxOutputTokens: 10}
+				for i := range tt.shared {
+					p.Parts = append(p.Parts, parts.Part{ID: fmt.Sprintf("%08x", i), Tokens: 10})
+				}
+				p.Parts[tt.depth].ID = part
+				p.Parts = append(p.Parts, parts.Part{ID: fmt.Sprint("own", request), Tokens: 10})
+				return p
+			}
+			vms := make([]*Gateway, 3)
+			for i := range vms {
+				g, a := newNamedTestGateway(t, fmt.Sprint("vm", i+1), func(_ context.Context, _ int, a *Attempt) (*Response, error) {
+					if a.Call.Prompt.Parts[tt.depth].ID == "bad" {
+						return truncatedResponse(""), nil
+					}
+					return newResponse(200, eventStream("1", "2")), nil
+				})
+				a.reportErr = fmt.Errorf("%w: connection refused", upstream.ErrUnsent)
+				addEngines(g, 9)
+				vms[i] = g
+				for j := range i {
+					g.node.AddMember(vms[j].settings.VM, vms[j].settings.PeerAddress)
+					vms[j].node.AddMember(g.settings.VM, g.settings.PeerAddress)
+				}
+			}
+			serve := func(vm *Gateway, part string, request int) *responseRecorder {
+				call, c := newCall("/stream/", "isolated-key"), &responseRecorder{}
+				call.ID, call.Prompt = fmt.Sprint("call", request), prompt(part, request)
+				vm.Serve(context.Background(), call, c)
+				return c
+			}
+			const crashes = 5
+			for i := range crashes {
+				if tt.sound {
+					for j, vm := range vms {
+						require.Equal(t, 200, serve(vm, "sound", 100+10*i+j).status)
+					}
+				}
+				vm := vms[i%len(vms)]
+				serve(vm, "bad", i)
+				crashed := vm.adapter.(*fakeAdapter).sentAttempts()
+				for _, vm := range vms {
+					vm.removeServer(crashed[len(crashed)-1].Server.ID)
+				}
+				time.Sleep(300 * time.Millisecond)
+			}
+			for i, vm := range vms {
+				require.Eventually(t, func() bool { return len(vm.quarantine.Active()) > 0 }, 2*time.Second, 10*time.Millisecond)
+				require.NotNil(t, serve(vm, "bad", 200+i).refusal)
+				if tt.sound {
+					require.Equal(t, 200, serve(vm, "sound", 300+i).status)
+				}
+			}
+		})
+	}
+}
+
+// addEngines adds engines that have run for long to the service of newTestGateway.
+func addEngines(g *Gateway, n int) {
+	for i := range n {
+		id := fmt.Sprint("e", i+1)
+		g.table.Put(backend.Server{ID: id, Service: "model", Address: id, Zone: "z1", Slots: 8, Models: map[string]int64{"m": 1}})
+		g.table.SetListedAt(id, g.now()-time.Minute)
 	}
-	require.Len(t, m.Breaks, maxBreaksPerMessage)
-	raw, err := cbor.Marshal(m)
-	require.NoError(t, err)
-	require.Less(t, len(raw), maxMessageBytes)
 }
 
 // What VMs see on different engines adds up to a quarantine on each of them.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -224,6 +224,8 @@
 		{"break in the future", Message{Breaks: []Break{{AgeMillis: math.MinInt64}}}, false},
 		{"time of a break", Message{Breaks: []Break{{}}, BreakTimes: []BreakTimes{{HeadMillis: -1}}}, false},
 		{"uptime of an engine", Message{Breaks: []Break{{}}, BreakTimes: []BreakTimes{{UptimeMillis: math.MaxInt64}}}, false},
+		{"positions of other parts", Message{Breaks: []Break{{Parts: []string{"a"}}}, BreakPositions: [][]int{{1, 2}}}, false},
+		{"negative position", Message{Breaks: []Break{{Parts: []string{"a"}}}, BreakPositions: [][]int{{-1}}}, false},
 		{"age of a cut", Message{Cut: []Cut{{AgeMillis: math.MaxInt64}}}, false},
 		{"times of other breaks", Message{Breaks: []Break{{}}, BreakTimes: make([]BreakTimes, 2)}, false},
 		{"age of a success", Message{Succeeded: []Success{{AgeMillis: math.MaxInt64}}}, false},
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -59,6 +60,9 @@
 	// connections since they broke off calls.
 	BreakTimes []BreakTimes `cbor:"29,keyasint,omitempty"`
 	Ended      []Server     `cbor:"30,keyasint,omitempty"`
+	// BreakPositions holds, for each of Breaks, the positions of its parts in the prompt. Other
+	// parts are in other messages.
+	BreakPositions [][]int `cbor:"32,keyasint,omitempty"`
 	// Cut lists engines that broke off calls which they had begun.
 	Cut []Cut `cbor:"31,keyasint,omitempty"`
 	// Quarantines lists the parts in quarantine.
@@ -308,6 +312,14 @@
 	if n := len(m.BreakTimes); n > 0 && n != len(m.Breaks) {
 		return fmt.Errorf("%w: %d times of %d breaks", errOutOfRange, n, len(m.Breaks))
 	}
+	if n := len(m.BreakPositions); n > 0 && n != len(m.Breaks) {
+		return fmt.Errorf("%w: positions in %d of %d breaks", errOutOfRange, n, len(m.Breaks))
+	}
+	for i, positions := range m.BreakPositions {
+		if len(positions) != len(m.Breaks[i].Parts) || slices.ContainsFunc(positions, func(at int) bool { return !isCount(at) }) {
+			return fmt.Errorf("%w: positions of parts", errOutOfRange)
+		}
+	}
 	for _, x := range m.BreakTimes {
 		if x.HeadMillis < 0 || x.HeadMillis > maxMillis || x.UptimeMillis < 0 || x.UptimeMillis > maxAgeMillis {
 			return fmt.Errorf("%w: time of a break", errOutOfRange)
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -35,10 +35,11 @@
 	outerPartLead = 2
 	// evidenceTTL is how long a break counts.
 	evidenceTTL = 5 * time.Minute
-	// maxCrashes, maxBreaksPerCrash and maxBreaksPerPart bound the evidence.
+	// The numbers of crashes, of breaks, and of their parts in all bound the evidence.
 	maxCrashes        = 256
 	maxBreaksPerCrash = 16
 	maxBreaksPerPart  = 64
+	maxEvidenceParts  = 64 << 10
 	// AnswerDelay is how long an engine that has crashed may seem to answer calls,
 	// since callers read late what it had sent. After refutationPeriod, a new incarnation
 	// may answer in its place.
@@ -60,8 +61,10 @@
 	Engine Engine
 	// Request distinguishes requests.
 	Request uint64
-	// Parts are the parts of the prompt that other calls share, in prompt order.
-	Parts []string
+	// Parts are the parts of the prompt that other calls share, in prompt order. More of them
+	// may be told later; Positions holds then where in the prompt they are.
+	Parts     []string
+	Positions []int
 	// Head is set if the engine had sent the head of a response.
 	Head bool
 	// SinceHead is the time from the head to the break, and Uptime that for which the engine
@@ -84,11 +87,54 @@
 	ended bool
 }
 
+// position returns where in the prompt the part with an index is.
+func (b *Break) position(i int) int {
+	if b.Positions == nil {
+		return i
+	}
+	return b.Positions[i]
+}
+
+// merge adds parts that another VM has told later, and returns those that are new.
+func (b *Break) merge(other *Break) []string {
+	known := make(map[string]bool, len(b.Parts))
+	for _, p := range b.Parts {
+		known[p] = true
+	}
+	type placed struct {
+		part     string
+		position int
+	}
+	var all []placed
+	var added []string
+	for i, p := range b.Parts {
+		all = append(all, placed{part: p, position: b.position(i)})
+	}
+	for i, p := range other.Parts {
+		if !known[p] {
+			known[p] = true
+			added = append(added, p)
+			all = append(all, placed{part: p, position: other.position(i)})
+		}
+	}
+	if len(added) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(all, func(x, y placed) int { return x.position - y.position })
+	b.Parts, b.Positions = make([]string, len(all)), make([]int, len(all))
+	for i, x := range all {
+		b.Parts[i], b.Positions[i] = x.part, x.position
+	}
+	return added
+}
+
 func (c *crash) counts(b *Break) bool { return b.Head || !c.head }
 
 // evidence holds the breaks that no later success has refuted.
 type evidence struct {
 	crashes map[Engine]*crash
+	// parts is the number of parts of all breaks.
+	parts int
 	// byPart holds the breaks by the parts of their calls, in order of arrival.
 	byPart map[string][]*Break
 	// answered holds, by the engine's ID, the last crash that an answer has refuted. The
@@ -131,49 +177,71 @@
 	return a.breaks
 }
 
-// add records a break. It reports false if the break is known or not needed.
-func (e *evidence) add(b *Break, refuted func(part string) bool) bool {
+// add records a break, or further parts of a known one. It returns the break that holds the
+// parts, and those that are new; the break is nil if it is known or not needed.
+func (e *evidence) add(b *Break, refuted func(part string) bool) (*Break, []string) {
 	c := e.crashes[b.Engine]
 	if c == nil {
 		if len(e.crashes) >= maxCrashes {
-			e.removeOldest()
+			e.removeOldest(b.Engine)
 		}
 		c = &crash{at: b.At}
 		e.crashes[b.Engine] = c
 	}
+	for len(e.crashes) > 1 && e.parts+len(b.Parts) > maxEvidenceParts {
+		e.removeOldest(b.Engine)
+	}
+	if e.parts+len(b.Parts) > maxEvidenceParts {
+		return nil, nil
+	}
 	for _, known := range c.breaks {
 		if known.Request == b.Request && (known.Head || !b.Head) {
-			return false
+			added := known.merge(b)
+			if len(added) == 0 {
+				return nil, nil
+			}
+			e.index(known, added, refuted)
+			return known, added
 		}
 	}
 	if !c.counts(b) || len(c.breaks) >= maxBreaksPerCrash && (c.head || !b.Head) {
-		return false
+		return nil, nil
 	}
 	c.at, c.head = min(c.at, b.At), c.head || b.Head
 	c.breaks = append(c.breaks, b)
-	for _, p := range b.Parts {
+	e.index(b, b.Parts, refuted)
+	return b, b.Parts
+}
+
+// index lists a break under parts of it.
+func (e *evidence) index(b *Break, parts []string, refuted func(part string) bool) {
+	e.parts += len(parts)
+	for _, p := range parts {
 		if !refuted(p) && len(e.byPart[p]) < maxBreaksPerPart {
 			e.byPart[p] = append(e.byPart[p], b)
 		}
 	}
-	return true
 }
 
-func (e *evidence) removeOldest() {
+// removeOldest removes the oldest crash other than that of an engine.
+func (e *evidence) removeOldest(keep Engine) {
 	var oldest Engine
 	first := true
 	for id, c := range e.crashes {
-		if first || c.at < e.crashes[oldest].at {
+		if id != keep && (first || c.at < e.crashes[oldest].at) {
 			oldest, first = id, false
 		}
 	}
-	e.removeCrash(oldest)
+	if !first {
+		e.removeCrash(oldest)
+	}
 }
 
 func (e *evidence) removeCrash(id Engine) {
 	c := e.crashes[id]
 	delete(e.crashes, id)
 	for _, b := range c.breaks {
+		e.parts -= len(b.Parts)
 		for _, p := range b.Parts {
 			e.filter(p, func(x *Break) bool { return x.Engine != id })
 		}
@@ -248,7 +316,7 @@
 }
 
 // caseAgainst weighs the breaks of a part.
-func (e *evidence) caseAgainst(part string, now time.Duration, inQuarantine func(part string) bool) Case {
+func (e *evidence) caseAgainst(part string, now time.Duration, explained func(c *crash) bool) Case {
 	k := Case{Part: part, crashed: make(map[Engine]bool)}
 	requests := make(map[uint64]bool)
 	timings := make(map[*crash]*crashTiming)
@@ -273,7 +341,7 @@
 		if now-c.at >= settleDelay {
 			k.settled++
 		}
-		if !e.explained(c, inQuarantine) {
+		if !explained(c) {
 			k.unexplained++
 		}
 	}
@@ -283,11 +351,11 @@
 }
 
 // countOthers sets Case.alike and Case.unrelated.
-func (e *evidence) countOthers(k *Case, inQuarantine func(part string) bool) {
+func (e *evidence) countOthers(k *Case, explained func(c *crash) bool) {
 	for _, c := range e.crashes {
 		hasPart := slices.ContainsFunc(c.breaks, func(b *Break) bool { return c.counts(b) && slices.Contains(b.Parts, k.Part) })
 		switch {
-		case c.at < k.Since || hasPart && c.head || e.explained(c, inQuarantine):
+		case c.at < k.Since || hasPart && c.head || explained(c):
 		case c.head:
 			k.alike++
 		default:
@@ -322,29 +390,6 @@
 		k.unexplained >= minUnexplained && k.settled >= minSettled
 }
 
-// decide returns the part to quarantine after a break, if any. Among the parts of the
-// call it prefers the one with the most crashed engines, and of nested parts the
-// innermost: other calls share the outer ones. A tie with a part of unrelated calls is
-// decided by the next crash.
-func (e *evidence) decide(b *Break, now time.Duration, inQuarantine, known func(part string) bool) (Case, bool) {
-	var best Case
-	found := false
-	for _, p := range b.Parts {
-		if len(e.byPart[p]) < minEngines || inQuarantine(p) {
-			continue
-		}
-		k := e.caseAgainst(p, now, inQuarantine)
-		k.known = known(p)
-		if k.convincing() && (!found || k.Engines > best.Engines-outerPartLead) {
-			best, found = k, true
-		}
-	}
-	if !found || best.Engines < manyEngines && e.tied(best) {
-		return Case{}, false
-	}
-	return best, true
-}
-
 // tied reports whether a part that occurs in no call with the part of a case was
 // broken off on the same engines.
 func (e *evidence) tied(k Case) bool {
--- a/internal/quarantine/outcomes.go
+++ b/internal/quarantine/outcomes.go
@@ -7,44 +7,49 @@
 )
 
 const (
-	// outcomeMemory is the number of outcomes that are remembered.
-	outcomeMemory = 512
+	// outcomeMemory is the number of outcomes that are remembered, and maxOutcomeParts that
+	// of their parts.
+	outcomeMemory   = 512
+	maxOutcomeParts = 64 << 10
 	// maxChance is the probability beyond which the breaks of a part may be chance.
 	maxChance = 0.005
 )
 
 // outcome is that of one attempt of a call.
 type outcome struct {
-	parts []string
+	// parts holds hashes of the parts.
+	parts []uint32
 	begun bool
 	head  bool
 	at    time.Duration
 }
 
-// outcomes holds the last ones in a ring.
+// outcomes holds the last ones, oldest first.
 type outcomes struct {
-	ring []outcome
-	next int
+	list []outcome
+	// parts is the number of parts of all.
+	parts int
 }
 
 func (o *outcomes) add(x outcome) {
-	if len(o.ring) < outcomeMemory {
-		o.ring = append(o.ring, x)
-		return
+	o.list = append(o.list, x)
+	o.parts += len(x.parts)
+	for len(o.list) > outcomeMemory || len(o.list) > 1 && o.parts > maxOutcomeParts {
+		o.parts -= len(o.list[0].parts)
+		o.list[0] = outcome{}
+		o.list = o.list[1:]
 	}
-	o.ring[o.next] = x
-	o.next = (o.next + 1) % outcomeMemory
 }
 
 // mayBeChance reports whether the breaks of a part may be chance: since the first of
 // them, engines have broken off so many of the calls without the part that an equal
 // number of those could also have been broken off in a row, and the crashes may have come
 // at any time. The latter needs no other calls.
-func (o *outcomes) mayBeChance(k Case) bool {
+func (o *outcomes) mayBeChance(k Case, hash uint64) bool {
 	begun, broken := 0, 0
-	for _, x := range o.ring {
+	for _, x := range o.list {
 		switch {
-		case x.at < k.Since || slices.Contains(x.parts, k.Part):
+		case x.at < k.Since || slices.Contains(x.parts, uint32(hash)):
 		case x.begun:
 			begun++
 		case x.head || k.headless:
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"cmp"
+	"hash/maphash"
 	"slices"
 	"sort"
 	"sync"
@@ -26,7 +28,7 @@
 	// maxQuarantines bounds the parts in quarantine, successMemory the parts whose last
 	// success is remembered.
 	maxQuarantines = 64
-	successMemory  = 4096
+	successMemory  = 32 << 10
 	// ReviewDelay is how long after a break it may decide on a part: by then, what other
 	// VMs have seen of the same crash is known. decisionPeriod is how long it may still
 	// do so, and maxUndecided bounds the number of such breaks.
@@ -69,13 +71,22 @@
 	// outcomes are those of this VM's calls.
 	outcomes outcomes
 	active   map[string]*entry
-	// succeeded holds when calls with a part last succeeded.
-	succeeded *recent[string, time.Duration]
+	// succeeded holds when calls with a part last succeeded, by the part's hash.
+	succeeded *recent[uint64, time.Duration]
+	seed      maphash.Seed
 }
 
 // NewTracker returns a Tracker without evidence.
 func NewTracker() *Tracker {
-	return &Tracker{evidence: newEvidence(), active: make(map[string]*entry), succeeded: newRecent[string, time.Duration](successMemory)}
+	return &Tracker{evidence: newEvidence(), active: make(map[string]*entry), succeeded: newRecent[uint64, time.Duration](successMemory), seed: maphash.MakeSeed()}
+}
+
+// hash returns the hash by which a part is remembered. Callers cannot foresee it.
+func (t *Tracker) hash(part string) uint64 { return maphash.String(t.seed, part) }
+
+// lastSuccess returns when a call with a part last succeeded.
+func (t *Tracker) lastSuccess(part string) (time.Duration, bool) {
+	return t.succeeded.get(t.hash(part))
 }
 
 func (t *Tracker) inQuarantine(part string) bool { return t.active[part] != nil }
@@ -99,8 +110,8 @@
 	At   time.Duration
 }
 
-// RecordBreak records a break of a call on this VM or another one. It reports whether
-// the break was new.
+// RecordBreak records a break of a call on this VM or another one, or further parts of its
+// prompt. It reports whether any was new.
 func (t *Tracker) RecordBreak(b Break) (Verdict, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -108,16 +119,17 @@
 	v := Verdict{}
 	refuted := make(map[string]bool)
 	for _, p := range b.Parts {
-		if at, ok := t.succeeded.get(p); ok && at >= b.At {
+		if at, ok := t.lastSuccess(p); ok && at >= b.At {
 			refuted[p] = true
 			v.Refuted = append(v.Refuted, Success{Part: p, At: at})
 		}
 	}
-	if !t.evidence.add(&b, func(part string) bool { return refuted[part] }) {
+	recorded, added := t.evidence.add(&b, func(part string) bool { return refuted[part] })
+	if recorded == nil {
 		return Verdict{}, false
 	}
 	t.countCrashes()
-	for _, p := range b.Parts {
+	for _, p := range added {
 		if e := t.active[p]; e != nil && !refuted[p] {
 			if b.At >= e.Until {
 				e.Hold, e.trialAt = min(2*e.Hold, maxHold), 0
@@ -131,54 +143,33 @@
 		v.Quarantine = &renewed
 		return v, true
 	}
-	if len(t.undecided) == maxUndecided {
-		t.undecided = slices.Delete(t.undecided, 0, 1)
+	if !slices.Contains(t.undecided, recorded) {
+		if len(t.undecided) == maxUndecided {
+			t.undecided = slices.Delete(t.undecided, 0, 1)
+		}
+		t.undecided = append(t.undecided, recorded)
 	}
-	t.undecided = append(t.undecided, &b)
 	return v, true
 }
 
-// decide puts a part of a call in quarantine if the evidence against it is enough.
-func (t *Tracker) decide(b *Break, now time.Duration) (Verdict, bool) {
-	known := func(part string) bool {
-		_, ok := t.succeeded.get(part)
-		return ok
-	}
-	k, ok := t.evidence.decide(b, now, t.inQuarantine, known)
-	if !ok || len(t.active) >= maxQuarantines {
-		return Verdict{}, false
-	}
-	t.evidence.countOthers(&k, t.inQuarantine)
-	if t.outcomes.mayBeChance(k) {
-		return Verdict{}, false
-	}
-	e := &entry{Quarantine: Quarantine{Part: k.Part, Since: k.Since, Until: now + firstHold, Hold: firstHold, AskedAt: now}}
-	t.active[k.Part] = e
-	begun := e.Quarantine
-	return Verdict{Case: &k, Quarantine: &begun, Local: b.Local}, true
-}
-
 // Review puts parts in quarantine on the evidence recorded up to ReviewDelay before. It
 // must be called several times a second.
 func (t *Tracker) Review(now time.Duration) []Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Verdict
-	kept := t.undecided[:0]
-	for _, b := range t.undecided {
-		age := now - b.At
-		if age >= ReviewDelay {
-			if v, decided := t.decide(b, now); decided {
-				out = append(out, v)
-				continue
-			}
-		}
-		if age < decisionPeriod {
-			kept = append(kept, b)
+	for len(t.active) < maxQuarantines {
+		k, i, found := newReview(t, now).best(t.undecided)
+		if !found {
+			break
 		}
+		e := &entry{Quarantine: Quarantine{Part: k.Part, Since: k.Since, Until: now + firstHold, Hold: firstHold, AskedAt: now}}
+		t.active[k.Part] = e
+		begun := e.Quarantine
+		out = append(out, Verdict{Case: &k, Quarantine: &begun, Local: t.undecided[i].Local})
+		t.undecided = slices.Delete(t.undecided, i, i+1)
 	}
-	clear(t.undecided[len(kept):])
-	t.undecided = kept
+	t.undecided = slices.DeleteFunc(t.undecided, func(b *Break) bool { return now-b.At >= decisionPeriod })
 	return out
 }
 
@@ -187,7 +178,11 @@
 func (t *Tracker) RecordOutcome(parts []string, begun, head bool, at time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.outcomes.add(outcome{parts: parts, begun: begun, head: head, at: at})
+	x := outcome{parts: make([]uint32, len(parts)), begun: begun, head: head, at: at}
+	for i, p := range parts {
+		x.parts[i] = uint32(t.hash(p))
+	}
+	t.outcomes.add(x)
 }
 
 // RecordSuccess records that an engine generated tokens for a call with the given
@@ -197,8 +192,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, p := range parts {
-		if last, ok := t.succeeded.get(p); !ok || at > last {
-			t.succeeded.set(p, at)
+		if last, ok := t.lastSuccess(p); !ok || at > last {
+			t.succeeded.set(t.hash(p), at)
 		}
 		refuted := t.evidence.refute(p, at)
 		if e := t.active[p]; e != nil && at > e.Since {
@@ -263,7 +258,7 @@
 // refuted.
 func (t *Tracker) restore(id Engine) {
 	breaks := t.evidence.restore(id, func(part string, at time.Duration) bool {
-		last, ok := t.succeeded.get(part)
+		last, ok := t.lastSuccess(part)
 		return ok && last >= at
 	})
 	if len(breaks) == 0 {
@@ -351,6 +346,42 @@
 	return false
 }
 
+// BySuspicion returns the indexes of parts, with those first that are most likely to crash
+// engines: no call with them has succeeded, or not for long, and other engines have broken
+// off calls with them.
+func (t *Tracker) BySuspicion(parts []string) []int {
+	type suspect struct {
+		index       int
+		unsucceeded bool
+		known       bool
+		succeeded   time.Duration
+	}
+	t.mu.Lock()
+	suspects := make([]suspect, len(parts))
+	for i, p := range parts {
+		at, ok := t.lastSuccess(p)
+		suspects[i] = suspect{index: i, unsucceeded: !ok, known: len(t.evidence.byPart[p]) > 1, succeeded: at}
+	}
+	t.mu.Unlock()
+	first := func(x, y bool) int {
+		switch {
+		case x == y:
+			return 0
+		case x:
+			return -1
+		}
+		return 1
+	}
+	slices.SortStableFunc(suspects, func(x, y suspect) int {
+		return cmp.Or(first(x.unsucceeded, y.unsucceeded), first(x.known, y.known), cmp.Compare(x.succeeded, y.succeeded))
+	})
+	order := make([]int, len(parts))
+	for i, s := range suspects {
+		order[i] = s.index
+	}
+	return order
+}
+
 // Active returns the parts in quarantine, by name.
 func (t *Tracker) Active() []Quarantine {
 	t.mu.Lock()
@@ -386,7 +417,7 @@
 	q.Since, q.AskedAt, q.Until = min(q.Since, now), min(q.AskedAt, now), min(q.Until, now+q.Hold)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if at, ok := t.succeeded.get(q.Part); ok && at > q.Since {
+	if at, ok := t.lastSuccess(q.Part); ok && at > q.Since {
 		return false, &Success{Part: q.Part, At: at}
 	}
 	if now-q.AskedAt > forgetAfter && now > q.Until || q.Hold < firstHold || q.Hold > maxHold {
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -325,3 +326,73 @@
 	require.Empty(t, tr.evidence.crashes)
 	require.Empty(t, tr.evidence.byPart)
 }
+
+// The state stays bounded, however many parts the prompts of calls have.
+func TestStateOfPromptsWithManyPartsIsBounded(t *testing.T) {
+	tr := NewTracker()
+	parts := make([]string, 2000)
+	for i := range 2000 {
+		at := time.Duration(i) * time.Millisecond
+		for j := range parts {
+			parts[j] = fmt.Sprint("p", i*len(parts)+j)
+		}
+		tr.RecordBreak(Break{Engine: Engine{ID: fmt.Sprint("e", i)}, Request: uint64(i), Parts: slices.Clone(parts), Head: true, At: at})
+		tr.RecordOutcome(parts, true, true, at)
+		tr.RecordSuccess(parts, at-time.Second)
+	}
+	require.LessOrEqual(t, tr.evidence.parts, maxEvidenceParts)
+	require.LessOrEqual(t, len(tr.evidence.byPart), maxEvidenceParts)
+	require.LessOrEqual(t, tr.outcomes.parts, maxOutcomeParts)
+	require.LessOrEqual(t, len(tr.succeeded.current)+len(tr.succeeded.previous), 2*successMemory)
+	tr.Expire(time.Hour)
+	require.Zero(t, tr.evidence.parts)
+	require.Empty(t, tr.evidence.byPart)
+}
+
+// Parts of a prompt that are told one after the other must come together again, in the order
+// of the prompt.
+func TestPartsOfABreakAreMerged(t *testing.T) {
+	tr := newSoundTracker()
+	tell := func(i, at int, parts string, positions ...int) bool {
+		b := scriptedBreak{fmt.Sprint("e", i), uint64(i), at, parts}.asBreak()
+		b.Positions = positions
+		_, added := tr.RecordBreak(b)
+		return added
+	}
+	for i, at := range []int{1000, 2000, 3000} {
+		require.True(t, tell(i, at, "inner", 7))
+		require.True(t, tell(i, at, "first p", 0, 6))
+		require.False(t, tell(i, at, "p inner", 6, 7), "nothing is new")
+		require.Equal(t, []string{"first", "p", "inner"}, tr.evidence.crashes[Engine{ID: fmt.Sprint("e", i)}].breaks[0].Parts)
+	}
+	require.Len(t, tr.Review(4*second), 1)
+	require.Equal(t, "inner", partsOf(tr.Active()))
+}
+
+// A part must not be refused for crashes that a part of fewer calls explains as well, whichever
+// call is looked at first.
+func TestPartOfFewerCallsIsPreferred(t *testing.T) {
+	tr := newSoundTracker()
+	tr.RecordBreak(scriptedBreak{"e1", 11, 1000, "first"}.asBreak())
+	for i := range 3 {
+		tr.RecordBreak(scriptedBreak{fmt.Sprint("e", i+1), uint64(i), 1000 * (i + 1), "first p"}.asBreak())
+	}
+	tr.Review(4 * second)
+	require.Equal(t, "p", partsOf(tr.Active()))
+}
+
+// BenchmarkRecordSuccess is the cost of a call whose prompt has many parts.
+func BenchmarkRecordSuccess(b *testing.B) {
+	for _, n := range []int{3, 1500} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			tr, parts := NewTracker(), make([]string, n)
+			for i := range parts {
+				parts[i] = fmt.Sprintf("%08x", i)
+			}
+			for i := range b.N {
+				tr.RecordOutcome(parts, true, true, time.Duration(i))
+				tr.RecordSuccess(parts, time.Duration(i))
+			}
+		})
+	}
+}
