platform: an early success is not that of an object

What callers would see: an object that the object store had not read counted as stored, if the store in trouble answered 200 without a length and reset the connection while the object was still being written. Cause: the HTTP client returns a response that comes before the end of the request, and the empty body hides the reset. Change: a success before the request has been read to its end is an error, as is a status outside 100 to 599. Measured: TestResponsesOfAServerInTroubleAreErrors fails on the code before ("early, without a length") and passes now.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/s3"
 	"github.com/gravitational/trace"
+	"github.com/marjoramrock/marjoramrock/internal/upstream"
 )
 
 // Settings locate the platform's services and hold the credentials for them.
@@ -55,6 +57,7 @@
 
 var _ Services = (*Client)(nil)
 
+// checkedTransport rejects what the HTTP client accepts of a server in trouble.
 type checkedTransport struct {
 	check RequestCheck
 	next  http.RoundTripper
@@ -64,7 +67,57 @@
 	if err := t.check(); err != nil {
 		return nil, fmt.Errorf("platform: request not sent: %w", err)
 	}
-	return t.next.RoundTrip(r)
+	var body *sentBody
+	if r.Body != nil && r.Body != http.NoBody && r.ContentLength > 0 {
+		body = &sentBody{ReadCloser: r.Body, left: r.ContentLength}
+		r = r.WithContext(r.Context())
+		r.Body = body
+	}
+	resp, err := t.next.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if !upstream.IsStatus(resp.StatusCode) {
+		err = fmt.Errorf("platform: %w: %q", upstream.ErrInvalidStatus, resp.Status)
+	} else if resp.StatusCode < http.StatusMultipleChoices && !body.sent() {
+		err = errEarlyResponse
+	}
+	if err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// errEarlyResponse means that a response reports success before the request was sent.
+var errEarlyResponse = errors.New("platform: response before the end of the request")
+
+// sentBody is the body of a request that knows whether it has been read.
+type sentBody struct {
+	io.ReadCloser
+
+	mu sync.Mutex // guards the field below
+	// left is the number of bytes that have not been read.
+	left int64
+}
+
+// Read implements io.Reader.
+func (b *sentBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left -= int64(n)
+	return n, err
+}
+
+// sent reports whether the whole body has been read. A nil body is empty.
+func (b *sentBody) sent() bool {
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.left <= 0
 }
 
 // NewClient returns a client. A nil check allows every request.
