upstream, router: a response with an invalid status is an error

What callers saw: with status 000 or 099 the gateway's entry panicked and cut the connection, 600 and 999 were passed on; the router's entry passed 000 on as 200. Cause: parsers accept any three digits, and the router's HTTP client takes 0 for an unset status. Change: a status outside 100 to 599 is an error of the server, in internal/upstream for all calls of the gateway, and on the connections of the router.

--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return nil, &dialError{err: err}
 	}
-	return conn, nil
+	return &statusConn{Conn: conn}, nil
 }
 
 // newHostClient returns a client that never retries a request by itself.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -34,6 +34,9 @@
 // ErrTooLarge means that a response, or its head, exceeds its size limit.
 var ErrTooLarge = buffer.ErrTooLarge
 
+// ErrInvalidStatus means that a response has a status that does not exist.
+var ErrInvalidStatus = errors.New("invalid status of a response")
+
 const (
 	// readBufferBytes fits the head of a response and several events of a stream.
 	readBufferBytes = 8 << 10
@@ -410,6 +413,9 @@
 			return nil, err
 		}
 		x.conn.limit.limited = false
+		if !IsStatus(resp.StatusCode) {
+			return nil, fmt.Errorf("%w: %q", ErrInvalidStatus, resp.Status)
+		}
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
@@ -428,6 +434,10 @@
 	return nil, ErrMismatchedResponse
 }
 
+// IsStatus reports whether a number is a status of HTTP. Parsers accept others, and some
+// servers in trouble send them.
+func IsStatus(code int) bool { return code >= 100 && code <= 599 }
+
 // discardBody reads a body of at most maxMismatchedBodyBytes to its end.
 func discardBody(body io.Reader) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxMismatchedBodyBytes+1))
