quarantine: tell the successes of a part before it is judged

Cause: that calls with the inner part had succeeded was known only to the VM that had served them; the VM that decided took both parts for new ones and refused the innermost.

--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -387,6 +387,50 @@
 	}
 }
 
+// Of two parts that occur in the same calls, the one that was sound on any VM must not be
+// refused in place of the other.
+func TestPartThatWasSoundOnAnotherVMIsNotRefused(t *testing.T) {
+	vms := make([]*Gateway, 3)
+	for i := range vms {
+		g, a := newNamedTestGateway(t, fmt.Sprint("vm", i+1), func(_ context.Context, _ int, a *Attempt) (*Response, error) {
+			if a.Call.Prompt.Parts[0].ID == "bad" {
+				return truncatedResponse(""), nil
+			}
+			return newResponse(200, eventStream("1", "2")), nil
+		})
+		a.reportErr = fmt.Errorf("%w: connection refused", upstream.ErrUnsent)
+		addEngines(g, 9)
+		vms[i] = g
+		for j := range i {
+			g.node.AddMember(vms[j].settings.VM, vms[j].settings.PeerAddress)
+			vms[j].node.AddMember(g.settings.VM, g.settings.PeerAddress)
+		}
+	}
+	serve := func(vm *Gateway, outer string, request int) *responseRecorder {
+		call, c := newCall("/stream/", "isolated-key"), &responseRecorder{}
+		call.ID = fmt.Sprint("call", request)
+		call.Prompt.Parts = []parts.Part{{ID: outer, Tokens: 100}, {ID: "inner", Tokens: 100}, {ID: "own", Tokens: 100}}
+		vm.Serve(context.Background(), call, c)
+		return c
+	}
+	require.Equal(t, 200, serve(vms[0], "sound", 100).status)
+	time.Sleep(100 * time.Millisecond)
+	for i := range 4 {
+		vm := vms[1+i%2]
+		serve(vm, "bad", i)
+		crashed := vm.adapter.(*fakeAdapter).sentAttempts()
+		for _, vm := range vms {
+			vm.removeServer(crashed[len(crashed)-1].Server.ID)
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	for i, vm := range vms {
+		require.Eventually(t, func() bool { return len(vm.quarantine.Active()) > 0 }, 2*time.Second, 10*time.Millisecond)
+		require.NotNil(t, serve(vm, "bad", 200+i).refusal)
+		require.Equal(t, 200, serve(vm, "sound", 300+i).status)
+	}
+}
+
 // addEngines adds engines that have run for long to the service of newTestGateway.
 func addEngines(g *Gateway, n int) {
 	for i := range n {
--- a/internal/gateway/quarantine_updates.go
+++ b/internal/gateway/quarantine_updates.go
@@ -25,6 +25,8 @@
 	// the same before.
 	succeeded map[string]time.Duration
 	answered  map[quarantine.Engine]time.Duration
+	// vouched holds successes from before a break. One that any other VM tells is enough.
+	vouched map[string]time.Duration
 	// cuts holds engines that broke off calls which they had begun. They are told like
 	// headless, unless another VM tells the same before.
 	cuts map[quarantine.Engine]time.Duration
@@ -111,6 +113,17 @@
 	}
 }
 
+func (u *quarantineUpdates) addVouched(part string, at time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.vouched == nil {
+		u.vouched = make(map[string]time.Duration)
+	}
+	if len(u.vouched) < maxUntoldSuccesses {
+		u.vouched[part] = at
+	}
+}
+
 func (u *quarantineUpdates) addAnswer(id quarantine.Engine, at time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -148,6 +161,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for _, x := range m.Succeeded {
+		delete(u.vouched, x.Part)
 		if u.succeeded[x.Part] <= now-time.Duration(x.AgeMillis)*time.Millisecond {
 			delete(u.succeeded, x.Part)
 		}
@@ -165,12 +179,14 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	m := &gossip.Message{}
-	for part, at := range u.succeeded {
-		if len(m.Succeeded) == maxSuccessesPerMessage {
-			break
+	for _, successes := range []map[string]time.Duration{u.succeeded, u.vouched} {
+		for part, at := range successes {
+			if len(m.Succeeded) == maxSuccessesPerMessage {
+				break
+			}
+			m.Succeeded = append(m.Succeeded, gossip.Success{Part: part, AgeMillis: (now - at).Milliseconds()})
+			delete(successes, part)
 		}
-		m.Succeeded = append(m.Succeeded, gossip.Success{Part: part, AgeMillis: (now - at).Milliseconds()})
-		delete(u.succeeded, part)
 	}
 	for id, at := range u.answered {
 		m.Answered = append(m.Answered, gossip.Answered{Engine: gossip.Server{ID: id.ID, Born: id.Born}, AgeMillis: (now - at).Milliseconds()})
