--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -230,8 +230,8 @@
 	for _, s := range v.Refuted {
 		g.quarantineUpdates.addSuccess(s.Part, s.At)
 	}
-	for _, s := range v.Vouched {
-		g.quarantineUpdates.addVouched(s.Part, s.At)
+	for _, s := range v.Earlier {
+		g.quarantineUpdates.addEarlierSuccess(s.Part, s.At)
 	}
 	if v.Quarantine != nil {
 		g.recordVerdict(v, now)
--- a/internal/gateway/quarantine_updates.go
+++ b/internal/gateway/quarantine_updates.go
@@ -25,8 +25,8 @@
 	// the same before.
 	succeeded map[string]time.Duration
 	answered  map[quarantine.Engine]time.Duration
-	// vouched holds successes from before a break. One that any other VM tells is enough.
-	vouched map[string]time.Duration
+	// earlier holds successes from before a break. One that any other VM tells is enough.
+	earlier map[string]time.Duration
 	// cuts holds engines that broke off calls which they had begun. They are told like
 	// headless, unless another VM tells the same before.
 	cuts map[quarantine.Engine]time.Duration
@@ -113,14 +113,14 @@
 	}
 }
 
-func (u *quarantineUpdates) addVouched(part string, at time.Duration) {
+func (u *quarantineUpdates) addEarlierSuccess(part string, at time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.vouched == nil {
-		u.vouched = make(map[string]time.Duration)
+	if u.earlier == nil {
+		u.earlier = make(map[string]time.Duration)
 	}
-	if len(u.vouched) < maxUntoldSuccesses {
-		u.vouched[part] = at
+	if len(u.earlier) < maxUntoldSuccesses {
+		u.earlier[part] = at
 	}
 }
 
@@ -161,7 +161,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for _, x := range m.Succeeded {
-		delete(u.vouched, x.Part)
+		delete(u.earlier, x.Part)
 		if u.succeeded[x.Part] <= now-time.Duration(x.AgeMillis)*time.Millisecond {
 			delete(u.succeeded, x.Part)
 		}
@@ -179,7 +179,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	m := &gossip.Message{}
-	for _, successes := range []map[string]time.Duration{u.succeeded, u.vouched} {
+	for _, successes := range []map[string]time.Duration{u.succeeded, u.earlier} {
 		for part, at := range successes {
 			if len(m.Succeeded) == maxSuccessesPerMessage {
 				break
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -174,6 +174,9 @@
 	for _, b := range a.breaks {
 		e.add(b, func(part string) bool { return refuted(part, b.At) })
 	}
+	if c := e.crashes[a.engine]; c != nil {
+		c.ended = true
+	}
 	return a.breaks
 }
 
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -22,9 +22,9 @@
 	// minRetryAfter bounds the time until a refused caller may return, once a trial is
 	// due.
 	minRetryAfter = time.Second
-	// vouchPeriod is how long the other VMs are expected to remember a success that they were
+	// tellPeriod is how long the other VMs are expected to remember a success that they were
 	// told.
-	vouchPeriod = 10 * time.Second
+	tellPeriod = 10 * time.Second
 	// updateStep is the least progress of a time that is taken over from another VM:
 	// times that VMs send each other grow by the delay of each message.
 	updateStep = time.Second
@@ -76,14 +76,17 @@
 	active   map[string]*entry
 	// succeeded holds when calls with a part last succeeded, by the part's hash.
 	succeeded *recent[uint64, time.Duration]
-	// vouched holds when a success with a part was last told because of a break.
-	vouched *recent[uint64, time.Duration]
-	seed    maphash.Seed
+	// toldSuccesses holds when a success with a part was last told because of a break.
+	toldSuccesses *recent[uint64, time.Duration]
+	seed          maphash.Seed
 }
 
 // NewTracker returns a Tracker without evidence.
 func NewTracker() *Tracker {
-	return &Tracker{evidence: newEvidence(), active: make(map[string]*entry), succeeded: newRecent[uint64, time.Duration](successMemory), vouched: newRecent[uint64, time.Duration](successMemory), seed: maphash.MakeSeed()}
+	return &Tracker{
+		evidence: newEvidence(), active: make(map[string]*entry), seed: maphash.MakeSeed(),
+		succeeded: newRecent[uint64, time.Duration](successMemory), toldSuccesses: newRecent[uint64, time.Duration](successMemory),
+	}
 }
 
 // hash returns the hash by which a part is remembered. Callers cannot foresee it.
@@ -103,9 +106,9 @@
 	Case       *Case
 	Quarantine *Quarantine
 	// Refuted holds the parts of the call with which another call has succeeded since, and
-	// when. Vouched holds those with which one had succeeded before, unless that was told
-	// lately: other VMs should know of these as well before they decide.
-	Refuted, Vouched []Success
+	// when. Earlier holds those with which one had succeeded before, unless that was told
+	// lately; other VMs should know of these as well before they decide.
+	Refuted, Earlier []Success
 	// Local is set if a call of this VM was decisive.
 	Local bool
 }
@@ -136,8 +139,8 @@
 	}
 	t.countCrashes()
 	for _, p := range added {
-		if at, ok := t.lastSuccess(p); ok && !refuted[p] && t.vouch(p, b.At) {
-			v.Vouched = append(v.Vouched, Success{Part: p, At: at})
+		if at, ok := t.lastSuccess(p); ok && !refuted[p] && t.shouldTell(p, b.At) {
+			v.Earlier = append(v.Earlier, Success{Part: p, At: at})
 		}
 		if e := t.active[p]; e != nil && !refuted[p] {
 			if b.At >= e.Until {
@@ -161,13 +164,13 @@
 	return v, true
 }
 
-// vouch reports whether a success should be told, and takes note of that. One that is told
-// counts for vouchPeriod.
-func (t *Tracker) vouch(part string, now time.Duration) bool {
-	if toldAt, ok := t.vouched.get(t.hash(part)); ok && now-toldAt < vouchPeriod {
+// shouldTell reports whether the success of a part is to be told, and takes note of that. One
+// that was told counts for tellPeriod.
+func (t *Tracker) shouldTell(part string, now time.Duration) bool {
+	if toldAt, ok := t.toldSuccesses.get(t.hash(part)); ok && now-toldAt < tellPeriod {
 		return false
 	}
-	t.vouched.set(t.hash(part), now)
+	t.toldSuccesses.set(t.hash(part), now)
 	return true
 }
 
