gateway: one fleet for two tests of the quarantine

Cause: two tests set up the same three VMs. Change: newVMsOfCrashingEngines and removeLastServer; no check changes.

--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -339,22 +339,7 @@
 				p.Parts = append(p.Parts, parts.Part{ID: fmt.Sprint("own", request), Tokens: 10})
 				return p
 			}
-			vms := make([]*Gateway, 3)
-			for i := range vms {
-				g, a := newNamedTestGateway(t, fmt.Sprint("vm", i+1), func(_ context.Context, _ int, a *Attempt) (*Response, error) {
-					if a.Call.Prompt.Parts[tt.depth].ID == "bad" {
-						return truncatedResponse(""), nil
-					}
-					return newResponse(200, eventStream("1", "2")), nil
-				})
-				a.reportErr = fmt.Errorf("%w: connection refused", upstream.ErrUnsent)
-				addEngines(g, 9)
-				vms[i] = g
-				for j := range i {
-					g.node.AddMember(vms[j].settings.VM, vms[j].settings.PeerAddress)
-					vms[j].node.AddMember(g.settings.VM, g.settings.PeerAddress)
-				}
-			}
+			vms := newVMsOfCrashingEngines(t, tt.depth)
 			serve := func(vm *Gateway, part string, request int) *responseRecorder {
 				call, c := newCall("/stream/", "isolated-key"), &responseRecorder{}
 				call.ID, call.Prompt = fmt.Sprint("call", request), prompt(part, request)
@@ -370,10 +355,7 @@
 				}
 				vm := vms[i%len(vms)]
 				serve(vm, "bad", i)
-				crashed := vm.adapter.(*fakeAdapter).sentAttempts()
-				for _, vm := range vms {
-					vm.removeServer(crashed[len(crashed)-1].Server.ID)
-				}
+				removeLastServer(vm, vms)
 				time.Sleep(300 * time.Millisecond)
 			}
 			for i, vm := range vms {
@@ -390,22 +372,7 @@
 // Of two parts that occur in the same calls, the one that was sound on any VM must not be
 // refused in place of the other.
 func TestPartThatWasSoundOnAnotherVMIsNotRefused(t *testing.T) {
-	vms := make([]*Gateway, 3)
-	for i := range vms {
-		g, a := newNamedTestGateway(t, fmt.Sprint("vm", i+1), func(_ context.Context, _ int, a *Attempt) (*Response, error) {
-			if a.Call.Prompt.Parts[0].ID == "bad" {
-				return truncatedResponse(""), nil
-			}
-			return newResponse(200, eventStream("1", "2")), nil
-		})
-		a.reportErr = fmt.Errorf("%w: connection refused", upstream.ErrUnsent)
-		addEngines(g, 9)
-		vms[i] = g
-		for j := range i {
-			g.node.AddMember(vms[j].settings.VM, vms[j].settings.PeerAddress)
-			vms[j].node.AddMember(g.settings.VM, g.settings.PeerAddress)
-		}
-	}
+	vms := newVMsOfCrashingEngines(t, 0)
 	serve := func(vm *Gateway, outer string, request int) *responseRecorder {
 		call, c := newCall("/stream/", "isolated-key"), &responseRecorder{}
 		call.ID = fmt.Sprint("call", request)
@@ -418,10 +385,7 @@
 	for i := range 4 {
 		vm := vms[1+i%2]
 		serve(vm, "bad", i)
-		crashed := vm.adapter.(*fakeAdapter).sentAttempts()
-		for _, vm := range vms {
-			vm.removeServer(crashed[len(crashed)-1].Server.ID)
-		}
+		removeLastServer(vm, vms)
 		time.Sleep(300 * time.Millisecond)
 	}
 	for i, vm := range vms {
@@ -431,6 +395,37 @@
 	}
 }
 
+// newVMsOfCrashingEngines returns three VMs that send each other messages. Their engines crash
+// on a call whose part at the given depth is "bad".
+func newVMsOfCrashingEngines(t *testing.T, depth int) []*Gateway {
+	t.Helper()
+	vms := make([]*Gateway, 3)
+	for i := range vms {
+		g, a := newNamedTestGateway(t, fmt.Sprint("vm", i+1), func(_ context.Context, _ int, a *Attempt) (*Response, error) {
+			if a.Call.Prompt.Parts[depth].ID == "bad" {
+				return truncatedResponse(""), nil
+			}
+			return newResponse(200, eventStream("1", "2")), nil
+		})
+		a.reportErr = fmt.Errorf("%w: connection refused", upstream.ErrUnsent)
+		addEngines(g, 9)
+		vms[i] = g
+		for _, other := range vms[:i] {
+			g.node.AddMember(other.settings.VM, other.settings.PeerAddress)
+			other.node.AddMember(g.settings.VM, g.settings.PeerAddress)
+		}
+	}
+	return vms
+}
+
+// removeLastServer removes the server of a VM's last attempt on all VMs.
+func removeLastServer(vm *Gateway, vms []*Gateway) {
+	sent := vm.adapter.(*fakeAdapter).sentAttempts()
+	for _, vm := range vms {
+		vm.removeServer(sent[len(sent)-1].Server.ID)
+	}
+}
+
 // addEngines adds engines that have run for long to the service of newTestGateway.
 func addEngines(g *Gateway, n int) {
 	for i := range n {
