gateway: periodic calls have ended when Close goes on

Cause: Subscription.Cancel doesn't wait for a call in progress, nor for one whose goroutine has just been started. saveQuarantines of such a call added to the group of background work while Close waited for it, which the race detector reports. Close was wrong for users, too: a step of the orders in progress could acquire the lease again after Close had released it, so that the next VM waits for its end, and start orders after the wait for those. Change: Subscription.Wait; Close cancels the periodic calls and their orders and waits for them before it releases the lease.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -169,6 +169,8 @@
 	cancel        context.CancelFunc
 	background    sync.WaitGroup
 	subscriptions []timer.Subscription
+	// cancelOrders cancels the orders that subscriptions give.
+	cancelOrders context.CancelFunc
 }
 
 // New starts the background work of a gateway. The adapter passes calls to Serve.
@@ -287,16 +289,18 @@
 	g.background.Go(func() { g.declarations.Run(ctx) })
 	g.background.Go(func() { g.serverList.Run(ctx) })
 	g.background.Go(func() { g.join(ctx) })
+	var orders context.Context
+	orders, g.cancelOrders = context.WithCancel(ctx)
 	g.subscriptions = append(g.subscriptions,
 		g.clock.Every(gossipPeriod, func() { g.sendUpdates(); g.sendQuarantineUpdates(); g.saveQuarantines(ctx) }),
-		g.clock.Every(orderStepPeriod, func() { g.stepOrders(ctx) }),
+		g.clock.Every(orderStepPeriod, func() { g.stepOrders(orders) }),
 		g.clock.Every(cleanupPeriod, func() { g.cleanUp(ctx) }),
 	)
 	if g.rollouts.enabled {
 		g.subscriptions = append(g.subscriptions,
 			// Not in one call: a slow store delays the other one.
 			g.clock.Every(rolloutStepPeriod, func() { g.rollouts.step(g.now()) }),
-			g.clock.Every(rolloutStepPeriod, func() { g.stepRollouts(ctx) }),
+			g.clock.Every(rolloutStepPeriod, func() { g.stepRollouts(orders) }),
 		)
 	}
 }
@@ -468,6 +472,12 @@
 	for _, sub := range g.subscriptions {
 		sub.Cancel()
 	}
+	// A call in progress might acquire the lease after its release, or start background
+	// work after the wait for it.
+	g.cancelOrders()
+	for _, sub := range g.subscriptions {
+		sub.Wait()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout/4)
 	defer cancel()
 	if err := g.orderLease.Release(ctx); err != nil {
--- a/internal/timer/timer.go
+++ b/internal/timer/timer.go
@@ -29,8 +29,12 @@
 
 // Subscription is a registration with a Clock.
 type Subscription interface {
-	// Cancel ends the registration. A call in progress is not interrupted.
+	// Cancel ends the registration: no further call begins. A call in progress is not
+	// interrupted.
 	Cancel()
+	// Wait returns when no call is in progress. It must be called after Cancel, and not
+	// from the call itself.
+	Wait()
 }
 
 // PollInterval is the interval at which SystemClock checks for pauses while it
@@ -67,10 +71,15 @@
 	call   func()
 	gap    func(time.Duration)
 	cancel func(*subscription)
+	// inProgress counts the periodic calls that a SystemClock has begun. It grows only
+	// while the subscription is registered.
+	inProgress sync.WaitGroup
 }
 
 func (s *subscription) Cancel() { s.cancel(s) }
 
+func (s *subscription) Wait() { s.inProgress.Wait() }
+
 // NewSystemClock returns a running clock. Close stops it.
 func NewSystemClock() *SystemClock {
 	s := &SystemClock{
@@ -183,7 +192,7 @@
 		}
 		sub.busy = true
 		sub.next = now.Add(sub.period)
-		go s.run(sub)
+		sub.inProgress.Go(func() { s.run(sub) })
 	}
 }
 
--- a/internal/timer/timer_test.go
+++ b/internal/timer/timer_test.go
@@ -1,6 +1,7 @@
 package timer
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -90,3 +91,27 @@
 	}
 	require.Less(t, time.Since(began), maxSleep)
 }
+
+// After Cancel and Wait no call may be in progress or begin.
+func TestWaitReturnsAfterTheCallInProgress(t *testing.T) {
+	s := NewSystemClock()
+	defer s.Close()
+	began := make(chan struct{}, 1)
+	var calls, ended atomic.Int64
+	sub := s.Every(time.Millisecond, func() {
+		calls.Add(1)
+		select {
+		case began <- struct{}{}:
+		default:
+		}
+		time.Sleep(50 * time.Millisecond)
+		ended.Add(1)
+	})
+	<-began
+	sub.Cancel()
+	sub.Wait()
+	made := calls.Load()
+	require.Equal(t, made, ended.Load())
+	time.Sleep(20 * time.Millisecond)
+	require.Equal(t, made, calls.Load())
+}
