router: the last flush of reports waits for the one in progress

A periodic flush takes the pending reports out before it sends them, so the flush of Shutdown found nothing and the process exited while they were sent. Holders then count the whole loans as used. Read from the code, not seen in a run. Change: flushes run one after another. Measured: TestFlushWaitsForTheOneInProgress fails before ("flushed while reports were being sent"), passes 5 times with the race detector.

--- a/internal/router/reports.go
+++ b/internal/router/reports.go
@@ -18,6 +18,8 @@
 // lost; the holder then counts the loan's tokens as used.
 type reporter struct {
 	r *Router
+	// sending is held while a batch is sent.
+	sending sync.Mutex
 
 	mu      sync.Mutex // guards the field below
 	pending map[destination][]peer.Report
@@ -45,8 +47,10 @@
 	})
 }
 
-// flush sends the pending reports.
+// flush sends the pending reports, after those of a flush in progress.
 func (p *reporter) flush() {
+	p.sending.Lock()
+	defer p.sending.Unlock()
 	p.mu.Lock()
 	batch := p.pending
 	p.pending = make(map[destination][]peer.Report)
