--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -260,8 +260,8 @@
 	now := g.now()
 	g.promptThroughput.Add(c.UncachedTokens+c.FetchedTokens, now)
 	readyAt := now + time.Duration(prefillTimeFactor*float64(c.UncachedTokens+c.pendingTokens)/c.tokensPerMilli*float64(time.Millisecond))
-	shared := len(f.call.Prompt.SharedParts())
-	for i, p := range f.call.Prompt.Parts {
+	shared := len(f.call.Prompt.SharedBlocks())
+	for i, p := range parts.Blocks(f.call.Prompt.Parts) {
 		announce := g.parts.Add(engineHolder(c.server), f.engine.CapacityTokens, c.cacheSalt, p, now, readyAt)
 		if announce && i < shared {
 			g.announcePart(engineHolder(c.server), c.cacheSalt, p, readyAt-now)
@@ -283,7 +283,7 @@
 // markPartsReady records that an engine has processed the shared parts of a prompt.
 func (g *Gateway) markPartsReady(f *forwardedCall, c serverChoice) {
 	if c.cacheSalt != "" {
-		g.parts.MarkReady(engineHolder(c.server), c.cacheSalt, f.call.Prompt.SharedParts(), g.now())
+		g.parts.MarkReady(engineHolder(c.server), c.cacheSalt, f.call.Prompt.SharedBlocks(), g.now())
 	}
 }
 
@@ -291,7 +291,7 @@
 // not known to hold all its shared parts, and those that it lacks outweigh the call's
 // own part, which is saved with them and takes their room.
 func (g *Gateway) needsSaving(f *forwardedCall, salt string) bool {
-	shared := f.call.Prompt.SharedParts()
+	shared := f.call.Prompt.SharedBlocks()
 	total := 0
 	for _, p := range shared {
 		total += p.Tokens
--- a/internal/gateway/buffer.go
+++ b/internal/gateway/buffer.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 	"github.com/marjoramrock/marjoramrock/internal/buffer"
 	"github.com/marjoramrock/marjoramrock/internal/event"
+	"github.com/marjoramrock/marjoramrock/internal/parts"
 )
 
 const (
@@ -16,8 +17,20 @@
 	bufferShare = 0.2
 	// defaultBufferBytes is the limit if the memory of the process is not limited.
 	defaultBufferBytes = 256 << 20
+	// directoryShare is the share of the process's memory that may hold what is known of
+	// the caches of engines and KV cache stores.
+	directoryShare = 0.1
+	// defaultDirectoryBytes is that limit if the memory of the process is not limited.
+	defaultDirectoryBytes = 128 << 20
 )
 
+func newDirectory(memoryLimitMB int) *parts.Directory {
+	if memoryLimitMB > 0 {
+		return parts.NewDirectory(int(directoryShare * float64(memoryLimitMB) * (1 << 20)))
+	}
+	return parts.NewDirectory(defaultDirectoryBytes)
+}
+
 func newBufferBudget(memoryLimitMB int) *buffer.Budget {
 	limit := int64(defaultBufferBytes)
 	if memoryLimitMB > 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -178,7 +178,7 @@
 	s.Limits = s.Limits.WithDefaults(s.MemoryLimitMB, inbound.UsableDescriptors())
 	g := &Gateway{
 		settings: s, log: logger.WithField("vm", s.VM), clock: timer.NewSystemClock(), adapter: a, serverClient: a,
-		metrics: newGatewayMetrics(), catalog: catalog.NewTracker(), table: backend.NewTable(), parts: parts.NewDirectory(),
+		metrics: newGatewayMetrics(), catalog: catalog.NewTracker(), table: backend.NewTable(), parts: newDirectory(s.MemoryLimitMB),
 		quota: quota.NewEstimator(s.FirstStart), buffers: newBufferBudget(s.MemoryLimitMB), quarantine: quarantine.NewTracker(),
 		refused: newRefusedCalls(), invalidServers: make(map[string]bool), rollouts: newRollouts(s),
 	}
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -226,7 +226,7 @@
 func (f *forwardedCall) ownTokens() int {
 	p := &f.call.Prompt
 	n := p.InputTokens + p.MaxOutputTokens
-	for _, s := range p.SharedParts() {
+	for _, s := range p.SharedBlocks() {
 		n -= s.Tokens
 	}
 	return max(0, n)
@@ -238,7 +238,7 @@
 	if !f.queued() {
 		return func() {}
 	}
-	shared := f.call.Prompt.SharedParts()
+	shared := f.call.Prompt.SharedBlocks()
 	held := make([]backend.Part, len(shared))
 	for i, p := range shared {
 		held[i] = backend.Part{Key: c.cacheSalt + "/" + p.ID, Tokens: p.Tokens}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -182,7 +182,7 @@
 
 // removeParts undoes recordPrefill for an engine that did not process a prompt.
 func (g *Gateway) removeParts(f *forwardedCall, c serverChoice) {
-	for _, p := range f.call.Prompt.SharedParts() {
+	for _, p := range f.call.Prompt.SharedBlocks() {
 		g.parts.RemovePart(c.server.ID, c.cacheSalt, p.ID)
 	}
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -58,7 +58,7 @@
 
 // viewParts fills in which holders have the shared parts of a call's prompt cached.
 func (g *Gateway) viewParts(f *forwardedCall, statuses []backend.Status, v *placement.View, now time.Duration) {
-	shared := f.call.Prompt.SharedParts()
+	shared := f.call.Prompt.SharedBlocks()
 	if f.kvStore != nil {
 		v.StoreAddress, v.StoreZone = f.kvStore.Address, f.kvStore.Zone
 	}
--- a/internal/parts/directory_test.go
+++ b/internal/parts/directory_test.go
@@ -8,7 +8,7 @@
 )
 
 func TestHeldTokensCountsLeadingPartsUnderOneSalt(t *testing.T) {
-	d := NewDirectory()
+	d := NewDirectory(testBytes)
 	h := Holder{ID: "e", Born: 1}
 	prompt := []Part{{"a", 100}, {"b", 50}, {"c", 20}}
 	require.True(t, d.Add(h, 1000, "m@1", prompt[0], 0, 0))
@@ -31,7 +31,7 @@
 }
 
 func TestLeastRecentlyUsedPartsAreEvicted(t *testing.T) {
-	d := NewDirectory()
+	d := NewDirectory(testBytes)
 	h := Holder{ID: "e", Born: 1}
 	d.Add(h, 100, "s", Part{"a", 40}, 0, 0)
 	d.Add(h, 100, "s", Part{"b", 40}, 0, 0)
@@ -43,7 +43,7 @@
 }
 
 func TestPartsNotUsedSinceAreNotCounted(t *testing.T) {
-	d := NewDirectory()
+	d := NewDirectory(testBytes)
 	h := Holder{ID: "e", Born: 1}
 	parts := []Part{{"a", 40}, {"b", 40}}
 	for i, p := range parts {
@@ -55,7 +55,7 @@
 }
 
 func TestUseIsAnnouncedAgainAfterInterval(t *testing.T) {
-	d := NewDirectory()
+	d := NewDirectory(testBytes)
 	h := Holder{ID: "e", Born: 1}
 	steps := []struct {
 		now  time.Duration
@@ -76,7 +76,7 @@
 }
 
 func TestNewIncarnationHoldsNothing(t *testing.T) {
-	d := NewDirectory()
+	d := NewDirectory(testBytes)
 	d.Add(Holder{ID: "e", Born: 1}, 100, "s", Part{"a", 40}, 0, 0)
 	d.Add(Holder{ID: "e", Born: 2}, 100, "s", Part{"b", 40}, 0, 0)
 	require.Zero(t, d.HeldTokens(Holder{ID: "e", Born: 2}, "s", []Part{{"a", 40}}, NoAgeLimit))
@@ -85,7 +85,7 @@
 }
 
 func TestPartsThatAreNotYetComputedAreNotReady(t *testing.T) {
-	d := NewDirectory()
+	d := NewDirectory(testBytes)
 	h := Holder{ID: "e", Born: 1}
 	prompt := []Part{{"a", 40}, {"b", 20}, {"c", 10}}
 	for i, p := range prompt {
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -96,7 +96,7 @@
 	for i := range engines {
 		engines[i] = &simulatedEngine{cached: list.New(), byID: make(map[string]*list.Element)}
 	}
-	directory := parts.NewDirectory()
+	directory := parts.NewDirectory(64 << 20)
 	readBefore := make(map[string]bool)
 	whole := &simulatedEngine{cached: list.New(), byID: make(map[string]*list.Element)}
 	var out result
