backend: the accounting of engine memory costs a call its own parts only

Cause: each begin and end of a call summed up all parts of its engine and looked through them for those to forget, of which there could be any number within eight seconds. Change: the sum is kept up to date; parts that no call holds are in a list, 16,384 at most for all servers.

--- a/internal/backend/memory.go
+++ b/internal/backend/memory.go
@@ -1,7 +1,7 @@
 package backend
 
 import (
-	"maps"
+	"container/list"
 	"math"
 	"time"
 )
@@ -19,18 +19,26 @@
 	// new to this VM. In a simulated burst the estimate of an engine's memory was 25 %
 	// too high with 0, 8 % with 1, and 2 % too low with 2.
 	firstMean = 2.0
-	// maxIdleParts is the number of parts of a server beyond which those are deleted that
-	// no call has held for several times heldMeanTime.
-	maxIdleParts = 64
+	// Parts that no call holds are forgotten after idleTime if there are more than
+	// idlePartsPerServer on average, and at once beyond maxIdleParts in all.
+	idleTime           = 4 * heldMeanTime
+	idlePartsPerServer = 64
+	maxIdleParts       = 16 << 10
 )
 
 // heldPart is a part that calls of this VM hold or held recently.
 type heldPart struct {
+	server *record
+	key    string
 	tokens int
 	calls  int
 	// mean is the recent mean of calls, as of updatedAt.
 	mean      float64
 	updatedAt time.Duration
+	// counted is what the part adds to heldHere of the server.
+	counted int
+	// idle is the part's element of Table.idleParts; nil while calls hold it.
+	idle *list.Element
 }
 
 // add changes the number of calls that hold the part.
@@ -58,7 +66,60 @@
 func (t *Table) SetVMs(n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.vms = max(1, n)
+	if n = max(1, n); n == t.vms {
+		return
+	}
+	t.vms = n
+	for _, r := range t.servers {
+		for _, h := range r.heldParts {
+			h.count(n)
+		}
+	}
+}
+
+// count updates what the part adds to the tokens that are held on its server.
+func (h *heldPart) count(vms int) {
+	counted := int(float64(h.tokens) * h.share(vms))
+	h.server.heldHere += counted - h.counted
+	h.counted = counted
+}
+
+// holdPart counts a call that holds a part of a server.
+func (t *Table) holdPart(r *record, p Part, now time.Duration) *heldPart {
+	h := r.heldParts[p.Key]
+	if h == nil {
+		h = &heldPart{server: r, key: p.Key, tokens: p.Tokens, updatedAt: now, mean: firstMean / float64(t.vms)}
+		r.heldParts[p.Key] = h
+	}
+	if h.idle != nil {
+		t.idleParts.Remove(h.idle)
+		h.idle = nil
+	}
+	h.add(1, now)
+	h.count(t.vms)
+	return h
+}
+
+// releasePart counts the end of such a call.
+func (t *Table) releasePart(h *heldPart, now time.Duration) {
+	h.add(-1, now)
+	h.count(t.vms)
+	if h.calls == 0 {
+		h.idle = t.idleParts.PushBack(h)
+	}
+}
+
+// forgetIdleParts forgets parts that no call holds, in the order of their release.
+func (t *Table) forgetIdleParts(now time.Duration) {
+	for t.idleParts.Len() > min(idlePartsPerServer*len(t.servers), maxIdleParts) {
+		e := t.idleParts.Front()
+		h := e.Value.(*heldPart)
+		if t.idleParts.Len() <= maxIdleParts && now-h.updatedAt <= idleTime {
+			return
+		}
+		t.idleParts.Remove(e)
+		delete(h.server.heldParts, h.key)
+	}
 }
 
 // Hold counts the tokens that a call holds in the memory of a server: its own ones, and
@@ -72,40 +133,23 @@
 	if r == nil {
 		return func(time.Duration) {}
 	}
-	r.heldTokens += own
+	r.heldHere += own
 	if r.heldParts == nil {
 		r.heldParts = make(map[string]*heldPart)
 	}
-	if len(r.heldParts) > maxIdleParts {
-		maps.DeleteFunc(r.heldParts, func(_ string, h *heldPart) bool { return h.calls == 0 && now-h.updatedAt > 4*heldMeanTime })
-	}
 	held := make([]*heldPart, len(shared))
 	for i, p := range shared {
-		h := r.heldParts[p.Key]
-		if h == nil {
-			h = &heldPart{tokens: p.Tokens, updatedAt: now, mean: firstMean / float64(t.vms)}
-			r.heldParts[p.Key] = h
-		}
-		h.add(1, now)
-		held[i] = h
+		held[i] = t.holdPart(r, p, now)
 	}
-	r.sumHeld(t.vms)
+	t.forgetIdleParts(now)
 	return func(now time.Duration) {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		r.heldTokens -= own
+		r.heldHere -= own
 		for _, h := range held {
-			h.add(-1, now)
+			t.releasePart(h, now)
 		}
-		r.sumHeld(t.vms)
-	}
-}
-
-// sumHeld updates heldHere after heldTokens or heldParts has changed.
-func (r *record) sumHeld(vms int) {
-	r.heldHere = r.heldTokens
-	for _, h := range r.heldParts {
-		r.heldHere += int(float64(h.tokens) * h.share(vms))
+		t.forgetIdleParts(now)
 	}
 }
 
--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"container/list"
 	"maps"
 	"sync"
 	"time"
@@ -66,12 +67,11 @@
 	// pendingTokens counts the prompt tokens sent to the server for calls that have
 	// not produced their first event.
 	pendingTokens int
-	// heldTokens counts the tokens that the calls of this VM hold in the server's memory
-	// for themselves; heldParts has the shared parts that they hold or held recently.
-	heldTokens int
-	heldParts  map[string]*heldPart
-	// heldHere is the sum of both, with this VM's shares of the parts.
-	heldHere int
+	// heldHere counts the tokens that the calls of this VM hold in the server's memory for
+	// themselves, and this VM's shares of heldParts, the shared parts that they hold or held
+	// recently.
+	heldHere  int
+	heldParts map[string]*heldPart
 	// peerLoad is the sum of the loads last reported by the other VMs.
 	peerLoad Load
 	// failures counts consecutive failures; the server is excluded until backoffUntil.
@@ -132,6 +132,8 @@
 	peers   map[string]*peerReport
 	// vms is the number of VMs that send calls to the servers.
 	vms int
+	// idleParts lists the held parts that no call holds, in the order of their release.
+	idleParts *list.List
 	// prefill holds the prefill rates by service.
 	prefill map[string]*prefillRate
 	// backoffs holds until when incarnations asked this VM for no requests, or is nil.
@@ -140,7 +142,9 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{vms: 1, servers: make(map[string]*record), peers: make(map[string]*peerReport), prefill: make(map[string]*prefillRate)}
+	return &Table{
+		vms: 1, idleParts: list.New(), servers: make(map[string]*record), peers: make(map[string]*peerReport), prefill: make(map[string]*prefillRate),
+	}
 }
 
 // Put adds or updates the listing of one server. It reports whether the server is
