--- a/internal/parts/blocks_test.go
+++ b/internal/parts/blocks_test.go
@@ -68,26 +68,27 @@
 // Whatever parts prompts have and whoever announces them, the directory must stay within
 // its limit: a process that exceeds its memory is killed.
 func TestMemoryOfADirectoryIsBounded(t *testing.T) {
-	const limit, n = 4 << 20, 100_000
+	const limit = 4 << 20
 	tests := []struct {
 		name   string
 		holder func(i int) Holder
 		id     func(i int) string
 		tokens int
+		n      int
 	}{
-		{"parts of one token", func(int) Holder { return Holder{ID: "e"} }, func(i int) string { return fmt.Sprint(i) }, 1},
-		{"empty parts", func(int) Holder { return Holder{ID: "e"} }, func(i int) string { return fmt.Sprint(i) }, 0},
-		{"long IDs", func(int) Holder { return Holder{ID: "e"} }, func(i int) string { return fmt.Sprintf("%064d", i) }, 1},
-		{"many holders", func(i int) Holder { return Holder{ID: fmt.Sprint(i % 1000)} }, func(i int) string { return fmt.Sprint(i) }, 1},
-		{"a holder for each part", func(i int) Holder { return Holder{ID: fmt.Sprint(i)} }, func(i int) string { return fmt.Sprint(i) }, 1},
-		{"a new incarnation for each part", func(i int) Holder { return Holder{ID: "e", Born: int64(i)} }, func(i int) string { return fmt.Sprint(i) }, 1},
-		{"IDs within heads of requests", func(int) Holder { return Holder{ID: "e"} }, func(i int) string { return strings.Repeat(fmt.Sprintf("%09d,", i), 1600)[:9] }, 1},
+		{"parts of one token", func(int) Holder { return Holder{ID: "e"} }, func(i int) string { return fmt.Sprint(i) }, 1, 50_000},
+		{"empty parts", func(int) Holder { return Holder{ID: "e"} }, func(i int) string { return fmt.Sprint(i) }, 0, 50_000},
+		{"long IDs", func(int) Holder { return Holder{ID: "e"} }, func(i int) string { return fmt.Sprintf("%064d", i) }, 1, 50_000},
+		{"many holders", func(i int) Holder { return Holder{ID: fmt.Sprint(i % 1000)} }, func(i int) string { return fmt.Sprint(i) }, 1, 50_000},
+		{"a holder for each part", func(i int) Holder { return Holder{ID: fmt.Sprint(i)} }, func(i int) string { return fmt.Sprint(i) }, 1, 20_000},
+		{"a new incarnation for each part", func(i int) Holder { return Holder{ID: "e", Born: int64(i)} }, func(i int) string { return fmt.Sprint(i) }, 1, 50_000},
+		{"IDs within heads of requests", func(int) Holder { return Holder{ID: "e"} }, func(i int) string { return strings.Repeat(fmt.Sprintf("%09d,", i), 1600)[:9] }, 1, 50_000},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			d := NewDirectory(limit)
 			before := heapBytes()
-			for i := range n {
+			for i := range tt.n {
 				d.Add(tt.holder(i), 1<<30, fmt.Sprint("salt", i), Part{tt.id(i), tt.tokens}, 0, 0)
 			}
 			require.Less(t, heapBytes()-before, limit+limit/4)
