lease: no lease, token or late write outlives the generation of the store

Cause (news of the users): the store may come back from an older copy. A grant that it had acknowledged may be lost, so that a second VM finds the lease free; fencing tokens start again from the copy; and a version that a write expects may be that of another grant by now. Change: a record carries the generation of the store. The lease ends when it rises, each generation has a record of its own, nobody acquires one in a new generation before any lost grant has run out plus the hand-over delay, and tokens of a generation are above those of all earlier ones. Without generations nothing changes.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -12,11 +12,18 @@
 // ErrConflict is returned if a record is not at the expected version.
 var ErrConflict = errors.New("lease: record has changed")
 
+// ErrGenerationChanged is returned if the store has come back from an older copy of its
+// contents during a call, which is then not settled.
+var ErrGenerationChanged = errors.New("lease: the generation of the store has changed")
+
 // Record is a versioned record of a Store.
 type Record struct {
 	Value []byte
 	// Version is zero if the record does not exist.
 	Version int64
+	// Generation is that of the store: it rises each time the store comes back from an older
+	// copy. Versions are comparable within one generation only.
+	Generation int64
 	// Now is the store's monotonic time when it replied.
 	Now time.Duration
 }
@@ -52,10 +59,18 @@
 	Until int64 `json:"until"`
 }
 
+// fencesPerGeneration is the number of fencing tokens in each generation of the store. Those
+// of a later one are higher, although the record that had the last one may be lost.
+const fencesPerGeneration = 1 << 32
+
+// baseFence returns the number below the first fencing token of a generation.
+func baseFence(generation int64) int64 { return generation * fencesPerGeneration }
+
 // plausible reports whether a holder can have written the grant: each new fencing token
 // takes a write of the record, and no lease lasts longer than ttl from its record on.
 func (g grant) plausible(rec Record, ttl time.Duration) bool {
-	return g.Holder != "" && g.Fence > 0 && g.Fence <= rec.Version && g.Until >= 0 && g.Until <= (rec.Now+ttl).Milliseconds()
+	n := g.Fence - baseFence(rec.Generation)
+	return g.Holder != "" && n > 0 && n <= rec.Version && g.Until >= 0 && g.Until <= (rec.Now+ttl).Milliseconds()
 }
 
 // Lease is one VM's view of the lease on a role. It is safe for concurrent use.
@@ -79,6 +94,10 @@
 	// first seen at unreadableSince in the store's time.
 	unreadableVersion int64
 	unreadableSince   time.Duration
+	// generation is the latest known generation of the store, and generationSince when this
+	// VM learned of it.
+	generation      int64
+	generationSince time.Duration
 }
 
 // New returns a lease that is not held. The clock now must keep running while
@@ -95,6 +114,38 @@
 	return l.fence, l.now() < l.expires
 }
 
+// SetGeneration tells the lease the generation of the store. If it has risen, the lease ends:
+// the grant may have been lost.
+func (l *Lease) SetGeneration(generation int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if generation <= l.generation {
+		return
+	}
+	l.generation, l.generationSince = generation, l.now()
+	l.expires, l.nextAttempt, l.unreadableVersion = 0, 0, 0
+}
+
+// recordName returns the name of the record in a generation of the store. Each has its own:
+// a write that the store makes late, in a later generation, changes no grant of that one,
+// whatever its version.
+func (l *Lease) recordName(generation int64) string {
+	if generation == 0 {
+		return l.name
+	}
+	return fmt.Sprintf("%s@%d", l.name, generation)
+}
+
+// checkGeneration returns an error if a response of the store is of another generation than
+// the call.
+func (l *Lease) checkGeneration(rec Record, generation int64) error {
+	l.SetGeneration(rec.Generation)
+	if rec.Generation != generation {
+		return fmt.Errorf("%w: %d after %d", ErrGenerationChanged, rec.Generation, generation)
+	}
+	return nil
+}
+
 // AcquireOrRenew acquires the lease if it is free, or renews it once half or less of
 // its time is left. It reports whether this VM holds the lease.
 func (l *Lease) AcquireOrRenew(ctx context.Context) (bool, error) {
@@ -102,7 +153,7 @@
 	defer l.storeMu.Unlock()
 	l.mu.Lock()
 	now := l.now()
-	held, nextAttempt, fence := now < l.expires, l.nextAttempt, l.fence
+	held, nextAttempt, fence, generation := now < l.expires, l.nextAttempt, l.fence, l.generation
 	renewalNotDue := l.expires-now > (l.timing.TTL-l.timing.ExpiryMargin)/2
 	l.mu.Unlock()
 	if held && renewalNotDue {
@@ -111,7 +162,7 @@
 	if !held && now < nextAttempt {
 		return false, nil
 	}
-	if err := l.acquire(ctx, held, fence); err != nil {
+	if err := l.acquire(ctx, held, fence, generation); err != nil {
 		_, held := l.Held()
 		return held, err
 	}
@@ -121,18 +172,28 @@
 
 // acquire reads the record and replaces it if the lease is free or already held by
 // this VM.
-func (l *Lease) acquire(ctx context.Context, held bool, fence int64) error {
+func (l *Lease) acquire(ctx context.Context, held bool, fence, generation int64) error {
 	// A renewal that takes longer than half the TTL would complete after the lease has
 	// expired.
 	ctx, cancel := context.WithTimeout(ctx, l.timing.TTL/2)
 	defer cancel()
 	sentAt := l.now()
-	rec, err := l.store.Read(ctx, l.name)
+	rec, err := l.store.Read(ctx, l.recordName(generation))
 	if err != nil {
 		return fmt.Errorf("lease %s: read record: %w", l.name, err)
 	}
+	if err := l.checkGeneration(rec, generation); err != nil {
+		return err
+	}
 	var g grant
-	if rec.Version != 0 {
+	if rec.Version == 0 {
+		if until := l.freeFrom(generation); l.now() < until {
+			l.mu.Lock()
+			l.nextAttempt = until
+			l.mu.Unlock()
+			return nil
+		}
+	} else {
 		if err := json.Unmarshal(rec.Value, &g); err != nil || !g.plausible(rec, l.timing.TTL) {
 			g = l.substituteGrant(rec)
 		}
@@ -144,7 +205,7 @@
 		l.mu.Unlock()
 		return nil
 	}
-	nextFence := g.Fence + 1
+	nextFence := max(g.Fence, baseFence(generation)) + 1
 	if held && heldByThisVM && g.Fence == fence {
 		nextFence = fence
 	}
@@ -152,11 +213,17 @@
 	if err != nil {
 		return fmt.Errorf("lease %s: encode record: %w", l.name, err)
 	}
-	written, err := l.store.CompareAndSwap(ctx, l.name, value, rec.Version)
+	written, err := l.store.CompareAndSwap(ctx, l.recordName(generation), value, rec.Version)
+	if err == nil {
+		err = l.checkGeneration(written, generation)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if err == nil && l.generation != generation {
+		err = ErrGenerationChanged
+	}
 	if err != nil {
-		if !held {
+		if !held && l.generation == generation {
 			l.nextAttempt = l.now() + l.timing.TTL/4
 		}
 		return fmt.Errorf("lease %s: replace record: %w", l.name, err)
@@ -168,6 +235,17 @@
 	return nil
 }
 
+// freeFrom returns from when the lease may be acquired in a generation without a record: then
+// any grant that was lost with an earlier generation has run out.
+func (l *Lease) freeFrom(generation int64) time.Duration {
+	if generation == 0 {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.generationSince + l.timing.TTL + l.timing.HandoverDelay
+}
+
 // substituteGrant returns a grant to use in place of a record that cannot be decoded or
 // that no holder can have written.
 // The lease of the record's writer ends no later than one TTL after the record was
@@ -178,7 +256,7 @@
 	if l.unreadableVersion != rec.Version {
 		l.unreadableVersion, l.unreadableSince = rec.Version, rec.Now
 	}
-	return grant{Fence: rec.Version, Until: (l.unreadableSince + l.timing.TTL).Milliseconds()}
+	return grant{Fence: baseFence(rec.Generation) + rec.Version, Until: (l.unreadableSince + l.timing.TTL).Milliseconds()}
 }
 
 // Release ends the lease if it is held, so that the next holder has to wait only for
@@ -187,7 +265,7 @@
 	l.storeMu.Lock()
 	defer l.storeMu.Unlock()
 	l.mu.Lock()
-	held, fence, version := l.now() < l.expires, l.fence, l.version
+	held, fence, version, generation := l.now() < l.expires, l.fence, l.version, l.generation
 	l.expires = 0
 	l.mu.Unlock()
 	if !held {
@@ -195,7 +273,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, l.timing.TTL/2)
 	defer cancel()
-	rec, err := l.store.Read(ctx, l.name)
+	rec, err := l.store.Read(ctx, l.recordName(generation))
+	if err == nil {
+		err = l.checkGeneration(rec, generation)
+	}
 	if err != nil {
 		return fmt.Errorf("lease %s: release: %w", l.name, err)
 	}
@@ -203,7 +284,7 @@
 	if err != nil {
 		return fmt.Errorf("lease %s: release: %w", l.name, err)
 	}
-	if _, err := l.store.CompareAndSwap(ctx, l.name, value, version); err != nil {
+	if _, err := l.store.CompareAndSwap(ctx, l.recordName(generation), value, version); err != nil {
 		return fmt.Errorf("lease %s: release: %w", l.name, err)
 	}
 	return nil
