feed: tables are followed through a restore of the store

Cause (news of the users): versions fall and are given out again after a restore. A response older than the copy changed nothing and the position never fell, so that new rows with reused versions were ignored and removed ones stayed, for good if nothing else came. In a later one the table is read whole, also from another VM; responses of an earlier one are errors; rows of the operators that are missing stay in force. A generation that is no number, negative, too high or falls is an error of the response.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"time"
@@ -44,6 +45,12 @@
 	// time, since it lapsed while the store was unreachable.
 	OnRow    func(Row)
 	OnLapsed func(key string, until time.Duration)
+	// OnLost is called in place of OnLapsed, if it is set, for a row that is missing from the
+	// copy that the store came back from: its writer will write it again, at any time.
+	OnLost func(key string)
+	// OnGeneration is called with the generation of the store when it is first known and when
+	// it rises, before rows of it are passed on; it may be nil.
+	OnGeneration func(generation int64)
 	// OnStoreError is called when a call to the store fails; it may be nil.
 	OnStoreError func()
 	// OnConfirmed receives the time at which the store was asked for the newest
@@ -76,9 +83,9 @@
 	return &Follower{options: o, replica: newReplica(o.Now, 2*o.LongPollWait+o.StorePollDelay+roundTripAllowance), retryDelay: minRetryDelay}
 }
 
-// Serve returns the copy to another VM: the changes after a version, or all
+// Serve returns the copy to another VM: the changes after a position, or all
 // rows. It waits up to wait for new rows or a newer response of the store.
-func (f *Follower) Serve(ctx context.Context, all bool, after int64, wait time.Duration) (Page, error) {
+func (f *Follower) Serve(ctx context.Context, all bool, after Cursor, wait time.Duration) (Page, error) {
 	return f.replica.serve(ctx, all, after, wait)
 }
 
@@ -94,7 +101,7 @@
 			f.retryDelay = minRetryDelay
 			f.delayPoll(ctx)
 		case errors.Is(err, ErrHistoryDropped):
-			event.HistoryDropped.Log(f.options.Log, nil, log.Fields{"table": f.options.Name, "version": f.replica.version()})
+			event.HistoryDropped.Log(f.options.Log, nil, log.Fields{"table": f.options.Name, "version": f.replica.position().Version})
 			f.complete = false
 		case ctx.Err() == nil:
 			f.storeFailed(err)
@@ -182,8 +189,11 @@
 	if err != nil {
 		return err
 	}
+	if page.Generation < f.replica.position().Generation {
+		return ErrOldGeneration
+	}
 	f.storeRecovered()
-	f.applySnapshot(page, askedAt)
+	f.applySnapshot(page, askedAt, true)
 	return nil
 }
 
@@ -191,19 +201,34 @@
 	askedAt := f.options.Now()
 	ctx, cancel := context.WithTimeout(ctx, wait+LongPollGrace)
 	defer cancel()
-	page, err := s.Changes(ctx, f.replica.version(), wait)
-	if err != nil {
+	position := f.replica.position()
+	page, err := s.Changes(ctx, position, wait)
+	switch {
+	case err != nil:
 		return err
+	case page.Generation < position.Generation:
+		return ErrOldGeneration
+	case page.Generation > position.Generation && !page.Whole:
+		return ErrHistoryDropped
 	}
 	f.storeRecovered()
-	f.applyChanges(page, askedAt+page.Since, fromStore)
+	if page.Whole {
+		f.applySnapshot(page, askedAt+page.Since, fromStore)
+	} else {
+		f.applyChanges(page, askedAt+page.Since, fromStore)
+	}
 	return nil
 }
 
 // applySnapshot replaces the copy by a read of the whole table. It ignores a
 // read that is older than the copy.
-func (f *Follower) applySnapshot(page Page, askedAt time.Duration) {
-	if page.Version < f.replica.version() {
+func (f *Follower) applySnapshot(page Page, askedAt time.Duration, fromStore bool) {
+	if position := f.replica.position(); !f.confirmed || page.Generation > position.Generation {
+		f.beginGeneration(page)
+		f.complete = true
+		f.advance(page.Version, askedAt, fromStore)
+		return
+	} else if page.Version < position.Version {
 		return
 	}
 	seen := make(map[string]bool, len(page.Rows))
@@ -217,13 +242,48 @@
 		}
 	}
 	f.complete = true
-	f.advance(page.Version, askedAt, true)
+	f.advance(page.Version, askedAt, fromStore)
+}
+
+// beginGeneration replaces the copy by the first table of all, or the first one of a later
+// generation. Rows that are missing from that one, or older in it, had been written after the
+// copy that the store came back from.
+func (f *Follower) beginGeneration(page Page) {
+	first := !f.confirmed
+	now := f.options.Now()
+	before := f.replica.begin(Cursor{Generation: page.Generation, Version: page.Version})
+	if !first {
+		f.hadOutage, f.recoveredAt = true, now
+		event.StoreRestored.Log(f.options.Log, nil, log.Fields{"table": f.options.Name, "generation": page.Generation, "version": page.Version})
+	}
+	if f.options.OnGeneration != nil {
+		f.options.OnGeneration(page.Generation)
+	}
+	for _, r := range page.Rows {
+		r.Version, r.Generation, r.Restored = min(r.Version, page.Version), page.Generation, !first
+		old, known := before[r.Key]
+		delete(before, r.Key)
+		if f.replica.put(r) && !(known && !old.Removed && bytes.Equal(old.Value, r.Value)) {
+			f.options.OnRow(r)
+		}
+	}
+	for key, old := range before {
+		switch until := f.lapsedUntil(); {
+		case old.Removed:
+		case f.options.OnLost != nil:
+			event.RowLost.Log(f.options.Log, nil, log.Fields{"table": f.options.Name, "row": key, "version": old.Version})
+			f.options.OnLost(key)
+		default:
+			event.RowLapsed.Log(f.options.Log, nil, log.Fields{"table": f.options.Name, "row": key, "version": old.Version, "grace": (until - now).Milliseconds()})
+			f.options.OnLapsed(key, until)
+		}
+	}
 }
 
 // applyChanges adds changed rows to the copy. It ignores a response that is
 // older than the copy.
 func (f *Follower) applyChanges(page Page, askedAt time.Duration, fromStore bool) {
-	if page.Version < f.replica.version() {
+	if page.Version < f.replica.position().Version {
 		return
 	}
 	for _, r := range page.Rows {
@@ -241,7 +301,7 @@
 // applyRow applies a row of a page. A version beyond that of the page would hide all
 // later changes of the row, and other VMs would be sent the row again and again.
 func (f *Follower) applyRow(r Row, pageVersion int64) {
-	r.Version = min(r.Version, pageVersion)
+	r.Version, r.Generation = min(r.Version, pageVersion), f.replica.position().Generation
 	now := f.options.Now()
 	if r.Removed && f.hadOutage && now < f.recoveredAt+lapseGrace {
 		r.Lapsed = true
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -35,7 +35,7 @@
 
 func (s *scriptedSource) Snapshot(context.Context) (Page, error) { return s.next(true) }
 
-func (s *scriptedSource) Changes(_ context.Context, _ int64, wait time.Duration) (Page, error) {
+func (s *scriptedSource) Changes(_ context.Context, _ Cursor, wait time.Duration) (Page, error) {
 	s.waits = append(s.waits, wait)
 	return s.next(false)
 }
@@ -231,10 +231,10 @@
 }
 
 func (r *replicaSource) Snapshot(ctx context.Context) (Page, error) {
-	return r.replica.serve(ctx, true, 0, 0)
+	return r.replica.serve(ctx, true, Cursor{}, 0)
 }
 
-func (r *replicaSource) Changes(ctx context.Context, after int64, wait time.Duration) (Page, error) {
+func (r *replicaSource) Changes(ctx context.Context, after Cursor, wait time.Duration) (Page, error) {
 	r.calls++
 	if r.err != nil {
 		return Page{}, r.err
@@ -300,7 +300,7 @@
 	now := 10 * time.Second
 	s := newReplica(func() time.Duration { return now }, testMaxAge)
 	serve := func(after int64) error {
-		_, err := s.serve(context.Background(), false, after, 0)
+		_, err := s.serve(context.Background(), false, Cursor{Version: after}, 0)
 		return err
 	}
 	require.ErrorIs(t, serve(0), ErrNotCurrent, "nothing was read yet")
@@ -320,7 +320,7 @@
 	s.advance(1, 0, true)
 	time.AfterFunc(30*time.Millisecond, s.stopServing)
 	began := time.Now()
-	_, err := s.serve(context.Background(), false, 1, 5*time.Second)
+	_, err := s.serve(context.Background(), false, Cursor{Version: 1}, 5*time.Second)
 	require.ErrorIs(t, err, ErrNotCurrent)
 	require.Less(t, time.Since(began), time.Second)
 
@@ -331,11 +331,11 @@
 		OnConfirmed: func(time.Duration) {}, Log: &log.Logger{Handler: discard.New()},
 	})
 	require.NoError(t, f.step(context.Background()))
-	_, err = f.Serve(context.Background(), false, 2, 0)
+	_, err = f.Serve(context.Background(), false, Cursor{Version: 2}, 0)
 	require.NoError(t, err)
 	// Its next call has had no response for longer than a call takes.
 	now = 1200*time.Millisecond + roundTripAllowance + 1
-	_, err = f.Serve(context.Background(), false, 2, 0)
+	_, err = f.Serve(context.Background(), false, Cursor{Version: 2}, 0)
 	require.ErrorIs(t, err, ErrNotCurrent)
 }
 
@@ -348,11 +348,11 @@
 	}
 	last := int64(4 * maxRemovedRows)
 	s.advance(last, 0, true)
-	page, err := s.serve(context.Background(), false, last-2, 0)
+	page, err := s.serve(context.Background(), false, Cursor{Version: last - 2}, 0)
 	require.NoError(t, err)
 	require.Len(t, page.Rows, 1)
 	require.True(t, page.Rows[0].Removed)
-	_, err = s.serve(context.Background(), false, 1, 0)
+	_, err = s.serve(context.Background(), false, Cursor{Version: 1}, 0)
 	require.ErrorIs(t, err, ErrHistoryDropped)
 	require.LessOrEqual(t, len(s.rows), maxRemovedRows)
 }
@@ -364,7 +364,7 @@
 		s.put(row("a", 2, "x"))
 		s.advance(2, 0, true)
 	})
-	page, err := s.serve(context.Background(), false, 1, 5*time.Second)
+	page, err := s.serve(context.Background(), false, Cursor{Version: 1}, 5*time.Second)
 	require.NoError(t, err)
 	require.Len(t, page.Rows, 1)
 }
@@ -382,7 +382,7 @@
 		OnLapsed: func(string, time.Duration) {}, OnConfirmed: func(time.Duration) {}, Log: &log.Logger{Handler: discard.New()},
 	})
 	require.NoError(t, f.step(context.Background()))
-	page, err := f.Serve(context.Background(), false, 5, 0)
+	page, err := f.Serve(context.Background(), false, Cursor{Version: 5}, 0)
 	require.NoError(t, err)
 	require.Empty(t, page.Rows, "a VM at the version of the page has the row")
 	require.NoError(t, f.step(context.Background()))
--- a/internal/feed/page.go
+++ b/internal/feed/page.go
@@ -14,6 +14,24 @@
 // incomplete, outdated or not read from the store.
 var ErrNotCurrent = errors.New("feed: table not read from the store recently")
 
+// ErrOldGeneration means that a response is of an earlier generation of the store than one
+// before it.
+var ErrOldGeneration = errors.New("feed: response of an earlier generation of the store")
+
+// MaxGeneration is the highest generation of a store.
+const MaxGeneration = 1 << 20
+
+// Cursor is a position in the changes of a store. The generation rises each time the store
+// comes back from an older copy of its contents. Versions are comparable within one
+// generation only: those after the copy are given out again.
+type Cursor struct {
+	Generation int64
+	Version    int64
+}
+
+// GenerationUnknown is the generation of a cursor whose sender did not state it.
+const GenerationUnknown = -1
+
 // Row is one row of the table. Value is nil if the row was removed.
 type Row struct {
 	Key     string
@@ -23,13 +41,22 @@
 	// unable to reach the store, and that may come back.
 	Lapsed bool
 	Value  []byte
+	// Generation is that of the store. It is that of the page, and not sent with each row.
+	Generation int64 `cbor:"-"`
+	// Restored marks a row of the copy that the store came back from. It may be older than
+	// what was known before.
+	Restored bool `cbor:"-"`
 }
 
 // Page is the response to a read of a table.
 type Page struct {
 	Rows []Row
-	// Version is that of the newest change that the response includes.
-	Version int64
+	// Version is that of the newest change that the response includes, and Generation that
+	// of the store.
+	Version    int64
+	Generation int64
+	// Whole is set if Rows holds all rows, though only changes may have been asked for.
+	Whole bool
 	// Since is when the store was asked, relative to when this response was
 	// requested. It is negative if another VM had asked the store earlier.
 	Since time.Duration
@@ -51,7 +78,8 @@
 type Source interface {
 	// Snapshot returns all rows.
 	Snapshot(ctx context.Context) (Page, error)
-	// Changes returns the rows that changed after a version. It waits up to wait
-	// for a change.
-	Changes(ctx context.Context, version int64, wait time.Duration) (Page, error)
+	// Changes returns the rows that changed after a position. It waits up to wait
+	// for a change. The page may be of a later generation, and then holds all rows only
+	// if it says so.
+	Changes(ctx context.Context, after Cursor, wait time.Duration) (Page, error)
 }
--- a/internal/feed/replica.go
+++ b/internal/feed/replica.go
@@ -29,7 +29,7 @@
 	// version compactedTo may be missing from rows.
 	removedCount int
 	compactedTo  int64
-	cursor       int64
+	cursor       Cursor
 	complete     bool
 	// askedAt is when the store was asked for the newest response, and fromStore
 	// whether this VM asked it.
@@ -43,12 +43,24 @@
 	return &replica{now: now, maxAge: maxAge, rows: make(map[string]Row), changed: make(chan struct{})}
 }
 
-func (r *replica) version() int64 {
+func (r *replica) position() Cursor {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.cursor
 }
 
+// begin discards the rows before those of a whole table of a later generation, or before the
+// first ones, are stored. It returns the rows of before. Which rows were removed up to the
+// version is not known.
+func (r *replica) begin(c Cursor) map[string]Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.rows
+	r.rows, r.removedCount, r.compactedTo = make(map[string]Row), 0, c.Version
+	r.cursor, r.complete = Cursor{Generation: c.Generation}, false
+	return before
+}
+
 func (r *replica) isFromStore() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -110,7 +122,7 @@
 func (r *replica) advance(version int64, askedAt time.Duration, fromStore bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.cursor, r.complete, r.fromStore = max(r.cursor, version), true, fromStore
+	r.cursor.Version, r.complete, r.fromStore = max(r.cursor.Version, version), true, fromStore
 	r.askedAt = max(r.askedAt, askedAt)
 	close(r.changed)
 	r.changed = make(chan struct{})
@@ -125,15 +137,16 @@
 	r.changed = make(chan struct{})
 }
 
-// serve returns all rows, or those that changed after a version. If none did, it
-// waits up to wait for the next response of the store.
-func (r *replica) serve(ctx context.Context, all bool, after int64, wait time.Duration) (Page, error) {
+// serve returns all rows, or those that changed after a position. If none did, it
+// waits up to wait for the next response of the store. After a position of an earlier
+// generation it returns all rows.
+func (r *replica) serve(ctx context.Context, all bool, after Cursor, wait time.Duration) (Page, error) {
 	arrived := r.now()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for waited := false; ; waited = true {
 		page, changed, err := r.page(all, after, arrived)
-		if err != nil || all || waited || len(page.Rows) > 0 {
+		if err != nil || page.Whole || waited || len(page.Rows) > 0 {
 			return page, err
 		}
 		select {
@@ -145,18 +158,24 @@
 	}
 }
 
-func (r *replica) page(all bool, after int64, arrived time.Duration) (Page, chan struct{}, error) {
+func (r *replica) page(all bool, after Cursor, arrived time.Duration) (Page, chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.complete || !r.fromStore || r.now()-r.askedAt > r.maxAge || after > r.cursor {
+	if after.Generation == GenerationUnknown {
+		after.Generation = r.cursor.Generation
+	}
+	sameGeneration := after.Generation == r.cursor.Generation
+	newer := after.Generation > r.cursor.Generation || sameGeneration && after.Version > r.cursor.Version
+	if !r.complete || !r.fromStore || r.now()-r.askedAt > r.maxAge || newer {
 		return Page{}, nil, ErrNotCurrent
 	}
-	if !all && after < r.compactedTo {
+	whole := all || !sameGeneration
+	if !whole && after.Version < r.compactedTo {
 		return Page{}, nil, ErrHistoryDropped
 	}
-	page := Page{Version: r.cursor, Since: r.askedAt - arrived}
+	page := Page{Version: r.cursor.Version, Generation: r.cursor.Generation, Whole: whole, Since: r.askedAt - arrived}
 	for _, row := range r.rows {
-		if all && !row.Removed || !all && row.Version > after {
+		if whole && !row.Removed || !whole && row.Version > after.Version {
 			page.Rows = append(page.Rows, row)
 		}
 	}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -34,7 +34,7 @@
 	return feed.Page{}, ctx.Err()
 }
 
-func (emptyFeed) Changes(ctx context.Context, _ int64, _ time.Duration) (feed.Page, error) {
+func (emptyFeed) Changes(ctx context.Context, _ feed.Cursor, _ time.Duration) (feed.Page, error) {
 	return emptyFeed{}.Snapshot(ctx)
 }
 
--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -44,14 +44,16 @@
 	m.rows[key] = r
 }
 
-func (m *memoryFeed) Snapshot(ctx context.Context) (feed.Page, error) { return m.Changes(ctx, 0, 0) }
+func (m *memoryFeed) Snapshot(ctx context.Context) (feed.Page, error) {
+	return m.Changes(ctx, feed.Cursor{}, 0)
+}
 
-func (m *memoryFeed) Changes(ctx context.Context, after int64, wait time.Duration) (feed.Page, error) {
+func (m *memoryFeed) Changes(ctx context.Context, after feed.Cursor, wait time.Duration) (feed.Page, error) {
 	for until := now() + wait/10; ; time.Sleep(2 * time.Millisecond) {
 		m.mu.Lock()
 		p := feed.Page{Version: m.version}
 		for _, r := range m.rows {
-			if r.Version > after && (after > 0 || !r.Removed) {
+			if r.Version > after.Version && (after.Version > 0 || !r.Removed) {
 				p.Rows = append(p.Rows, r)
 			}
 		}
--- a/internal/gossip/relay.go
+++ b/internal/gossip/relay.go
@@ -52,9 +52,9 @@
 
 // Table is a VM's copy of a table of the store.
 type Table interface {
-	// Serve returns the changes after a version, or all rows. It waits up to wait for
+	// Serve returns the changes after a position, or all rows. It waits up to wait for
 	// a change.
-	Serve(ctx context.Context, all bool, after int64, wait time.Duration) (feed.Page, error)
+	Serve(ctx context.Context, all bool, after feed.Cursor, wait time.Duration) (feed.Page, error)
 }
 
 // Relay serves a VM's copies of tables to other VMs over HTTP, so that only the
@@ -93,9 +93,15 @@
 
 func (o RelayOptions) serveTable(w http.ResponseWriter, r *http.Request, t Table) {
 	q := r.URL.Query()
-	after, errAfter := strconv.ParseInt(q.Get("after"), 10, 64)
+	after := feed.Cursor{Generation: feed.GenerationUnknown}
+	var errGeneration error
+	if q.Has("generation") {
+		after.Generation, errGeneration = strconv.ParseInt(q.Get("generation"), 10, 64)
+	}
+	var errAfter error
+	after.Version, errAfter = strconv.ParseInt(q.Get("after"), 10, 64)
 	wait, errWait := time.ParseDuration(q.Get("wait"))
-	if errAfter != nil || errWait != nil {
+	if errAfter != nil || errWait != nil || errGeneration != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -158,8 +164,10 @@
 }
 
 // Changes implements feed.Source.
-func (t RemoteTable) Changes(ctx context.Context, version int64, wait time.Duration) (feed.Page, error) {
-	return t.fetch(ctx, url.Values{"after": {strconv.FormatInt(version, 10)}, "wait": {wait.String()}})
+func (t RemoteTable) Changes(ctx context.Context, after feed.Cursor, wait time.Duration) (feed.Page, error) {
+	return t.fetch(ctx, url.Values{
+		"after": {strconv.FormatInt(after.Version, 10)}, "generation": {strconv.FormatInt(after.Generation, 10)}, "wait": {wait.String()},
+	})
 }
 
 func (t RemoteTable) fetch(ctx context.Context, q url.Values) (feed.Page, error) {
@@ -185,5 +193,8 @@
 	if err := cbor.Unmarshal(raw, &page); err != nil {
 		return page, fmt.Errorf("gossip: relay: %w", err)
 	}
+	if page.Generation < 0 || page.Generation > feed.MaxGeneration {
+		return page, fmt.Errorf("%w: generation %d", ErrTableUnavailable, page.Generation)
+	}
 	return page, nil
 }
--- a/internal/gossip/relay_test.go
+++ b/internal/gossip/relay_test.go
@@ -16,11 +16,11 @@
 	page  feed.Page
 	err   error
 	all   bool
-	after int64
+	after feed.Cursor
 	wait  time.Duration
 }
 
-func (t *table) Serve(_ context.Context, all bool, after int64, wait time.Duration) (feed.Page, error) {
+func (t *table) Serve(_ context.Context, all bool, after feed.Cursor, wait time.Duration) (feed.Page, error) {
 	t.all, t.after, t.wait = all, after, wait
 	return t.page, t.err
 }
@@ -35,10 +35,10 @@
 	defer pool.Close()
 	source := RemoteTable{Pool: pool, Address: address, Table: "servers"}
 
-	page, err := source.Changes(context.Background(), 5, 200*time.Millisecond)
+	page, err := source.Changes(context.Background(), feed.Cursor{Generation: 2, Version: 5}, 200*time.Millisecond)
 	require.NoError(t, err)
 	require.Equal(t, served.page, page)
-	require.Equal(t, int64(5), served.after)
+	require.Equal(t, feed.Cursor{Generation: 2, Version: 5}, served.after)
 	require.Equal(t, 200*time.Millisecond, served.wait)
 	_, err = source.Snapshot(context.Background())
 	require.NoError(t, err)
@@ -47,10 +47,10 @@
 	tests := []struct{ err, want error }{{feed.ErrHistoryDropped, feed.ErrHistoryDropped}, {feed.ErrNotCurrent, ErrTableUnavailable}}
 	for _, tt := range tests {
 		served.err = tt.err
-		_, err = source.Changes(context.Background(), 5, 0)
+		_, err = source.Changes(context.Background(), feed.Cursor{Version: 5}, 0)
 		require.ErrorIs(t, err, tt.want)
 	}
-	_, err = RemoteTable{Pool: pool, Address: address, Table: "none"}.Changes(context.Background(), 0, 0)
+	_, err = RemoteTable{Pool: pool, Address: address, Table: "none"}.Changes(context.Background(), feed.Cursor{}, 0)
 	require.ErrorIs(t, err, ErrTableUnavailable)
 }
 
