gateway: nothing that is known is taken back by a restore of the store

Cause (news of the users): after a restore the list of servers had ones back that were leaving or gone, the store's answers confirmed keys although a withdrawal might be lost, revisions of rollout orders fell, and what the VMs had written was missing for good. One log line a table and a metric for each rise (events 208 to 213, 628; store_generation, store_restores).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,6 +129,8 @@
 	quarantine        *quarantine.Tracker
 	quarantineUpdates quarantineUpdates
 	quarantineRecord  quarantineRecord
+	restores          restores
+	serverMemory      serverMemory
 	probes            *engineProbes
 	beginningCalls    beginningCalls
 	// reviewPending is set while a review of the evidence is due.
@@ -208,7 +210,9 @@
 	}
 	g.pace = pace.NewTracker(s.VM, g.logPace)
 	g.peers = upstream.NewPool(upstream.Options{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, MaxIdlePerAddress: maxIdlePeerConns, TCPUserTimeout: peerTCPUserTimeout})
-	g.initFollowers()
+	ctx, cancel := context.WithCancel(context.Background())
+	g.cancel = cancel
+	g.initFollowers(ctx)
 	g.relay, err = gossip.NewRelay(s.PeerAddress, map[string]gossip.Table{declarationsTable: g.declarations, serversTable: g.serverList}, gossip.RelayOptions{
 		Limits: g.listenerLimits("peer", s.Limits.PeerConns), Responses: g.buffers.NewShare(int64(relayShare * float64(g.buffers.Limit()))),
 		OnFull: func(from string) {
@@ -216,6 +220,7 @@
 		},
 	})
 	if err != nil {
+		cancel()
 		g.node.Close()
 		g.clock.Close()
 		return nil, fmt.Errorf("gateway: %w", err)
@@ -233,8 +238,6 @@
 		Holder: holder, Catalog: g.catalog, Table: g.table, Engines: a, Lease: g.orderLease, History: g.history, Announcer: g.announcer,
 		Now: timer.SinceBoot, Log: g.log,
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	g.cancel = cancel
 	g.startBackground(ctx)
 	event.Started.Log(g.log, nil, log.Fields{"zone": s.Zone, "entry": s.ClientAddress, "peer": s.PeerAddress, "first": s.FirstStart})
 	return g, nil
@@ -251,7 +254,8 @@
 func serverPollTimes(leave time.Duration) (wait, delay time.Duration) { return leave / 2, leave / 10 }
 
 // initFollowers creates the followers of the store's tables.
-func (g *Gateway) initFollowers() {
+func (g *Gateway) initFollowers(ctx context.Context) {
+	setGeneration := func(generation int64) { g.setStoreGeneration(ctx, generation) }
 	relay := func(table string) func() feed.Source {
 		return func() feed.Source {
 			address, other := g.node.Leader()
@@ -263,17 +267,19 @@
 	}
 	g.declarations = feed.New(feed.Options{
 		Name: declarationsTable, Source: g.adapter.Declarations(), Relay: relay(declarationsTable), LongPollWait: declarationsLongPollWait,
-		Now: timer.SinceBoot, Log: g.log, OnRow: g.applyDeclaration, OnLapsed: func(key string, _ time.Duration) { g.withdrawRollout(key) }, OnConfirmed: func(askedAt time.Duration) {
-			g.catalog.RecordProof(askedAt)
-			g.rollouts.confirmTable(askedAt)
-		},
+		Now: timer.SinceBoot, Log: g.log, OnRow: g.applyDeclaration, OnLapsed: func(key string, _ time.Duration) { g.withdrawRollout(key) },
+		OnLost: g.loseDeclaration, OnGeneration: setGeneration, OnConfirmed: g.confirmDeclarations,
 		// Polls for declarations are the shorter ones, and detect an outage first.
 		OnStoreError: func() { g.serverList.StopServing() },
 	})
 	longPollWait, pollDelay := serverPollTimes(time.Duration(g.settings.Bounds.ServerDrain))
 	g.serverList = feed.New(feed.Options{
 		Name: serversTable, Source: g.adapter.ServerList(), Relay: relay(serversTable), LongPollWait: longPollWait, StorePollDelay: pollDelay,
-		Now: timer.SinceBoot, Log: g.log, OnRow: g.applyServer, OnLapsed: g.markServerMissing, OnConfirmed: func(time.Duration) { g.rollouts.completeList(g.now()) },
+		Now: timer.SinceBoot, Log: g.log, OnRow: g.applyServer, OnLapsed: g.markServerMissing,
+		OnGeneration: setGeneration, OnConfirmed: func(time.Duration) {
+			g.rollouts.completeList(g.now())
+			g.releaseServers()
+		},
 	})
 }
 
@@ -310,6 +316,7 @@
 // applyDeclaration applies a row of the operators' declarations.
 func (g *Gateway) applyDeclaration(r feed.Row) {
 	if r.Removed {
+		g.restores.setCatalog(r.Key, 0)
 		g.withdrawRollout(r.Key)
 		return
 	}
@@ -322,6 +329,9 @@
 		event.ConfigInvalid.Log(g.log, err, log.Fields{"row": r.Key, "version": r.Version})
 		return
 	}
+	if d.Catalog != nil {
+		g.restores.setCatalog(r.Key, d.Catalog.Version())
+	}
 	if d.Catalog != nil && g.catalog.Put(d.Catalog) {
 		event.ConfigApplied.Log(g.log, nil, log.Fields{"generation": d.Catalog.Version(), "row": r.Version})
 	}
@@ -330,7 +340,7 @@
 	}
 	if d.Rollout != nil {
 		o := *d.Rollout
-		o.Revision = r.Version
+		o.Revision = orderRevision(r)
 		g.orderRollout(r.Key, o)
 	}
 }
@@ -338,8 +348,12 @@
 // applyServer applies a row of the list of backend servers. It logs a row that cannot be
 // decoded once, although its writer may go on to change it.
 func (g *Gateway) applyServer(r feed.Row) {
+	delete(g.serverMemory.held, r.Key)
 	if r.Removed {
 		delete(g.invalidServers, r.Key)
+		if s, ok := g.table.Get(r.Key, g.now()); ok {
+			g.serverMemory.recordGone(s.ID, s.Born, g.now())
+		}
 		g.removeServer(r.Key)
 		return
 	}
@@ -353,6 +367,9 @@
 		return
 	}
 	delete(g.invalidServers, r.Key)
+	if r.Restored && !g.acceptRestored(r, &s) {
+		return
+	}
 	if g.rollouts.observe(s.Service, s.Release, g.now()) {
 		event.ReleaseHeldBack.Log(g.log, nil, log.Fields{"server": s.ID, "service": s.Service, "release": s.Release})
 	}
@@ -375,6 +392,7 @@
 // markServerMissing keeps a server whose row has lapsed in use until a time, unless its
 // row comes back.
 func (g *Gateway) markServerMissing(id string, until time.Duration) {
+	delete(g.serverMemory.held, id)
 	delete(g.invalidServers, id)
 	g.table.MarkMissing(id, until)
 }
--- a/internal/gateway/quarantine_record.go
+++ b/internal/gateway/quarantine_record.go
@@ -57,7 +57,9 @@
 	saved map[string]savedQuarantine
 	// saving is set while a write runs. After a failure the next one waits until
 	// retryAt.
-	saving     bool
+	saving bool
+	// lost is set if the store has lost what a write in progress may have written.
+	lost       bool
 	retryAt    time.Duration
 	retryDelay time.Duration
 }
@@ -73,6 +75,13 @@
 	return true
 }
 
+// reset takes the record for lost, also if a write of it is in progress.
+func (r *quarantineRecord) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.saved, r.lost = nil, r.saving
+}
+
 func (r *quarantineRecord) end(saved map[string]savedQuarantine, err error, now time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -83,6 +92,9 @@
 		return
 	}
 	r.saved, r.retryDelay = saved, 0
+	if r.lost {
+		r.saved, r.lost = nil, false
+	}
 }
 
 func savedOf(active []quarantine.Quarantine) map[string]savedQuarantine {
--- /dev/null
+++ b/internal/gateway/restore.go
@@ -0,0 +1,346 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/marjoramrock/marjoramrock/internal/backend"
+	"github.com/marjoramrock/marjoramrock/internal/catalog"
+	"github.com/marjoramrock/marjoramrock/internal/event"
+	"github.com/marjoramrock/marjoramrock/internal/feed"
+	"github.com/marjoramrock/marjoramrock/internal/lease"
+	"github.com/marjoramrock/marjoramrock/internal/timer"
+)
+
+const (
+	// restoreGrace is how long after a restore of the store its responses do not confirm the
+	// configuration: lost rows may not yet have been written again.
+	restoreGrace = 2 * time.Second
+	// generationRecordName begins the name of the store's record of when a generation was
+	// first seen.
+	generationRecordName = "generation"
+	// rejoinSpread is the time over which VMs write their rows again after a restore of the
+	// store: 39 a second with 390 VMs.
+	rejoinSpread = 10 * time.Second
+	// maxRejoinDelay bounds the exponential backoff between attempts.
+	maxRejoinDelay = 4 * time.Second
+	// goneMemory is how long a removed backend server is remembered, and maxGone bounds their
+	// number.
+	goneMemory = time.Minute
+	maxGone    = 1024
+	// restoredGoneHold is how long a server that was known to be gone is not used although the
+	// restored list has it. Its row is removed again within that time unless it runs.
+	restoredGoneHold = 10 * time.Second
+	// revisionsPerGeneration is the number of revisions of rollout orders in each generation
+	// of the store.
+	revisionsPerGeneration = 1 << 40
+)
+
+// orderRevision returns the revision of a rollout order in a row: a later one is higher, also
+// after the versions of rows have fallen.
+func orderRevision(r feed.Row) int64 { return r.Generation*revisionsPerGeneration + r.Version }
+
+// restores tracks the generation of the store, which rises each time the store comes back
+// from an older copy of its contents. It is safe for concurrent use.
+type restores struct {
+	mu         sync.Mutex // guards the fields below
+	known      bool
+	generation int64
+	// restored is set once the generation has risen. restoredAt is when it last did, zero once
+	// the configuration has been confirmed since.
+	restored   bool
+	restoredAt time.Duration
+	// confirmsFrom is when the store may first be asked for a response that confirms the
+	// configuration. heldBackAt is when it was asked for the newest one before.
+	confirmsFrom time.Duration
+	heldBackAt   time.Duration
+	// catalogs holds the versions of the configurations in the store, by row.
+	catalogs map[string]int64
+	// outdatedLogged is set once the store is known to hold an older configuration than the
+	// one in force.
+	outdatedLogged bool
+}
+
+// set records the generation, and reports whether it is the first one or higher than the one
+// known. A process that starts does not know whether it has just risen.
+func (s *restores) set(generation int64, now time.Duration) (first, risen bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first, risen = !s.known, s.known && generation > s.generation
+	s.known, s.generation = true, max(s.generation, generation)
+	if risen {
+		s.restored, s.restoredAt, s.outdatedLogged = true, now, false
+	}
+	if (first || risen) && generation > 0 {
+		s.confirmsFrom, s.heldBackAt = now+restoreGrace, 0
+	}
+	return first, risen
+}
+
+// setAge records for how long a generation has been known. It returns when the store was
+// asked for a response that confirms the configuration after all, or 0.
+func (s *restores) setAge(generation int64, age, now time.Duration) (askedAt time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if generation != s.generation {
+		return 0
+	}
+	if s.confirmsFrom = min(s.confirmsFrom, now-age+restoreGrace); s.heldBackAt < s.confirmsFrom {
+		return 0
+	}
+	return s.heldBackAt
+}
+
+// mayConfirm reports whether a response for which the store was asked at a time confirms the
+// configuration.
+func (s *restores) mayConfirm(askedAt time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if askedAt >= s.confirmsFrom {
+		return true
+	}
+	s.heldBackAt = max(s.heldBackAt, askedAt)
+	return false
+}
+
+func (s *restores) isCurrent(generation int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return generation == s.generation
+}
+
+// setCatalog records the version of the configuration in a row, 0 if the row is gone.
+func (s *restores) setCatalog(row string, version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if version == 0 {
+		delete(s.catalogs, row)
+		return
+	}
+	if s.catalogs == nil {
+		s.catalogs = make(map[string]int64)
+	}
+	s.catalogs[row] = version
+}
+
+// lacks reports whether a restored store has no configuration as new as the one in force, and
+// whether that is news.
+func (s *restores) lacks(c *catalog.Catalog) (lacks, news bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.restored || c == nil {
+		return false, false
+	}
+	for _, version := range s.catalogs {
+		if version >= c.Version() {
+			return false, false
+		}
+	}
+	news, s.outdatedLogged = !s.outdatedLogged, true
+	return true, news
+}
+
+// confirm returns the time since the last restore if the configuration had not been confirmed
+// since, and 0 otherwise.
+func (s *restores) confirm(now time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.restoredAt == 0 {
+		return 0
+	}
+	since := now - s.restoredAt
+	s.restoredAt = 0
+	return since
+}
+
+// setStoreGeneration handles the generation of the store that a response states. What this VM
+// has written may be lost if it has risen.
+func (g *Gateway) setStoreGeneration(ctx context.Context, generation int64) {
+	g.orderLease.SetGeneration(generation)
+	g.metrics.setGauge("store_generation", generation)
+	first, risen := g.restores.set(generation, g.now())
+	recordName := fmt.Sprintf("%s@%d", generationRecordName, generation)
+	// The caller is background work itself, for which Close waits.
+	if generation > 0 && (first || risen && g.ownsKey(recordName)) {
+		g.background.Go(func() { g.readGenerationAge(ctx, recordName, generation) })
+	}
+	if !risen {
+		return
+	}
+	g.metrics.incrementCounter("store_restores")
+	g.quarantineRecord.reset()
+	g.background.Go(func() {
+		g.history.Reset()
+		g.rejoin(ctx, generation)
+	})
+}
+
+// readGenerationAge reads from the store since when a generation has been known, or records
+// that it is known from now on.
+func (g *Gateway) readGenerationAge(ctx context.Context, recordName string, generation int64) {
+	ctx, cancel := context.WithTimeout(ctx, restoreGrace)
+	defer cancel()
+	rec, err := g.adapter.Store().Read(ctx, recordName)
+	if err == nil && rec.Generation != generation {
+		err = lease.ErrGenerationChanged
+	}
+	var since int64
+	switch {
+	case err != nil:
+	case rec.Version == 0:
+		_, err = g.adapter.Store().CompareAndSwap(ctx, recordName, strconv.AppendInt(nil, rec.Now.Milliseconds(), 10), 0)
+		since = rec.Now.Milliseconds()
+	default:
+		since, err = strconv.ParseInt(string(rec.Value), 10, 64)
+	}
+	if err != nil {
+		event.GenerationReadFailed.Log(g.log, err, log.Fields{"generation": generation})
+		return
+	}
+	age := max(0, rec.Now-time.Duration(since)*time.Millisecond)
+	if askedAt := g.restores.setAge(generation, age, g.now()); askedAt > 0 {
+		g.confirmCatalog(askedAt)
+	}
+}
+
+// rejoin writes the row of this VM again, unless the generation rises again meanwhile.
+func (g *Gateway) rejoin(ctx context.Context, generation int64) {
+	began := g.now()
+	delay := rand.N(rejoinSpread)
+	for timer.Sleep(ctx, delay) && g.restores.isCurrent(generation) && !g.draining.Load() {
+		writeCtx, cancel := context.WithTimeout(ctx, joinTimeout)
+		err := g.adapter.Store().Join(writeCtx, g.settings.VM, g.settings.PeerAddress)
+		cancel()
+		if err == nil {
+			event.RowsRewritten.Log(g.log, nil, log.Fields{"generation": generation, "after": (g.now() - began).Milliseconds()})
+			return
+		}
+		event.VMListFailed.Log(g.log, err, log.Fields{"step": "rejoin"})
+		delay = min(max(2*delay, joinTimeout/8), maxRejoinDelay)
+	}
+}
+
+// confirmDeclarations records that the store was asked at a time and had nothing newer than
+// what is applied. That does not confirm the configuration while a restored store lacks the
+// one in force, or may lack one that no VM has seen.
+func (g *Gateway) confirmDeclarations(askedAt time.Duration) {
+	g.rollouts.confirmTable(askedAt)
+	g.confirmCatalog(askedAt)
+}
+
+func (g *Gateway) confirmCatalog(askedAt time.Duration) {
+	if !g.restores.mayConfirm(askedAt) {
+		return
+	}
+	c := g.catalog.Current()
+	if lacks, news := g.restores.lacks(c); lacks {
+		if news {
+			event.ConfigLost.Log(g.log, nil, log.Fields{"generation": c.Version()})
+		}
+		return
+	}
+	g.catalog.RecordProof(askedAt)
+	if since := g.restores.confirm(g.now()); since > 0 {
+		event.ConfigConfirmed.Log(g.log, nil, log.Fields{"after": since.Milliseconds()})
+	}
+}
+
+// loseDeclaration handles a row that is missing from a restored store. What it declared stays
+// in force.
+func (g *Gateway) loseDeclaration(row string) { g.restores.setCatalog(row, 0) }
+
+// goneServer is an incarnation of a backend server that was removed from the list.
+type goneServer struct {
+	born int64
+	at   time.Duration
+}
+
+// heldServer is a row of a restored list whose server was known to be gone.
+type heldServer struct {
+	row   feed.Row
+	until time.Duration
+}
+
+// serverMemory holds what is known of backend servers beyond the list, for rows of a restored
+// list, which may be older. Only the follower of the list uses it.
+type serverMemory struct {
+	gone map[string]goneServer
+	held map[string]heldServer
+}
+
+// recordGone remembers a removed server.
+func (m *serverMemory) recordGone(id string, born int64, now time.Duration) {
+	if m.gone == nil {
+		m.gone = make(map[string]goneServer)
+	}
+	if len(m.gone) >= maxGone {
+		oldest := id
+		for other, x := range m.gone {
+			if now-x.at > goneMemory {
+				delete(m.gone, other)
+			} else if oldest == id || x.at < m.gone[oldest].at {
+				oldest = other
+			}
+		}
+		if len(m.gone) >= maxGone {
+			delete(m.gone, oldest)
+		}
+	}
+	m.gone[id] = goneServer{born: born, at: now}
+}
+
+// hold keeps a restored row back if its incarnation was known to be gone, and reports whether
+// it does.
+func (m *serverMemory) hold(r feed.Row, s backend.Server, now time.Duration) bool {
+	x, ok := m.gone[s.ID]
+	if !ok || s.Born > x.born || now-x.at > goneMemory {
+		return false
+	}
+	if m.held == nil {
+		m.held = make(map[string]heldServer)
+	}
+	m.held[r.Key] = heldServer{row: r, until: now + restoredGoneHold}
+	return true
+}
+
+// release returns the rows that are no longer kept back.
+func (m *serverMemory) release(now time.Duration) []feed.Row {
+	var out []feed.Row
+	for key, x := range m.held {
+		if now >= x.until {
+			delete(m.held, key)
+			out = append(out, x.row)
+		}
+	}
+	slices.SortFunc(out, func(a, b feed.Row) int { return int(a.Version - b.Version) })
+	return out
+}
+
+// acceptRestored reports whether a row of a restored list may be applied. What is known of an
+// incarnation is not taken back: one that is leaving stays so.
+func (g *Gateway) acceptRestored(r feed.Row, s *backend.Server) bool {
+	now := g.now()
+	if known, ok := g.table.Get(s.ID, now); ok {
+		s.Draining = s.Draining || known.Draining && known.Born == s.Born
+		return s.Born >= known.Born
+	}
+	if g.serverMemory.hold(r, *s, now) {
+		event.ServerHeldBack.Log(g.log, nil, log.Fields{"server": s.ID, "born": s.Born, "hold": restoredGoneHold.Milliseconds()})
+		return false
+	}
+	return true
+}
+
+// releaseServers applies the rows that were kept back long enough.
+func (g *Gateway) releaseServers() {
+	for _, r := range g.serverMemory.release(g.now()) {
+		r.Restored = false
+		g.applyServer(r)
+	}
+}
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -223,6 +223,10 @@
 		return false
 	}
 	r.rows[row] = o.Service
+	if s.order.Revision > 0 && !s.withdrawn && o.To == s.order.To && o.Duration == s.order.Duration && o.Revision/revisionsPerGeneration > s.order.Revision/revisionsPerGeneration {
+		// The order has been written again after a restore of the store.
+		return false
+	}
 	if s.order.Revision > 0 && s.state == rollout.Running && s.order.To != o.To {
 		s.setClass(s.order.To, releaseUncertain)
 	}
--- a/internal/weights/history.go
+++ b/internal/weights/history.go
@@ -54,6 +54,13 @@
 	return &History{store: store, catalog: c, now: now, saved: make(map[string]int64)}
 }
 
+// Reset takes the stored record for lost: the store has come back from an older copy.
+func (h *History) Reset() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	clear(h.saved)
+}
+
 // Load merges the stored record into the catalog. If some or all of it is invalid, it
 // merges the rest and returns ErrInvalidHistory.
 func (h *History) Load(ctx context.Context) error {
