--- a/internal/backend/table.go
+++ b/internal/backend/table.go
@@ -225,15 +225,15 @@
 func (r *record) gone(now time.Duration) bool { return r.missingUntil != 0 && now >= r.missingUntil }
 
 // ExpireMissing removes the servers that have been missing for too long, and returns
-// their IDs.
-func (t *Table) ExpireMissing(now time.Duration) []string {
+// them.
+func (t *Table) ExpireMissing(now time.Duration) []Server {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []string
+	var out []Server
 	for id, r := range t.servers {
 		if r.gone(now) {
 			delete(t.servers, id)
-			out = append(out, id)
+			out = append(out, r.server)
 		}
 	}
 	return out
--- a/internal/backend/table_test.go
+++ b/internal/backend/table_test.go
@@ -125,7 +125,9 @@
 	require.False(t, listed(until))
 	table.MarkMissing("e", until+time.Second)
 	require.False(t, listed(until), "the first time counts")
-	require.Equal(t, []string{"e"}, table.ExpireMissing(until))
+	expired := table.ExpireMissing(until)
+	require.Len(t, expired, 1)
+	require.Equal(t, "e", expired[0].ID)
 	require.False(t, listed(0))
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -348,7 +348,7 @@
 // applyServer applies a row of the list of backend servers. It logs a row that cannot be
 // decoded once, although its writer may go on to change it.
 func (g *Gateway) applyServer(r feed.Row) {
-	delete(g.serverMemory.held, r.Key)
+	g.serverMemory.drop(r.Key)
 	if r.Removed {
 		delete(g.invalidServers, r.Key)
 		if s, ok := g.table.Get(r.Key, g.now()); ok {
@@ -392,7 +392,7 @@
 // markServerMissing keeps a server whose row has lapsed in use until a time, unless its
 // row comes back.
 func (g *Gateway) markServerMissing(id string, until time.Duration) {
-	delete(g.serverMemory.held, id)
+	g.serverMemory.drop(id)
 	delete(g.invalidServers, id)
 	g.table.MarkMissing(id, until)
 }
@@ -404,9 +404,10 @@
 	g.expireQuarantines()
 	g.watchQuota()
 	g.metrics.setGauge("servers_paced", int64(g.pace.Paced()))
-	for _, id := range g.table.ExpireMissing(g.now()) {
-		g.parts.RemoveHolder(id)
-		event.ServerDelisted.Log(g.log, nil, log.Fields{"server": id})
+	for _, s := range g.table.ExpireMissing(g.now()) {
+		g.serverMemory.recordGone(s.ID, s.Born, g.now())
+		g.parts.RemoveHolder(s.ID)
+		event.ServerDelisted.Log(g.log, nil, log.Fields{"server": s.ID})
 	}
 }
 
--- a/internal/gateway/restore.go
+++ b/internal/gateway/restore.go
@@ -268,14 +268,18 @@
 }
 
 // serverMemory holds what is known of backend servers beyond the list, for rows of a restored
-// list, which may be older. Only the follower of the list uses it.
+// list, which may be older. It is safe for concurrent use.
 type serverMemory struct {
+	mu   sync.Mutex // guards the fields below
 	gone map[string]goneServer
+	// held holds the rows that are kept back, by key.
 	held map[string]heldServer
 }
 
 // recordGone remembers a removed server.
 func (m *serverMemory) recordGone(id string, born int64, now time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if m.gone == nil {
 		m.gone = make(map[string]goneServer)
 	}
@@ -298,6 +302,8 @@
 // hold keeps a restored row back if its incarnation was known to be gone, and reports whether
 // it does.
 func (m *serverMemory) hold(r feed.Row, s backend.Server, now time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	x, ok := m.gone[s.ID]
 	if !ok || s.Born > x.born || now-x.at > goneMemory {
 		return false
@@ -309,8 +315,17 @@
 	return true
 }
 
+// drop forgets a row that is kept back: a newer one, or its removal, takes its place.
+func (m *serverMemory) drop(key string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.held, key)
+}
+
 // release returns the rows that are no longer kept back.
 func (m *serverMemory) release(now time.Duration) []feed.Row {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	var out []feed.Row
 	for key, x := range m.held {
 		if now >= x.until {
