--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -263,7 +263,8 @@
 		r.Version, r.Generation, r.Restored = min(r.Version, page.Version), page.Generation, !first
 		old, known := before[r.Key]
 		delete(before, r.Key)
-		if f.replica.put(r) && !(known && !old.Removed && bytes.Equal(old.Value, r.Value)) {
+		unchanged := known && !old.Removed && bytes.Equal(old.Value, r.Value)
+		if f.replica.put(r) && !unchanged {
 			f.options.OnRow(r)
 		}
 	}
--- a/internal/feed/generation_test.go
+++ b/internal/feed/generation_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -191,3 +192,79 @@
 	require.NoError(t, err)
 	require.Empty(t, page.Rows)
 }
+
+// countedStore is the table of a store in a fleet test.
+type countedStore struct {
+	replica            *replica
+	snapshots, changes int
+}
+
+func (s *countedStore) Snapshot(ctx context.Context) (Page, error) {
+	s.snapshots++
+	return s.replica.serve(ctx, true, Cursor{Generation: GenerationUnknown}, 0)
+}
+
+func (s *countedStore) Changes(ctx context.Context, after Cursor, wait time.Duration) (Page, error) {
+	s.changes++
+	page, err := s.replica.serve(ctx, false, after, wait)
+	if page.Whole {
+		return Page{}, ErrHistoryDropped
+	}
+	return page, err
+}
+
+// A restore must cost the store a read of the table for each zone, not for each VM, or a large
+// fleet exceeds its rate at once.
+func TestRestoreCostsTheStoreOneReadOfTheTablePerZone(t *testing.T) {
+	tests := []struct{ vms, zones int }{{6, 2}, {95, 6}, {390, 14}}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.vms, " VMs"), func(t *testing.T) {
+			now := 10 * time.Second
+			clock := func() time.Duration { return now }
+			store := &countedStore{replica: newReplica(clock, time.Hour)}
+			fill := func(generation, version int64, value string) {
+				store.replica.begin(Cursor{Generation: generation, Version: version})
+				store.replica.put(row("a", version, value))
+				store.replica.advance(version, now, true)
+			}
+			values := make([]string, tt.vms)
+			followers := make([]*Follower, tt.vms)
+			for i := range followers {
+				o := Options{
+					Source: store, Now: clock, Log: &log.Logger{Handler: discard.New()},
+					OnRow: func(r Row) { values[i] = string(r.Value) }, OnLapsed: func(string, time.Duration) {}, OnConfirmed: func(time.Duration) {},
+				}
+				if leader := i % tt.zones; leader != i {
+					o.Relay = func() Source { return &replicaSource{replica: followers[leader].replica} }
+				}
+				followers[i] = New(o)
+			}
+			play := func() (snapshots, changes int) {
+				store.snapshots, store.changes = 0, 0
+				for range 5 {
+					now += time.Millisecond
+					for _, f := range followers {
+						if err := f.step(context.Background()); errors.Is(err, ErrHistoryDropped) {
+							f.complete = false
+						} else {
+							require.NoError(t, err)
+						}
+					}
+				}
+				return store.snapshots, store.changes
+			}
+			fill(1, 100, "first")
+			play()
+			snapshots, before := play()
+			require.Zero(t, snapshots)
+			fill(2, 40, "restored")
+			snapshots, after := play()
+			require.Equal(t, tt.zones, snapshots)
+			require.LessOrEqual(t, after, before)
+			for _, v := range values {
+				require.Equal(t, "restored", v)
+			}
+			t.Logf("%d VMs in %d zones: %d reads of changes in five rounds before; %d and %d of the whole table after", tt.vms, tt.zones, before, after, snapshots)
+		})
+	}
+}
--- a/internal/gateway/restore.go
+++ b/internal/gateway/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -167,8 +168,12 @@
 	first, risen := g.restores.set(generation, g.now())
 	recordName := fmt.Sprintf("%s@%d", generationRecordName, generation)
 	// The caller is background work itself, for which Close waits.
-	if generation > 0 && (first || risen && g.ownsKey(recordName)) {
-		g.background.Go(func() { g.readGenerationAge(ctx, recordName, generation) })
+	switch {
+	case generation == 0:
+	case first:
+		g.background.Go(func() { g.readGenerationAge(ctx, recordName, generation, rand.N(restoreGrace/2)) })
+	case risen && g.ownsKey(recordName):
+		g.background.Go(func() { g.readGenerationAge(ctx, recordName, generation, 0) })
 	}
 	if !risen {
 		return
@@ -181,34 +186,48 @@
 	})
 }
 
-// readGenerationAge reads from the store since when a generation has been known, or records
-// that it is known from now on.
-func (g *Gateway) readGenerationAge(ctx context.Context, recordName string, generation int64) {
+// readGenerationAge reads from the store since when a generation has been known. If the record
+// is still missing after a delay, it records that the generation is known from now on.
+func (g *Gateway) readGenerationAge(ctx context.Context, recordName string, generation int64, delay time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, restoreGrace)
 	defer cancel()
-	rec, err := g.adapter.Store().Read(ctx, recordName)
-	if err == nil && rec.Generation != generation {
-		err = lease.ErrGenerationChanged
-	}
-	var since int64
-	switch {
-	case err != nil:
-	case rec.Version == 0:
-		_, err = g.adapter.Store().CompareAndSwap(ctx, recordName, strconv.AppendInt(nil, rec.Now.Milliseconds(), 10), 0)
-		since = rec.Now.Milliseconds()
-	default:
-		since, err = strconv.ParseInt(string(rec.Value), 10, 64)
-	}
+	age, err := g.generationAge(ctx, recordName, generation, delay)
 	if err != nil {
 		event.GenerationReadFailed.Log(g.log, err, log.Fields{"generation": generation})
 		return
 	}
-	age := max(0, rec.Now-time.Duration(since)*time.Millisecond)
 	if askedAt := g.restores.setAge(generation, age, g.now()); askedAt > 0 {
 		g.confirmCatalog(askedAt)
 	}
 }
 
+func (g *Gateway) generationAge(ctx context.Context, recordName string, generation int64, delay time.Duration) (time.Duration, error) {
+	store := g.adapter.Store()
+	rec, err := store.Read(ctx, recordName)
+	if err == nil && rec.Version == 0 && delay > 0 {
+		// Another VM that starts may write it.
+		timer.Sleep(ctx, delay)
+		rec, err = store.Read(ctx, recordName)
+	}
+	switch {
+	case err != nil:
+		return 0, fmt.Errorf("gateway: generation of the store: %w", err)
+	case rec.Generation != generation:
+		return 0, lease.ErrGenerationChanged
+	case rec.Version != 0:
+		since, err := strconv.ParseInt(string(rec.Value), 10, 64)
+		if err != nil {
+			return 0, fmt.Errorf("gateway: generation of the store: %w", err)
+		}
+		return max(0, rec.Now-time.Duration(since)*time.Millisecond), nil
+	}
+	_, err = store.CompareAndSwap(ctx, recordName, strconv.AppendInt(nil, rec.Now.Milliseconds(), 10), 0)
+	if err != nil && !errors.Is(err, lease.ErrConflict) {
+		return 0, fmt.Errorf("gateway: generation of the store: %w", err)
+	}
+	return 0, nil
+}
+
 // rejoin writes the row of this VM again, unless the generation rises again meanwhile.
 func (g *Gateway) rejoin(ctx context.Context, generation int64) {
 	began := g.now()
