feed: a VM without the history passes the whole table on

Cause: since a VM that has read a table for the first time says that the history before is gone, as it does for removed rows that it no longer has. Each VM of its zone then read the table from the store. Change: it passes the whole table on, as after a restore; senders that state no generation (older code) get the error as before. TestRemovedRowsAreServedUntilCompacted asks the error of positions without a generation and the whole table of the others.

--- a/internal/feed/replica.go
+++ b/internal/feed/replica.go
@@ -138,8 +138,9 @@
 }
 
 // serve returns all rows, or those that changed after a position. If none did, it
-// waits up to wait for the next response of the store. After a position of an earlier
-// generation it returns all rows.
+// waits up to wait for the next response of the store. It returns all rows after a position
+// whose changes are not known any more, such as one of an earlier generation; a position
+// without a generation is of a sender that expects ErrHistoryDropped then.
 func (r *replica) serve(ctx context.Context, all bool, after Cursor, wait time.Duration) (Page, error) {
 	arrived := r.now()
 	timer := time.NewTimer(wait)
@@ -161,7 +162,8 @@
 func (r *replica) page(all bool, after Cursor, arrived time.Duration) (Page, chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if after.Generation == GenerationUnknown {
+	stated := after.Generation != GenerationUnknown
+	if !stated {
 		after.Generation = r.cursor.Generation
 	}
 	sameGeneration := after.Generation == r.cursor.Generation
@@ -169,10 +171,11 @@
 	if !r.complete || !r.fromStore || r.now()-r.askedAt > r.maxAge || newer {
 		return Page{}, nil, ErrNotCurrent
 	}
-	whole := all || !sameGeneration
-	if !whole && after.Version < r.compactedTo {
+	dropped := after.Version < r.compactedTo
+	if dropped && !all && !stated {
 		return Page{}, nil, ErrHistoryDropped
 	}
+	whole := all || !sameGeneration || dropped
 	page := Page{Version: r.cursor.Version, Generation: r.cursor.Generation, Whole: whole, Since: r.askedAt - arrived}
 	for _, row := range r.rows {
 		if whole && !row.Removed || !whole && row.Version > after.Version {
