--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -254,7 +254,7 @@
 	before := f.replica.begin(Cursor{Generation: page.Generation, Version: page.Version})
 	if !first {
 		f.hadOutage, f.recoveredAt = true, now
-		event.StoreRestored.Log(f.options.Log, nil, log.Fields{"table": f.options.Name, "generation": page.Generation, "version": page.Version})
+		event.StoreRestored.Log(f.options.Log, nil, log.Fields{"table": f.options.Name, "storegeneration": page.Generation, "version": page.Version})
 	}
 	if f.options.OnGeneration != nil {
 		f.options.OnGeneration(page.Generation)
--- a/internal/gateway/restore.go
+++ b/internal/gateway/restore.go
@@ -193,7 +193,7 @@
 	defer cancel()
 	age, err := g.generationAge(ctx, recordName, generation, delay)
 	if err != nil {
-		event.GenerationReadFailed.Log(g.log, err, log.Fields{"generation": generation})
+		event.GenerationReadFailed.Log(g.log, err, log.Fields{"storegeneration": generation})
 		return
 	}
 	if askedAt := g.restores.setAge(generation, age, g.now()); askedAt > 0 {
@@ -237,7 +237,7 @@
 		err := g.adapter.Store().Join(writeCtx, g.settings.VM, g.settings.PeerAddress)
 		cancel()
 		if err == nil {
-			event.RowsRewritten.Log(g.log, nil, log.Fields{"generation": generation, "after": (g.now() - began).Milliseconds()})
+			event.RowsRewritten.Log(g.log, nil, log.Fields{"storegeneration": generation, "after": (g.now() - began).Milliseconds()})
 			return
 		}
 		event.VMListFailed.Log(g.log, err, log.Fields{"step": "rejoin"})
