gateway: a rollout does not start again for a restore of the store

Cause: revisions of orders have the generation of the store since. A VM that starts after a restore gives the order in the copy a later revision than its record has, and would run a rollout again that has ended. Change: an order to the version of the record, of a later generation, is that of the record, which gives the revision. Measured: TestRecordOfARolloutIsThatOfTheOrderBeforeARestore: without the change (trial) its first two cases fail; the tests of rollouts pass with the race detector.

--- a/internal/gateway/restore.go
+++ b/internal/gateway/restore.go
@@ -16,6 +16,7 @@
 	"github.com/marjoramrock/marjoramrock/internal/event"
 	"github.com/marjoramrock/marjoramrock/internal/feed"
 	"github.com/marjoramrock/marjoramrock/internal/lease"
+	"github.com/marjoramrock/marjoramrock/internal/rollout"
 	"github.com/marjoramrock/marjoramrock/internal/timer"
 )
 
@@ -47,6 +48,12 @@
 // after the versions of rows have fallen.
 func orderRevision(r feed.Row) int64 { return r.Generation*revisionsPerGeneration + r.Version }
 
+// isWrittenAgain reports whether an order is one that was known with a revision of an earlier
+// generation: its row was in the copy, or has been written again since.
+func isWrittenAgain(revision int64, to string, o rollout.Order) bool {
+	return revision > 0 && to == o.To && revision/revisionsPerGeneration < o.Revision/revisionsPerGeneration
+}
+
 // restores tracks the generation of the store, which rises each time the store comes back
 // from an older copy of its contents. It is safe for concurrent use.
 type restores struct {
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -53,6 +53,33 @@
 	}
 }
 
+// A VM that starts after a restore reads orders of before it with a revision of the new
+// generation: a rollout that has ended must not start again for that.
+func TestRecordOfARolloutIsThatOfTheOrderBeforeARestore(t *testing.T) {
+	revision := func(generation, version int64) int64 {
+		return orderRevision(feed.Row{Generation: generation, Version: version})
+	}
+	tests := []struct {
+		name     string
+		revision int64
+		record   rolloutRecord
+		ended    bool
+	}{
+		{"row in the copy", revision(2, 30), rolloutRecord{Revision: revision(1, 30), To: "v2", State: rollout.Done, Reported: true}, true},
+		{"row written again", revision(2, 44), rolloutRecord{Revision: revision(1, 30), To: "v2", State: rollout.RolledBack, Reported: true}, true},
+		{"another order", revision(2, 44), rolloutRecord{Revision: revision(1, 30), To: "v1", State: rollout.Done, Reported: true}, false},
+		{"another order of the same generation", revision(2, 44), rolloutRecord{Revision: revision(2, 30), To: "v2", State: rollout.Done, Reported: true}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRollouts(Settings{Bounds: Bounds{Exposure: &ExposureBounds{Share: 0.1}}})
+			require.True(t, r.setOrder("row", rollout.Order{Service: "s", To: "v2", Duration: time.Minute, Revision: tt.revision}, 0))
+			require.Equal(t, tt.ended, r.applyRecord("s", tt.record))
+			require.Equal(t, !tt.ended, len(r.unended()) == 1)
+		})
+	}
+}
+
 // What is remembered of servers that are gone must be bounded, and only the incarnations that
 // are gone kept back, for a time.
 func TestGoneServersAreKeptBack(t *testing.T) {
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -223,8 +223,7 @@
 		return false
 	}
 	r.rows[row] = o.Service
-	if s.order.Revision > 0 && !s.withdrawn && o.To == s.order.To && o.Duration == s.order.Duration && o.Revision/revisionsPerGeneration > s.order.Revision/revisionsPerGeneration {
-		// The order has been written again after a restore of the store.
+	if s.order.Revision > 0 && !s.withdrawn && o.Duration == s.order.Duration && isWrittenAgain(s.order.Revision, s.order.To, o) {
 		return false
 	}
 	if s.order.Revision > 0 && s.state == rollout.Running && s.order.To != o.To {
--- a/internal/gateway/rollout_owner.go
+++ b/internal/gateway/rollout_owner.go
@@ -305,6 +305,11 @@
 	if err != nil || rec.Revision > x.order.Revision {
 		return nil, err
 	}
+	if isWrittenAgain(rec.Revision, rec.To, x.order) {
+		// The next step has the order with the revision of the record.
+		g.rollouts.applyRecord(x.order.Service, rec)
+		return nil, nil
+	}
 	now := g.now()
 	o := &ownedRollout{order: x.order, fence: fence, controller: w.newController(), version: raw.Version, takenAt: now}
 	if rec.Revision < x.order.Revision {
--- a/internal/gateway/rollout_record.go
+++ b/internal/gateway/rollout_record.go
@@ -100,6 +100,9 @@
 	s := r.service(service)
 	defer s.acceptPending(r.confirmedAt)
 	s.needsRecord = false
+	if isWrittenAgain(x.Revision, x.To, s.order) {
+		s.order.Revision = x.Revision
+	}
 	switch {
 	case x.Revision == 0:
 		return false
