gateway: a measured call allocates no sample

Cause: observeDuration made a new sample of 24 KB for each call, to be thrown away unless the histogram was new: 75 % of what the server allocates for a refused request, by an allocation profile (100 connections with pipelined requests). Change: the sample is made when a histogram is registered.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -32,7 +32,15 @@
 }
 
 func (m *gatewayMetrics) observeDuration(name string, d time.Duration) {
-	metrics.GetOrRegisterHistogram(name, m.registry, metrics.NewExpDecaySample(histogramSampleSize, histogramDecayAlpha)).Update(d.Microseconds())
+	h, ok := m.registry.GetOrRegister(name, newHistogram).(metrics.Histogram)
+	if ok {
+		h.Update(d.Microseconds())
+	}
+}
+
+// newHistogram returns an empty histogram, whose sample takes 24 KB.
+func newHistogram() metrics.Histogram {
+	return metrics.NewHistogram(metrics.NewExpDecaySample(histogramSampleSize, histogramDecayAlpha))
 }
 
 // write prints the metrics as text, one value per line.
