--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -327,6 +327,9 @@
 	}
 	if err != nil {
 		event.ConfigInvalid.Log(g.log, err, log.Fields{"row": r.Key, "version": r.Version})
+		if r.Restored {
+			g.restores.setCatalog(r.Key, 0)
+		}
 		return
 	}
 	if d.Catalog != nil {
