gateway: the VMs learn that all calls go to the new version before the platform learns of the end

Cause: a decision in the last moment (250 ms before the deadline with 4 s) may take calls of both versions to all of the new one at once. The time for the VMs to learn of it (400 ms) was cut short so that the report was in time. Change: that time counts from when all calls go to the new version, and is not cut short. Such a report may come up to 250 ms late; those of rollouts whose last phase had been played are as early as before. Ruled out: deciding earlier (latestDecision 600, minLeadTime 650 ms): TestVersionsAreJudgedRight and TestFaultsOfTheFleet fail, since the answers of that time are missing.

--- a/internal/gateway/rollout_owner.go
+++ b/internal/gateway/rollout_owner.go
@@ -35,7 +35,7 @@
 	knownVMAge = 20 * time.Second
 	// doneNotice is the time between telling the VMs and telling the platform that a rollout
 	// is done: the platform then stops the old servers. It is cut short so that reportMargin
-	// is left until the deadline.
+	// is left until the deadline, unless some VM may still send calls to the old servers.
 	doneNotice   = 400 * time.Millisecond
 	reportMargin = 150 * time.Millisecond
 	// grantPeriod is the time between two messages with grants from an owner that does not
@@ -75,6 +75,8 @@
 	// reportedState is the state that the platform was told last.
 	reportedState rollout.State
 	endedAt       time.Duration
+	// fullSince is since when all calls go to the new version, 0 if they do not.
+	fullSince time.Duration
 }
 
 // stop gives the new version nothing.
@@ -407,6 +409,12 @@
 		})
 	}
 	o.share, o.last, o.probe, o.probeEnd = d.Share, d.Last, d.Probe, d.ProbeEnd
+	switch {
+	case d.Share < 1:
+		o.fullSince = 0
+	case o.fullSince == 0:
+		o.fullSince = g.now()
+	}
 	if d.State == rollout.RolledBack {
 		o.stop()
 		g.logJudgement(o)
@@ -450,7 +458,12 @@
 	if o.record.Reported {
 		return nil
 	}
-	if o.record.State == rollout.Done && now < deadline && (now < o.endedAt+doneNotice || w.g.oldCalls(o, now) > 0) {
+	allNewSince := o.endedAt
+	if o.fullSince != 0 {
+		allNewSince = min(allNewSince, o.fullSince)
+	}
+	inTime := now < deadline && (now < o.endedAt+doneNotice || w.g.oldCalls(o, now) > 0)
+	if o.record.State == rollout.Done && (inTime || now < allNewSince+doneNotice) {
 		return nil
 	}
 	if o.reportedState != o.record.State {
--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -464,6 +464,38 @@
 	require.Eventually(t, func() bool { return r.controller.lastView().OldCalls == 0 }, 5*time.Second, 5*time.Millisecond)
 }
 
+// Calls were placed at old servers, which stop as soon as the platform learns that the rollout
+// is done, by VMs that had not heard that all calls go to the new version.
+func TestVMsLearnOfTheEndBeforeThePlatform(t *testing.T) {
+	const duration = 1500 * time.Millisecond
+	tests := []struct {
+		name  string
+		share float64
+		// min and max bound the time from the decision to the report.
+		min, max time.Duration
+	}{
+		{"calls go to both versions up to the end", 0.5, doneNotice, 2 * time.Second},
+		{"all calls have gone to the new one for some time", 1, 0, doneNotice},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRolloutTest(t)
+			g := r.start("vm1")
+			r.adapter.operators.put("row", rollout.Order{Service: "plain", To: "v2", Duration: duration})
+			began := time.Now()
+			r.adapter.list("b1", "plain", "v2")
+			require.Eventually(t, func() bool { return len(r.adapter.store.reported()) == 1 && r.controller.lastView().NewServers == 1 }, time.Second, time.Millisecond)
+			r.controller.set(rollout.Running, tt.share)
+			time.Sleep(time.Until(began.Add(duration)))
+			r.controller.set(rollout.Done, 1)
+			decided := time.Now()
+			require.Eventually(t, func() bool { return len(r.adapter.store.reported()) == 2 }, tt.max, time.Millisecond)
+			require.GreaterOrEqual(t, time.Since(decided), tt.min)
+			require.Equal(t, map[string]int{"v2": 60}, r.used(g))
+		})
+	}
+}
+
 // A call that failed on one side was repeated on the other, so that a bad version's
 // failures were hidden or its exposures exceeded its share.
 func TestRetriesStayOnSide(t *testing.T) {
