--- a/review/_standins3/client.go
+++ b/review/_standins3/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -10,15 +11,21 @@
 	"time"
 )
 
-const apiKey = "key"
+// Keys of the two teams.
+const (
+	apiKey      = "key"
+	otherAPIKey = "otherkey"
+)
 
 // request is a request of a client for a stream.
 type request struct {
 	id, path, prefix string
-	inputTokens      int
-	outputTokens     int
-	bodyBytes        int
-	deadline         time.Duration
+	// key is apiKey unless it is set.
+	key          string
+	inputTokens  int
+	outputTokens int
+	bodyBytes    int
+	deadline     time.Duration
 	// patience is how long the client waits for the first event, and between two.
 	patience time.Duration
 }
@@ -61,7 +68,7 @@
 		return c.SetReadDeadline(next)
 	}
 	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nModel: %s\r\nToken-Count: %d,%d\r\nPrefix-Hash: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n",
-		q.path, host, q.id, model, q.inputTokens, q.outputTokens, q.prefix, q.deadline.Milliseconds(), apiKey, q.bodyBytes)
+		q.path, host, q.id, model, q.inputTokens, q.outputTokens, q.prefix, q.deadline.Milliseconds(), cmp.Or(q.key, apiKey), q.bodyBytes)
 	if _, err := io.WriteString(c, head+strings.Repeat("x", q.bodyBytes)); err != nil {
 		return result{err: err}
 	}
--- a/review/_standins3/endless.go
+++ b/review/_standins3/endless.go
@@ -54,8 +54,11 @@
 		"services": []any{map[string]any{"name": "taalmodel", "max_conns": atlasConns, "engine": map[string]any{
 			"slots": atlasSlots, "kv_tokens": atlasTokens, "kv_token_bytes": 192512.0, "link_mbps": 350000.0, "models": []any{map[string]any{"name": model}},
 		}}},
-		"tenants": []any{map[string]any{"name": "t", "api_keys": []string{apiKey}, "rate_per_s": 0, "burst": 0, "uncached_tokens": 200}},
-		"limits":  map[string]any{},
+		"tenants": []any{
+			map[string]any{"name": "t", "api_keys": []string{apiKey}, "rate_per_s": 0, "burst": 0, "uncached_tokens": 200},
+			map[string]any{"name": "u", "api_keys": []string{otherAPIKey}, "rate_per_s": 0, "burst": 0, "uncached_tokens": 200},
+		},
+		"limits": map[string]any{},
 	}
 }
 
--- a/review/_standins3/engine.go
+++ b/review/_standins3/engine.go
@@ -49,14 +49,19 @@
 			go e.serve(c)
 		}
 	}()
+	return e, s.put("servers", id, e.entry("ready"))
+}
+
+// entry returns the entry of the engine in the store's list.
+func (e *engine) entry(state string) map[string]any {
 	entry := map[string]any{
-		"service": service, "addr": e.address, "zone": zone, "version": "v1", "slots": slots, "state": "ready",
+		"service": e.service, "addr": e.address, "zone": zone, "version": "v1", "slots": e.slots, "state": state,
 		"cold_left_ms": 0, "seq": 0, "born": time.Now().UnixMilli(),
 	}
-	if version > 0 {
+	if e.version > 0 {
 		entry["models"] = e.models()
 	}
-	return e, s.put("servers", id, entry)
+	return entry
 }
 
 func (e *engine) models() []map[string]any {
--- a/review/_standins3/process.go
+++ b/review/_standins3/process.go
@@ -31,13 +31,17 @@
 	return l.Addr().String(), nil
 }
 
-// freeAddress returns an address on which nothing listens.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// freeAddresses returns n addresses on which nothing listens.
+func freeAddresses(n int) (out []string, err error) {
+	for range n {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }()
+		out = append(out, l.Addr().String())
 	}
-	return l.Addr().String(), l.Close()
+	return out, nil
 }
 
 // gateway is a process of the system.
@@ -56,12 +60,11 @@
 // newGateway writes the settings of a process, as deploy/settings.json.tmpl renders them.
 func newGateway(dir, name, storeAddress string, memoryMB int) (*gateway, error) {
 	g := &gateway{name: name, file: filepath.Join(dir, name+".json")}
-	for _, address := range []*string{&g.entry, &g.ready, &g.peer, &g.metrics} {
-		var err error
-		if *address, err = freeAddress(); err != nil {
-			return nil, err
-		}
+	addresses, err := freeAddresses(4)
+	if err != nil {
+		return nil, err
 	}
+	g.entry, g.ready, g.peer, g.metrics = addresses[0], addresses[1], addresses[2], addresses[3]
 	settings := fmt.Sprintf(`{
   "vm": %q, "zone": %q, "region": "r",
   "entry": %q, "ready": %q, "peer": %q, "metrics": %q, "store": %q,
@@ -77,7 +80,6 @@
 	if err := os.WriteFile(g.file, []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
-	var err error
 	g.log, err = os.Create(filepath.Join(dir, name+".log"))
 	return g, err
 }
--- a/review/_standins3/store.go
+++ b/review/_standins3/store.go
@@ -192,3 +192,12 @@
 	s.notify()
 	return nil
 }
+
+// remove removes a row as the platform does.
+func (s *store) remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.rows[rowKey{table, "", key}] = row{Table: table, Key: key, Deleted: true, Version: s.version}
+	s.notify()
+}
