--- a/review/_standins3/inner.go
+++ b/review/_standins3/inner.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -139,5 +138,3 @@
 	}
 	return nil, nil
 }
-
-func isDeadly(prefixHash string) bool { return strings.Contains(prefixHash, deadlyPart+":") }
--- a/review/_standins3/main.go
+++ b/review/_standins3/main.go
@@ -40,8 +40,8 @@
 var cases = map[string]func(*play) ([]string, error){
 	"silence":       playSilence,
 	"endless-heads": playEndlessHeads,
-	"deadly-part":   playDeadly,
 	"inner-part":    playInner,
+	"batches":       playBatches,
 }
 
 func main() {
